--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# Targets: build, test, lint, proto.
+GO ?= go
+BIN := bin/auburnlead
+
+.PHONY: build test lint proto
+
+build:
+	$(GO) build -o $(BIN) ./cmd/auburnlead
+
+lint:
+	@unformatted="$$(gofmt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$'))"; \
+	if [ -n "$$unformatted" ]; then echo "gofmt is needed for: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+test: lint
+	$(GO) test -race -count=1 ./...
+
+# Regenerates the committed gRPC code; needs protoc. The build does not.
+proto:
+	mkdir -p bin
+	$(GO) build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	$(GO) build -o bin/protoc-gen-go-grpc google.golang.org/grpc/cmd/protoc-gen-go-grpc
+	PATH="$(CURDIR)/bin:$$PATH" protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peerpb/peer.proto
--- /dev/null
+++ b/cmd/auburnlead/main.go
@@ -0,0 +1,14 @@
+// Command auburnlead is the router daemon, the operators' command line, the
+// load generator and the stand-ins for tests, in one binary.
+package main
+
+import (
+	"os"
+
+	"github.com/auburnlead/auburnlead/internal/cli"
+	_ "github.com/auburnlead/auburnlead/plugins/standard"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/cli/router.go
@@ -0,0 +1,34 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/auburnlead/auburnlead/kernel"
+	"github.com/auburnlead/auburnlead/settings"
+)
+
+// routerRole is the role whose plug-ins make up the router daemon.
+const routerRole = "router"
+
+type routerCmd struct {
+	Settings string   `help:"Settings file (INI)." type:"path" placeholder:"FILE"`
+	Set      []string `help:"Override one setting; may be repeated." sep:"none" placeholder:"SECTION.KEY=VALUE"`
+}
+
+// Help is the text below the usage of the command.
+func (routerCmd) Help() string {
+	return "Example:\n\n  auburnlead router --settings /etc/auburnlead/router.ini --set caller.listen=10.0.0.5:8080\n\nStops gracefully on SIGTERM: requests in flight end by themselves, then exit code 0."
+}
+
+// Run runs the daemon until SIGTERM.
+func (c *routerCmd) Run(ctx context.Context) error {
+	src, err := settings.Open(c.Settings, c.Set)
+	if err != nil {
+		return err
+	}
+	app, err := kernel.New(routerRole, src)
+	if err != nil {
+		return err
+	}
+	return kernel.Run(ctx, app)
+}
--- /dev/null
+++ b/internal/core/problem.go
@@ -0,0 +1,92 @@
+package core
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// ProblemKind is the stable kind of a problem, the last part of its type URN.
+type ProblemKind string
+
+// Kinds of problems.
+const (
+	KindInvalidRequest      ProblemKind = "invalid_request"
+	KindUnauthorized        ProblemKind = "unauthorized"
+	KindForbidden           ProblemKind = "forbidden"
+	KindNotFound            ProblemKind = "not_found"
+	KindBodyTooLarge        ProblemKind = "body_too_large"
+	KindKeyRequired         ProblemKind = "key_required"
+	KindKeyReused           ProblemKind = "key_reused"
+	KindInProgress          ProblemKind = "in_progress"
+	KindOutcomeUnknown      ProblemKind = "outcome_unknown"
+	KindOverloaded          ProblemKind = "overloaded"
+	KindDeadlineExceeded    ProblemKind = "deadline_exceeded"
+	KindUpstreamUnavailable ProblemKind = "upstream_unavailable"
+	KindPlatformUnavailable ProblemKind = "platform_unavailable"
+	KindAnswerIncomplete    ProblemKind = "answer_incomplete"
+	KindShuttingDown        ProblemKind = "shutting_down"
+	KindNotReady            ProblemKind = "not_ready"
+)
+
+// problemClass is what all problems of a kind share.
+type problemClass struct {
+	status int
+	title  string
+	remedy string
+}
+
+var problemClasses = map[ProblemKind]problemClass{
+	KindInvalidRequest:      {http.StatusBadRequest, "The request is malformed", "correct the request as the detail says"},
+	KindUnauthorized:        {http.StatusUnauthorized, "The key is missing or not valid", "send Authorization: Bearer with a valid key"},
+	KindForbidden:           {http.StatusForbidden, "The caller may not do this", "ask the operator to extend the caller's object"},
+	KindNotFound:            {http.StatusNotFound, "No such object", "use a name listed by GET /v1/models or given by the operator"},
+	KindBodyTooLarge:        {http.StatusRequestEntityTooLarge, "The body is too large", "send a smaller body"},
+	KindKeyRequired:         {http.StatusPreconditionRequired, "An Idempotency-Key is required", "repeat the request with an Idempotency-Key of its own"},
+	KindKeyReused:           {http.StatusUnprocessableEntity, "The Idempotency-Key belongs to another request", "use a new key for a new request"},
+	KindInProgress:          {http.StatusConflict, "The request with this key is still running", "ask again later with the same key"},
+	KindOutcomeUnknown:      {http.StatusConflict, "It is not known whether the request ran", "check with the service before sending it under a new key"},
+	KindOverloaded:          {http.StatusTooManyRequests, "No capacity in time", "retry after the stated time"},
+	KindDeadlineExceeded:    {http.StatusGatewayTimeout, "The deadline has passed", "retry with a later deadline"},
+	KindUpstreamUnavailable: {http.StatusServiceUnavailable, "No upstream can serve the request", "retry after the stated time"},
+	KindPlatformUnavailable: {http.StatusServiceUnavailable, "The platform does not answer", "retry with the same key after the stated time"},
+	KindAnswerIncomplete:    {http.StatusBadGateway, "The answer was cut off", "send the request again if it may be repeated"},
+	KindShuttingDown:        {http.StatusServiceUnavailable, "This router is stopping", "retry at once; the balancer picks another router"},
+	KindNotReady:            {http.StatusServiceUnavailable, "This router is not ready", "retry after the stated time"},
+}
+
+// Problem is an error towards a caller or operator, sent as problem+json.
+type Problem struct {
+	Kind       ProblemKind
+	Detail     string
+	Outcome    Outcome
+	RetryAfter time.Duration // 0 for none
+	Err        error         // the cause, logged and never sent
+}
+
+// NewProblem returns a problem of a request that has not run.
+func NewProblem(kind ProblemKind, format string, args ...any) *Problem {
+	return &Problem{Kind: kind, Detail: fmt.Sprintf(format, args...), Outcome: OutcomeNotRun}
+}
+
+// Status is the HTTP status of the problem's kind.
+func (p *Problem) Status() int { return problemClasses[p.Kind].status }
+
+// Title is the fixed text of the problem's kind.
+func (p *Problem) Title() string { return problemClasses[p.Kind].title }
+
+// Remedy says what the caller can do next.
+func (p *Problem) Remedy() string { return problemClasses[p.Kind].remedy }
+
+// Type is the stable URN of the problem's kind.
+func (p *Problem) Type() string { return "urn:auburnlead:problem:" + string(p.Kind) }
+
+func (p *Problem) Error() string {
+	text := fmt.Sprintf("%s: %s (%s); %s", p.Kind, p.Detail, p.Outcome, p.Remedy())
+	if p.Err != nil {
+		text += ": " + p.Err.Error()
+	}
+	return text
+}
+
+func (p *Problem) Unwrap() error { return p.Err }
--- /dev/null
+++ b/kernel/kernel.go
@@ -0,0 +1,136 @@
+// Package kernel holds the registry of plug-ins and runs them. A plug-in
+// registers itself from init under a dotted ID such as "router.caller"; the
+// first word is the role it belongs to, the last one its settings section.
+package kernel
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/auburnlead/auburnlead/settings"
+)
+
+// StopTimeout bounds a graceful stop. It exceeds the longest allowed
+// MaxDuration of a rank (1 h), so that a stop ends no request in flight.
+const StopTimeout = 65 * time.Minute
+
+// startTimeout bounds the start hooks; none of them waits for another process.
+const startTimeout = 15 * time.Second
+
+// Plugin describes a plug-in to the registry.
+type Plugin struct {
+	// ID is the dotted ID, for example "router.caller".
+	ID string
+	// Settings returns a pointer to a new settings struct, or is nil for a
+	// plug-in without settings. See package settings for its tags.
+	Settings func() any
+	// Options returns the plug-in's part of the fx application. The argument
+	// is the filled settings struct from Settings, nil without.
+	Options func(settings any) fx.Option
+}
+
+// Role is the first word of the plug-in's ID.
+func (p Plugin) Role() string { role, _, _ := strings.Cut(p.ID, "."); return role }
+
+// Section is the last word of the plug-in's ID.
+func (p Plugin) Section() string { return p.ID[strings.LastIndexByte(p.ID, '.')+1:] }
+
+var (
+	registryMu sync.Mutex // leaf lock: nothing else is taken under it
+	registry   = map[string]Plugin{}
+)
+
+// Register adds a plug-in. It panics when the ID is taken or not dotted, since
+// both are mistakes in the program.
+func Register(p Plugin) {
+	registryMu.Lock()
+	defer registryMu.Unlock()
+	if !strings.Contains(p.ID, ".") || p.Options == nil {
+		panic(fmt.Sprintf("kernel: plug-in %q needs a dotted ID and Options", p.ID))
+	}
+	if _, taken := registry[p.ID]; taken {
+		panic(fmt.Sprintf("kernel: plug-in %q is registered twice", p.ID))
+	}
+	registry[p.ID] = p
+}
+
+// Plugins returns the plug-ins of a role, sorted by ID.
+func Plugins(role string) []Plugin {
+	registryMu.Lock()
+	defer registryMu.Unlock()
+	var list []Plugin
+	for _, p := range registry {
+		if p.Role() == role {
+			list = append(list, p)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+// Bind reads the settings of all plug-ins of a role and returns them by plug-in
+// ID. Errors: *settings.Error with every problem of every section.
+func Bind(role string, src *settings.Source) (map[string]any, error) {
+	sections := map[string]any{}
+	byID := map[string]any{}
+	for _, p := range Plugins(role) {
+		if p.Settings == nil {
+			continue
+		}
+		byID[p.ID] = p.Settings()
+		sections[p.Section()] = byID[p.ID]
+	}
+	if err := src.Bind(sections); err != nil {
+		return nil, err
+	}
+	return byID, nil
+}
+
+// New builds the fx application of a role from its plug-ins and the extra
+// options. Errors: *settings.Error, or the first failure to build a part.
+func New(role string, src *settings.Source, extra ...fx.Option) (*fx.App, error) {
+	bound, err := Bind(role, src)
+	if err != nil {
+		return nil, err
+	}
+	options := append([]fx.Option{
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(StopTimeout),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+	}, extra...)
+	for _, p := range Plugins(role) {
+		options = append(options, p.Options(bound[p.ID]))
+	}
+	app := fx.New(options...)
+	if err := app.Err(); err != nil {
+		return nil, fmt.Errorf("kernel: %w; check that every plug-in of role %s is imported", err, role)
+	}
+	return app, nil
+}
+
+// Run starts the application and stops it gracefully when ctx ends or a part
+// asks for the shutdown.
+func Run(ctx context.Context, app *fx.App) error {
+	start, cancel := context.WithTimeout(ctx, app.StartTimeout())
+	defer cancel()
+	if err := app.Start(start); err != nil {
+		return fmt.Errorf("kernel: start: %w", err)
+	}
+	select {
+	case <-ctx.Done():
+	case <-app.Wait():
+	}
+	stop, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), app.StopTimeout())
+	defer cancelStop()
+	if err := app.Stop(stop); err != nil {
+		return fmt.Errorf("kernel: stop: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/plugins/standard/standard.go
@@ -0,0 +1,2 @@
+// Package standard imports the plug-ins that the shipped binary contains.
+package standard
