Add the node plug-in and the record of bound addresses

The router prints its bound addresses as one JSON line once every part listens, so that port 0 can be used.

--- a/internal/cli/router.go
+++ b/internal/cli/router.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 
+	"go.uber.org/fx"
+
+	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/kernel"
 	"github.com/auburnlead/auburnlead/settings"
 )
@@ -20,13 +24,17 @@
 	return "Example:\n\n  auburnlead router --settings /etc/auburnlead/router.ini --set caller.listen=10.0.0.5:8080\n\nStops gracefully on SIGTERM: requests in flight end by themselves, then exit code 0."
 }
 
-// Run runs the daemon until SIGTERM.
-func (c *routerCmd) Run(ctx context.Context) error {
+// Run runs the daemon until SIGTERM. Once every part listens it prints one line
+// of JSON with the bound addresses by part.
+func (c *routerCmd) Run(ctx context.Context, s *Streams) error {
 	src, err := settings.Open(c.Settings, c.Set)
 	if err != nil {
 		return err
 	}
-	app, err := kernel.New(routerRole, src)
+	printAddresses := func(lc fx.Lifecycle, a *core.Addresses) {
+		lc.Append(fx.Hook{OnStart: func(context.Context) error { return json.NewEncoder(s.Out).Encode(a.All()) }})
+	}
+	app, err := kernel.New(routerRole, src, fx.Module("addresses", fx.Invoke(printAddresses)))
 	if err != nil {
 		return err
 	}
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -100,14 +100,17 @@
 	if err != nil {
 		return nil, err
 	}
-	options := append([]fx.Option{
+	options := []fx.Option{
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(StopTimeout),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-	}, extra...)
+	}
 	for _, p := range Plugins(role) {
 		options = append(options, p.Options(bound[p.ID]))
 	}
+	// Extra options come last, so that their start hooks run when every
+	// plug-in has started.
+	options = append(options, extra...)
 	app := fx.New(options...)
 	if err := app.Err(); err != nil {
 		return nil, fmt.Errorf("kernel: %w; check that every plug-in of role %s is imported", err, role)
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -1,2 +1,6 @@
 // Package standard imports the plug-ins that the shipped binary contains.
 package standard
+
+import (
+	_ "github.com/auburnlead/auburnlead/plugins/node" // registers router.node
+)
