Add the load generator and single-request client

load run sends chats at a fixed rate and prints histograms; load chat and load service send one request for scripts.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -44,6 +44,7 @@
 type commands struct {
 	Output  string     `help:"Output format." enum:"text,json" default:"text" placeholder:"text|json"`
 	Router  routerCmd  `cmd:"" help:"Run the router daemon."`
+	Load    loadCmd    `cmd:"" help:"Send requests to a router."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/internal/cli/load.go
@@ -0,0 +1,124 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/auburnlead/auburnlead/internal/load"
+)
+
+type loadCmd struct {
+	Run     loadRunCmd     `cmd:"" help:"Send chats at a fixed rate and print latencies."`
+	Chat    loadChatCmd    `cmd:"" help:"Send one chat completion."`
+	Service loadServiceCmd `cmd:"" help:"Send one call to a plain service."`
+}
+
+// Help is the text below the usage of the command.
+func (loadCmd) Help() string {
+	return "Example:\n\n  auburnlead load run --url http://127.0.0.1:8080 --key K --model rota-8b-v3 --rate 50 --requests 1000"
+}
+
+// target is where and as whom a load command sends.
+type target struct {
+	Key    string `help:"Caller key." env:"AUBURNLEAD_CALLER_KEY"`
+	Direct bool   `help:"The URL is an engine's, not a router's."`
+}
+
+type loadRunCmd struct {
+	target
+	URL       []string `help:"Base URL; may be repeated, requests alternate." required:""`
+	Model     string   `help:"Model name." required:""`
+	Rank      string   `help:"Rank; the caller's default if empty."`
+	Rate      float64  `help:"Requests a second." default:"20"`
+	Requests  int      `help:"Requests in all." default:"200"`
+	InFlight  int      `help:"Most requests in flight." default:"1000"`
+	Chats     int      `help:"Chats that return." default:"50"`
+	MaxTokens int      `help:"Tokens an answer." default:"16"`
+	Seed      uint64   `help:"Seed of the choice of chats." default:"1"`
+	NoStream  bool     `help:"Ask for whole answers instead of streams."`
+}
+
+// Run sends the load and prints the report.
+func (c *loadRunCmd) Run(ctx context.Context, s *Streams) error {
+	plan := load.Plan{Model: c.Model, Rank: c.Rank, Requests: c.Requests, Rate: c.Rate, MaxInFlight: c.InFlight, Chats: c.Chats, MaxTokens: c.MaxTokens, Stream: !c.NoStream, Seed: c.Seed}
+	for _, url := range c.URL {
+		plan.Clients = append(plan.Clients, load.NewClient(url, c.Key, c.Direct, c.InFlight))
+	}
+	report, err := load.Run(ctx, plan)
+	if err != nil {
+		return err
+	}
+	if s.Output == "json" {
+		return json.NewEncoder(s.Out).Encode(report)
+	}
+	_, err = fmt.Fprintf(s.Out, "sent %d, complete %d, failed %d %v, not sent %d, seed %d\n%.1f requests/s; first token p50 %d us, p99 %d us; whole p50 %d us, p99 %d us; cached %d of %d prompt tokens\n",
+		report.Sent, report.Complete, report.Failed, report.Problems, report.NotSent, report.Seed, report.RequestsPerS, report.FirstTokenP50, report.FirstTokenP99, report.TotalP50, report.TotalP99, report.CachedTokens, report.PromptTokens)
+	return err
+}
+
+type loadChatCmd struct {
+	target
+	URL        string   `help:"Base URL." required:""`
+	Model      string   `help:"Model name." required:""`
+	Rank       string   `help:"Rank; the caller's default if empty."`
+	Workspace  string   `help:"Workspace."`
+	Chat       string   `help:"Chat ID."`
+	Message    []string `help:"Messages, user and assistant in turn." sep:"none" required:""`
+	MaxTokens  int      `help:"Tokens an answer." default:"16"`
+	DeadlineMS int64    `help:"Deadline in ms; 0 for none." name:"deadline-ms"`
+	NoStream   bool     `help:"Ask for a whole answer instead of a stream."`
+}
+
+// Run sends the chat and prints the result. Its error says that the answer is
+// not complete.
+func (c *loadChatCmd) Run(ctx context.Context, s *Streams) error {
+	q := load.Chat{Model: c.Model, Rank: c.Rank, Workspace: c.Workspace, ChatID: c.Chat, MaxTokens: c.MaxTokens, Stream: !c.NoStream, DeadlineMS: c.DeadlineMS}
+	for i, m := range c.Message {
+		role := "user"
+		if i%2 == 1 {
+			role = "assistant"
+		}
+		q.Messages = append(q.Messages, load.Message{Role: role, Content: m})
+	}
+	result, err := load.NewClient(c.URL, c.Key, c.Direct, 1).Chat(ctx, q)
+	if result == nil {
+		return &ExitError{ExitUnreachable, err}
+	}
+	if s.Output == "json" {
+		err = errors.Join(err, json.NewEncoder(s.Out).Encode(result))
+	} else {
+		fmt.Fprintf(s.Out, "status %d, complete %t, worker %q, cached %d of %d prompt tokens\n%s\n", result.Status, result.Complete, result.Worker, result.CachedTokens, result.PromptTokens, result.Content)
+	}
+	if result.Problem != nil {
+		return &ExitError{ExitFailed, fmt.Errorf("%s: %s (%s); %s", result.Problem.Title, result.Problem.Detail, result.Problem.Outcome, result.Problem.Remedy)}
+	}
+	return err
+}
+
+type loadServiceCmd struct {
+	target
+	URL            string `help:"Base URL." required:""`
+	Method         string `help:"HTTP method." default:"GET"`
+	Path           string `help:"Path from /v1/services." required:""`
+	Body           string `help:"JSON body."`
+	IdempotencyKey string `help:"Idempotency-Key." name:"idempotency-key"`
+}
+
+// Run sends the call and prints the answer.
+func (c *loadServiceCmd) Run(ctx context.Context, s *Streams) error {
+	result, err := load.NewClient(c.URL, c.Key, c.Direct, 1).Service(ctx, c.Method, c.Path, []byte(c.Body), c.IdempotencyKey)
+	if err != nil {
+		return &ExitError{ExitUnreachable, err}
+	}
+	if s.Output == "json" {
+		err = json.NewEncoder(s.Out).Encode(result)
+	} else {
+		_, err = fmt.Fprintf(s.Out, "status %d\n%s\n", result.Status, result.Body)
+	}
+	if result.Problem != nil {
+		return &ExitError{ExitFailed, fmt.Errorf("%s: %s (%s); %s", result.Problem.Title, result.Problem.Detail, result.Problem.Outcome, result.Problem.Remedy)}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,189 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Plan describes a load run. Requests start at a fixed rate whether or not
+// earlier ones have ended, so that a slow system does not slow its load.
+type Plan struct {
+	Clients     []*Client
+	Model       string
+	Rank        string
+	Requests    int     // in all
+	Rate        float64 // requests a second
+	MaxInFlight int     // requests over this are counted as not sent
+	Chats       int     // chats that return; each next turn of a chat extends it
+	MaxTokens   int
+	Stream      bool
+	Seed        uint64
+}
+
+// Report is the result of a run. Durations in microseconds.
+type Report struct {
+	Seed          uint64         `json:"seed"`
+	Sent          int            `json:"sent"`
+	NotSent       int            `json:"not_sent"`
+	Complete      int            `json:"complete"`
+	Failed        int            `json:"failed"`
+	Problems      map[string]int `json:"problems,omitempty"`
+	Seconds       float64        `json:"seconds"`
+	RequestsPerS  float64        `json:"requests_per_second"`
+	FirstTokenP50 int64          `json:"first_token_p50_us"`
+	FirstTokenP99 int64          `json:"first_token_p99_us"`
+	TotalP50      int64          `json:"total_p50_us"`
+	TotalP99      int64          `json:"total_p99_us"`
+	PromptTokens  int64          `json:"prompt_tokens"`
+	CachedTokens  int64          `json:"cached_tokens"`
+}
+
+// Histogram range: 1 microsecond to 10 minutes with three digits.
+const (
+	histogramMaxMicros = 600_000_000
+	histogramDigits    = 3
+)
+
+// runner collects the results of a run.
+type runner struct {
+	plan Plan
+	// mu is a leaf lock over the fields below.
+	mu         sync.Mutex
+	report     Report
+	firstToken *hdrhistogram.Histogram
+	total      *hdrhistogram.Histogram
+	chats      [][]Message // per chat; nil while a turn is in flight
+	wg         sync.WaitGroup
+}
+
+// Run carries out a plan and waits for every request to end.
+func Run(ctx context.Context, p Plan) (*Report, error) {
+	if p.Requests < 1 || p.Rate <= 0 || p.MaxInFlight < 1 || p.Chats < 1 || len(p.Clients) == 0 {
+		return nil, fmt.Errorf("load: requests, rate, in-flight limit, chats and URLs must be above zero; correct the flags")
+	}
+	r := &runner{
+		plan:       p,
+		report:     Report{Seed: p.Seed, Problems: map[string]int{}},
+		firstToken: hdrhistogram.New(1, histogramMaxMicros, histogramDigits),
+		total:      hdrhistogram.New(1, histogramMaxMicros, histogramDigits),
+		chats:      make([][]Message, p.Chats),
+	}
+	for i := range r.chats {
+		r.chats[i] = []Message{{Role: "system", Content: fmt.Sprintf("Chat %d. %s", i, strings.Repeat("Answer from the district's rota. ", 8))}}
+	}
+	begin := time.Now()
+	r.send(ctx)
+	r.wg.Wait()
+	r.finish(time.Since(begin))
+	return &r.report, ctx.Err()
+}
+
+// send starts the requests on schedule.
+func (r *runner) send(ctx context.Context) {
+	rnd := rand.New(rand.NewPCG(r.plan.Seed, 0))
+	slots := make(chan struct{}, r.plan.MaxInFlight)
+	tick := time.NewTicker(time.Duration(float64(time.Second) / r.plan.Rate))
+	defer tick.Stop()
+	for i := range r.plan.Requests {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			r.report.NotSent++
+			continue
+		}
+		client := r.plan.Clients[i%len(r.plan.Clients)]
+		chat := r.pick(rnd)
+		r.report.Sent++
+		r.wg.Add(1)
+		go func() {
+			defer r.wg.Done()
+			defer func() { <-slots }()
+			r.one(ctx, client, chat, i)
+		}()
+	}
+}
+
+// pick returns a chat without a turn in flight, or a random one as a last
+// resort: its turn is then sent without being kept.
+func (r *runner) pick(rnd *rand.Rand) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for range 8 {
+		if i := rnd.IntN(len(r.chats)); r.chats[i] != nil {
+			return i
+		}
+	}
+	return -1
+}
+
+func (r *runner) one(ctx context.Context, c *Client, chat, n int) {
+	messages := r.begin(chat, n)
+	chatID := fmt.Sprintf("load-%d-%d", r.plan.Seed, chat)
+	result, err := c.Chat(ctx, Chat{Model: r.plan.Model, Messages: messages, Stream: r.plan.Stream, MaxTokens: r.plan.MaxTokens, Rank: r.plan.Rank, ChatID: chatID})
+	r.end(chat, messages, result, err)
+}
+
+// begin takes a chat's history and adds the next question.
+func (r *runner) begin(chat, n int) []Message {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var history []Message
+	if chat >= 0 {
+		history, r.chats[chat] = r.chats[chat], nil
+	}
+	return append(history[:len(history):len(history)], Message{Role: "user", Content: fmt.Sprintf("Question %d: whose turn is it?", n)})
+}
+
+// maxHistory bounds a chat's messages; a longer chat starts again.
+const maxHistory = 24
+
+func (r *runner) end(chat int, messages []Message, result *ChatResult, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if chat >= 0 {
+		r.chats[chat] = messages[:1]
+		if err == nil && result.Complete && len(messages) < maxHistory {
+			r.chats[chat] = append(messages, Message{Role: "assistant", Content: result.Content})
+		}
+	}
+	switch {
+	case err != nil:
+		r.report.Failed++
+		r.report.Problems["transport"]++
+	case !result.Complete:
+		r.report.Failed++
+		kind := "unknown"
+		if result.Problem != nil {
+			kind = strings.TrimPrefix(result.Problem.Type, "urn:auburnlead:problem:")
+		}
+		r.report.Problems[kind]++
+	default:
+		r.report.Complete++
+		r.report.PromptTokens += int64(result.PromptTokens)
+		r.report.CachedTokens += int64(result.CachedTokens)
+		_ = r.total.RecordValue(result.Total.Microseconds()) // out of range is left out
+		if result.FirstToken > 0 {
+			_ = r.firstToken.RecordValue(result.FirstToken.Microseconds())
+		}
+	}
+}
+
+func (r *runner) finish(took time.Duration) {
+	r.report.Seconds = took.Seconds()
+	r.report.RequestsPerS = float64(r.report.Complete) / took.Seconds()
+	r.report.FirstTokenP50 = r.firstToken.ValueAtQuantile(50)
+	r.report.FirstTokenP99 = r.firstToken.ValueAtQuantile(99)
+	r.report.TotalP50 = r.total.ValueAtQuantile(50)
+	r.report.TotalP99 = r.total.ValueAtQuantile(99)
+}
