Add the in-memory platform, the stand-ins and the platform client

The router needs a platform, engines and services that speak the published protocols and fail on request. platform/platformtest keeps rows, objects and VMs in memory with seeded faults: outage, delay hook, lost replies, dropped requests, late and duplicated writes, VM list lag and rate limits.

go test -race passes for plugins/platform and internal/standin; the three commands start on port 0, print their address and stop on SIGTERM.

--- /dev/null
+++ b/internal/cli/standin.go
@@ -0,0 +1,79 @@
+package cli
+
+import (
+	"context"
+	"time"
+
+	"github.com/auburnlead/auburnlead/internal/standin/engine"
+	"github.com/auburnlead/auburnlead/internal/standin/platform"
+	"github.com/auburnlead/auburnlead/internal/standin/service"
+)
+
+// standinCmd runs the stand-ins that tests and demonstrations use in place of
+// the platform and the upstreams.
+type standinCmd struct {
+	Engine   standinEngineCmd   `cmd:"" help:"Run a stand-in for a model engine."`
+	Service  standinServiceCmd  `cmd:"" help:"Run a stand-in for a plain service with a journal."`
+	Platform standinPlatformCmd `cmd:"" help:"Run a stand-in for the platform, in memory and with faults on request."`
+}
+
+// Help is the text below the usage of the command.
+func (standinCmd) Help() string {
+	return "Each stand-in prints one line {\"listen\":\"ip:port\"} once it listens and stops on SIGTERM when its requests have ended.\n\nExample:\n\n  auburnlead standin platform --listen 127.0.0.1:0"
+}
+
+type standinEngineCmd struct {
+	Listen        string        `help:"IP address and port; port 0 lets the system choose." default:"127.0.0.1:0" placeholder:"IP:PORT"`
+	ID            string        `help:"Worker ID shown in the statistics." default:"engine"`
+	Models        []string      `help:"Models loaded at the start." default:"rota-8b-v3" placeholder:"NAME"`
+	Slots         int           `help:"Requests that run at one time." default:"16"`
+	QueueLimit    int           `help:"Requests that may wait for a slot." default:"64"`
+	FirstToken    time.Duration `help:"Delay of the first token." default:"0s"`
+	Prefill       time.Duration `help:"Delay for each prompt token that is not cached." default:"0s"`
+	Token         time.Duration `help:"Delay between tokens." default:"0s"`
+	CacheTokens   int           `help:"Size of the prefix cache in tokens." default:"1000000"`
+	ResumeGrace   time.Duration `help:"Time for which a stream without a connection goes on." default:"5s"`
+	Retain        time.Duration `help:"Time for which an ended stream can be resumed." default:"1m"`
+	ChecksFencing bool          `help:"Refuse orders with an old fencing token."`
+}
+
+// Help is the text below the usage of the command.
+func (standinEngineCmd) Help() string {
+	return "Example:\n\n  auburnlead standin engine --listen 127.0.0.1:9001 --first-token 100ms --token 27ms --checks-fencing\n\nPOST /standin/behavior makes the engine misbehave, GET /standin/stats counts its runs."
+}
+
+// Run runs the stand-in until SIGTERM.
+func (c *standinEngineCmd) Run(ctx context.Context, s *Streams) error {
+	return engine.Run(ctx, engine.Settings(*c), s.Out)
+}
+
+type standinServiceCmd struct {
+	Listen string        `help:"IP address and port; port 0 lets the system choose." default:"127.0.0.1:0" placeholder:"IP:PORT"`
+	ID     string        `help:"Worker ID shown in answers." default:"service"`
+	Delay  time.Duration `help:"Time that each call takes." default:"0s"`
+}
+
+// Help is the text below the usage of the command.
+func (standinServiceCmd) Help() string {
+	return "Example:\n\n  auburnlead standin service --listen 127.0.0.1:9101 --delay 20ms\n\nPOST /faults refuses, slows or breaks calls, GET /standin/journal counts the effects of each Idempotency-Key."
+}
+
+// Run runs the stand-in until SIGTERM.
+func (c *standinServiceCmd) Run(ctx context.Context, s *Streams) error {
+	return service.Run(ctx, service.Settings(*c), s.Out)
+}
+
+type standinPlatformCmd struct {
+	Listen string `help:"IP address and port; port 0 lets the system choose." default:"127.0.0.1:0" placeholder:"IP:PORT"`
+	Seed   uint64 `help:"Seed of the faults." default:"1"`
+}
+
+// Help is the text below the usage of the command.
+func (standinPlatformCmd) Help() string {
+	return "Example:\n\n  auburnlead standin platform --listen 127.0.0.1:9201\n\nPOST /faults sets outage, delay_ms, lost_replies, dropped_requests, late_writes, duplicate_writes, late_by_ms, vm_lag_ms, reads_per_second and writes_per_second. PUT and DELETE /vms/{id} change the VM list."
+}
+
+// Run runs the stand-in until SIGTERM.
+func (c *standinPlatformCmd) Run(ctx context.Context, s *Streams) error {
+	return platform.Run(ctx, platform.Settings(*c), s.Out)
+}
--- /dev/null
+++ b/internal/standin/platform/platform.go
@@ -0,0 +1,242 @@
+// Package platform is the stand-in for the platform: platformtest behind the
+// HTTP protocol that plugins/platform speaks, with faults set by request.
+package platform
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/auburnlead/auburnlead/internal/standin"
+	api "github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/platform/platformtest"
+)
+
+// maxScanRows bounds the rows of one scan.
+const maxScanRows = 1000
+
+// Settings are the stand-in's start-up settings.
+type Settings struct {
+	Listen string // IP:port
+	Seed   uint64 // of the faults
+}
+
+// Faults is the body of POST /faults; it replaces the faults in force.
+// Durations are in milliseconds, shares 0 to 1.
+type Faults struct {
+	Outage          bool    `json:"outage"`
+	DelayMs         int64   `json:"delay_ms"`
+	LostReplies     float64 `json:"lost_replies"`
+	DroppedRequests float64 `json:"dropped_requests"`
+	LateWrites      float64 `json:"late_writes"`
+	DuplicateWrites float64 `json:"duplicate_writes"`
+	LateByMs        int64   `json:"late_by_ms"`
+	VMLagMs         int64   `json:"vm_lag_ms"`
+	ReadsPerSecond  float64 `json:"reads_per_second"`
+	WritesPerSecond float64 `json:"writes_per_second"`
+}
+
+// Messages of the protocol.
+type (
+	// GetRequest is the body of POST /table/get.
+	GetRequest struct {
+		Keys []string `json:"keys"`
+	}
+	// ScanRequest is the body of POST /table/scan.
+	ScanRequest struct {
+		Prefix string `json:"prefix"`
+		After  string `json:"after"`
+		Limit  int    `json:"limit"`
+	}
+	// RowsReply answers get and scan.
+	RowsReply struct {
+		Rows []api.Row `json:"rows"`
+	}
+	// CommitRequest is the body of POST /table/commit.
+	CommitRequest struct {
+		Ops []api.Op `json:"ops"`
+	}
+	// ConflictReply is the body of a 409 answer to a commit.
+	ConflictReply struct {
+		Current []api.Row `json:"current"`
+	}
+)
+
+// Run serves the stand-in until ctx ends.
+func Run(ctx context.Context, s Settings, out io.Writer) error {
+	return standin.Serve(ctx, s.Listen, Handler(New(s)), out)
+}
+
+// New returns the platform behind the stand-in.
+func New(s Settings) *platformtest.Platform {
+	return platformtest.New(platformtest.Options{
+		Seed:  s.Seed,
+		Now:   time.Now,
+		After: func(d time.Duration, fn func()) { time.AfterFunc(d, fn) },
+	})
+}
+
+type server struct{ p *platformtest.Platform }
+
+// Handler serves a platform over HTTP.
+func Handler(p *platformtest.Platform) http.Handler {
+	s := &server{p}
+	r := mux.NewRouter()
+	r.HandleFunc("/table/get", s.get).Methods(http.MethodPost)
+	r.HandleFunc("/table/scan", s.scan).Methods(http.MethodPost)
+	r.HandleFunc("/table/commit", s.commit).Methods(http.MethodPost)
+	r.HandleFunc("/objects/{name}", s.putObject).Methods(http.MethodPut)
+	r.HandleFunc("/objects/{name}", s.getObject).Methods(http.MethodGet)
+	r.HandleFunc("/vms", s.listVMs).Methods(http.MethodGet)
+	r.HandleFunc("/vms/{id}", s.putVM).Methods(http.MethodPut)
+	r.HandleFunc("/vms/{id}", s.deleteVM).Methods(http.MethodDelete)
+	r.HandleFunc("/faults", s.setFaults).Methods(http.MethodPost)
+	r.HandleFunc("/stats", s.stats).Methods(http.MethodGet)
+	return r
+}
+
+func (s *server) get(w http.ResponseWriter, r *http.Request) {
+	var req GetRequest
+	if !standin.ReadJSON(w, r, &req) {
+		return
+	}
+	rows, err := s.p.Get(r.Context(), req.Keys...)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, RowsReply{rows})
+}
+
+func (s *server) scan(w http.ResponseWriter, r *http.Request) {
+	var req ScanRequest
+	if !standin.ReadJSON(w, r, &req) {
+		return
+	}
+	rows, err := s.p.Scan(r.Context(), req.Prefix, req.After, min(max(req.Limit, 1), maxScanRows))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, RowsReply{rows})
+}
+
+func (s *server) commit(w http.ResponseWriter, r *http.Request) {
+	var req CommitRequest
+	if !standin.ReadJSON(w, r, &req) {
+		return
+	}
+	done, err := s.p.Commit(r.Context(), req.Ops)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, done)
+}
+
+func (s *server) putObject(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	if err := s.p.Objects().Put(r.Context(), mux.Vars(r)["name"], body); err != nil {
+		fail(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *server) getObject(w http.ResponseWriter, r *http.Request) {
+	body, err := s.p.Objects().Get(r.Context(), mux.Vars(r)["name"])
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(body)
+}
+
+func (s *server) listVMs(w http.ResponseWriter, r *http.Request) {
+	list, err := s.p.List(r.Context())
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, list)
+}
+
+func (s *server) putVM(w http.ResponseWriter, r *http.Request) {
+	var vm api.VM
+	if !standin.ReadJSON(w, r, &vm) {
+		return
+	}
+	vm.ID = mux.Vars(r)["id"]
+	if vm.State == "" {
+		vm.State = api.VMLive
+	}
+	s.p.PutVM(vm)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *server) deleteVM(w http.ResponseWriter, r *http.Request) {
+	s.p.DeleteVM(mux.Vars(r)["id"])
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if !standin.ReadJSON(w, r, &f) {
+		return
+	}
+	s.p.SetFaults(f.faults())
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *server) stats(w http.ResponseWriter, _ *http.Request) {
+	standin.WriteJSON(w, http.StatusOK, s.p.Stats())
+}
+
+func (f Faults) faults() platformtest.Faults {
+	delay := time.Duration(f.DelayMs) * time.Millisecond
+	pt := platformtest.Faults{
+		Outage:          f.Outage,
+		LostReplies:     f.LostReplies,
+		DroppedRequests: f.DroppedRequests,
+		LateWrites:      f.LateWrites,
+		DuplicateWrites: f.DuplicateWrites,
+		LateBy:          time.Duration(f.LateByMs) * time.Millisecond,
+		VMLag:           time.Duration(f.VMLagMs) * time.Millisecond,
+		ReadsPerSecond:  f.ReadsPerSecond,
+		WritesPerSecond: f.WritesPerSecond,
+	}
+	if delay > 0 {
+		pt.Delay = func(ctx context.Context, c platformtest.Call) {
+			if c.Stage == platformtest.BeforeEffect {
+				standin.Sleep(ctx, delay)
+			}
+		}
+	}
+	return pt
+}
+
+// fail answers with the error, or closes the connection without an answer when
+// the reply is meant to be lost.
+func fail(w http.ResponseWriter, err error) {
+	var conflict *api.ConflictError
+	var missing *api.NotFoundError
+	switch {
+	case errors.Is(err, platformtest.ErrLost):
+		standin.Drop()
+	case errors.As(err, &conflict):
+		standin.WriteJSON(w, http.StatusConflict, ConflictReply{conflict.Current})
+	case errors.As(err, &missing):
+		http.Error(w, err.Error(), http.StatusNotFound)
+	default:
+		standin.Refuse(w, http.StatusServiceUnavailable, err.Error())
+	}
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,252 @@
+// Package service is the stand-in for a plain service whose calls must not be
+// repeated. It keeps a journal of the calls that took effect, so that a test
+// can count how often each booking or ruling ran.
+package service
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/auburnlead/auburnlead/internal/standin"
+)
+
+// Settings are the stand-in's start-up settings.
+type Settings struct {
+	Listen string        // IP:port
+	ID     string        // worker ID, part of each answer
+	Delay  time.Duration // time that each call takes
+}
+
+// Faults is the body of POST /faults; it replaces the faults in force. The
+// counts apply to the next calls that would take effect, in this order.
+type Faults struct {
+	Refuse    int   `json:"refuse"`     // calls refused with X-Outcome: not_run
+	DieBefore int   `json:"die_before"` // connections closed before the effect
+	DieAfter  int   `json:"die_after"`  // connections closed after the effect
+	SlowMs    int64 `json:"slow_ms"`    // added to each call
+}
+
+// Effect counts the effects of one Idempotency-Key with one body.
+type Effect struct {
+	Method   string   `json:"method"`
+	Path     string   `json:"path"`
+	Key      string   `json:"key"`
+	Body     string   `json:"body_sha256"`
+	Runs     int      `json:"runs"`
+	Attempts []string `json:"attempts"`
+	ID       int      `json:"id"` // of the first effect
+}
+
+// Journal is the answer to GET /standin/journal.
+type Journal struct {
+	Effects     []*Effect `json:"effects"` // in the order of the first effect
+	Total       int       `json:"total"`
+	Lookups     int       `json:"lookups"`
+	MaxInFlight int       `json:"max_in_flight"`
+}
+
+// Answer is the answer to a call that took effect, and to a lookup.
+type Answer struct {
+	Worker string          `json:"worker"`
+	ID     int             `json:"id"`
+	Key    string          `json:"key,omitempty"`
+	Body   json.RawMessage `json:"body,omitempty"`
+}
+
+type effectKey struct{ method, path, key, body string }
+
+type record struct {
+	path   string
+	answer Answer
+}
+
+// Service is the stand-in.
+type Service struct {
+	s Settings
+
+	mu       sync.Mutex // leaf lock
+	faults   Faults
+	effects  map[effectKey]*Effect
+	journal  Journal
+	records  []record // by ID, from 1
+	inFlight int
+}
+
+// Run serves the stand-in until ctx ends.
+func Run(ctx context.Context, s Settings, out io.Writer) error {
+	return standin.Serve(ctx, s.Listen, New(s).Handler(), out)
+}
+
+// New returns a service with an empty journal.
+func New(s Settings) *Service { return &Service{s: s, effects: map[effectKey]*Effect{}} }
+
+// Handler serves the service's protocol and the stand-in's own paths.
+func (s *Service) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/faults", s.setFaults).Methods(http.MethodPost)
+	r.HandleFunc("/standin/journal", s.getJournal).Methods(http.MethodGet)
+	r.PathPrefix("/").Methods(http.MethodGet, http.MethodHead).HandlerFunc(s.lookup)
+	r.PathPrefix("/").HandlerFunc(s.call)
+	return r
+}
+
+// call carries out a booking or ruling.
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	f := s.begin()
+	defer s.end()
+	if f.Refuse > 0 {
+		standin.Refuse(w, http.StatusServiceUnavailable, "the service takes no calls now; retry later")
+		return
+	}
+	standin.Sleep(r.Context(), s.s.Delay+time.Duration(f.SlowMs)*time.Millisecond)
+	if f.DieBefore > 0 {
+		standin.Drop()
+	}
+	a := s.run(r, body)
+	if f.DieAfter > 0 {
+		standin.Drop()
+	}
+	echoAttempt(w, r)
+	standin.WriteJSON(w, http.StatusCreated, a)
+}
+
+// begin counts the call and takes the one fault that applies to it.
+func (s *Service) begin() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight++
+	s.journal.MaxInFlight = max(s.journal.MaxInFlight, s.inFlight)
+	f := Faults{SlowMs: s.faults.SlowMs}
+	switch {
+	case s.faults.Refuse > 0:
+		s.faults.Refuse--
+		f.Refuse = 1
+	case s.faults.DieBefore > 0:
+		s.faults.DieBefore--
+		f.DieBefore = 1
+	case s.faults.DieAfter > 0:
+		s.faults.DieAfter--
+		f.DieAfter = 1
+	}
+	return f
+}
+
+func (s *Service) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+}
+
+// run is the effect. The service itself does not recognise repeated keys: a
+// second run shows in the journal.
+func (s *Service) run(r *http.Request, body []byte) Answer {
+	sum := sha256.Sum256(body)
+	key := effectKey{r.Method, r.URL.Path, r.Header.Get("Idempotency-Key"), hex.EncodeToString(sum[:])}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := len(s.records) + 1
+	e := s.effects[key]
+	if e == nil {
+		e = &Effect{Method: key.method, Path: key.path, Key: key.key, Body: key.body, ID: id}
+		s.effects[key] = e
+		s.journal.Effects = append(s.journal.Effects, e)
+	}
+	e.Runs++
+	e.Attempts = append(e.Attempts, r.Header.Get("X-Attempt-Id"))
+	s.journal.Total++
+	a := Answer{Worker: s.s.ID, ID: id, Key: key.key}
+	if json.Valid(body) {
+		a.Body = body
+	}
+	s.records = append(s.records, record{strings.TrimSuffix(r.URL.Path, "/"), a})
+	return a
+}
+
+// lookup answers GET <path>/<id> with one record and GET <path> with the
+// latest record of that path.
+func (s *Service) lookup(w http.ResponseWriter, r *http.Request) {
+	f := s.slow()
+	standin.Sleep(r.Context(), s.s.Delay+f)
+	a, ok := s.find(strings.TrimSuffix(r.URL.Path, "/"))
+	echoAttempt(w, r)
+	if !ok {
+		http.Error(w, "no such record", http.StatusNotFound)
+		return
+	}
+	standin.WriteJSON(w, http.StatusOK, a)
+}
+
+func (s *Service) slow() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.journal.Lookups++
+	return time.Duration(s.faults.SlowMs) * time.Millisecond
+}
+
+func (s *Service) find(path string) (Answer, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := strings.LastIndexByte(path, '/'); i >= 0 {
+		id, err := strconv.Atoi(path[i+1:])
+		if err == nil && id >= 1 && id <= len(s.records) && s.records[id-1].path == path[:i] {
+			return s.records[id-1].answer, true
+		}
+	}
+	for i := len(s.records) - 1; i >= 0; i-- {
+		if s.records[i].path == path {
+			return s.records[i].answer, true
+		}
+	}
+	return Answer{}, false
+}
+
+func (s *Service) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if !standin.ReadJSON(w, r, &f) {
+		return
+	}
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Service) getJournal(w http.ResponseWriter, _ *http.Request) {
+	standin.WriteJSON(w, http.StatusOK, s.Journal())
+}
+
+// Journal returns a copy of the journal.
+func (s *Service) Journal() Journal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.journal
+	j.Effects = make([]*Effect, len(s.journal.Effects))
+	for i, e := range s.journal.Effects {
+		c := *e
+		c.Attempts = slices.Clone(e.Attempts)
+		j.Effects[i] = &c
+	}
+	return j
+}
+
+func echoAttempt(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get("X-Attempt-Id"); id != "" {
+		w.Header().Set("X-Attempt-Id", id)
+	}
+}
--- /dev/null
+++ b/plugins/platform/client.go
@@ -0,0 +1,244 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+
+	api "github.com/auburnlead/auburnlead/platform"
+)
+
+// Bounds of the platform's answers.
+const (
+	maxReplyBytes       = 32 << 20
+	maxReplyHeaderBytes = 64 << 10
+	maxErrorBytes       = 512
+)
+
+// Client is the platform over HTTP. It is safe for concurrent use and sends
+// each commit once.
+type Client struct {
+	base string
+	key  string
+	http *http.Client
+}
+
+// NewClient returns a client. Close it to close its connections.
+func NewClient(s *Settings) *Client {
+	dialer := &net.Dialer{Timeout: s.ConnectTimeout}
+	return &Client{
+		base: strings.TrimSuffix(s.URL, "/"),
+		key:  s.Key,
+		http: &http.Client{
+			Timeout: s.Timeout,
+			Transport: &http.Transport{
+				DialContext:            dialer.DialContext,
+				MaxConnsPerHost:        s.MaxConnections,
+				MaxIdleConnsPerHost:    s.MaxConnections,
+				IdleConnTimeout:        s.IdleTimeout,
+				MaxResponseHeaderBytes: maxReplyHeaderBytes,
+			},
+			// A redirect would send a commit a second time.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// Close closes the connections that are not in use.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+type rowsReply struct {
+	Rows []api.Row `json:"rows"`
+}
+
+type conflictReply struct {
+	Current []api.Row `json:"current"`
+}
+
+// Get implements platform.Table.
+func (c *Client) Get(ctx context.Context, keys ...string) ([]api.Row, error) {
+	var reply rowsReply
+	err := c.read(ctx, "get", http.MethodPost, "/table/get", struct {
+		Keys []string `json:"keys"`
+	}{keys}, &reply)
+	if err == nil && len(reply.Rows) != len(keys) {
+		err = unavailable("get", fmt.Errorf("%d rows answer %d keys", len(reply.Rows), len(keys)))
+	}
+	return reply.Rows, err
+}
+
+// Scan implements platform.Table.
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]api.Row, error) {
+	var reply rowsReply
+	err := c.read(ctx, "scan", http.MethodPost, "/table/scan", struct {
+		Prefix string `json:"prefix"`
+		After  string `json:"after"`
+		Limit  int    `json:"limit"`
+	}{prefix, after, limit}, &reply)
+	return reply.Rows, err
+}
+
+// Commit implements platform.Table.
+func (c *Client) Commit(ctx context.Context, ops []api.Op) (api.Committed, error) {
+	const op = "commit"
+	body, err := json.Marshal(struct {
+		Ops []api.Op `json:"ops"`
+	}{ops})
+	if err != nil {
+		return api.Committed{}, unavailable(op, err)
+	}
+	r, err := c.send(ctx, op, http.MethodPost, "/table/commit", body)
+	if err != nil {
+		return api.Committed{}, err
+	}
+	switch r.status {
+	case http.StatusOK:
+		var done api.Committed
+		if err := json.Unmarshal(r.body, &done); err != nil || len(done.Versions) != len(ops) {
+			return api.Committed{}, uncertain(op, errors.New("the reply is malformed"))
+		}
+		return done, nil
+	case http.StatusConflict:
+		var conflict conflictReply
+		if err := json.Unmarshal(r.body, &conflict); err != nil {
+			return api.Committed{}, uncertain(op, errors.New("the reply is malformed"))
+		}
+		return api.Committed{}, &api.ConflictError{Current: conflict.Current}
+	}
+	return api.Committed{}, r.writeError(op)
+}
+
+// List implements platform.VMs.
+func (c *Client) List(ctx context.Context) (api.VMList, error) {
+	var list api.VMList
+	err := c.read(ctx, "list", http.MethodGet, "/vms", nil, &list)
+	return list, err
+}
+
+// Objects implements platform.Client.
+func (c *Client) Objects() api.Objects { return objectStore{c} }
+
+type objectStore struct{ c *Client }
+
+func (o objectStore) Put(ctx context.Context, name string, body []byte) error {
+	r, err := o.c.send(ctx, "put", http.MethodPut, "/objects/"+url.PathEscape(name), body)
+	if err != nil {
+		return err
+	}
+	if r.status/100 == 2 {
+		return nil
+	}
+	return r.writeError("put")
+}
+
+func (o objectStore) Get(ctx context.Context, name string) ([]byte, error) {
+	r, err := o.c.send(ctx, "object", http.MethodGet, "/objects/"+url.PathEscape(name), nil)
+	switch {
+	case err != nil:
+		return nil, unavailable("object", cause(err))
+	case r.status == http.StatusNotFound:
+		return nil, &api.NotFoundError{Name: name}
+	case r.status != http.StatusOK:
+		return nil, unavailable("object", r.err())
+	}
+	return r.body, nil
+}
+
+// read sends a request without effect, so every failure is unavailability.
+func (c *Client) read(ctx context.Context, op, method, path string, request, reply any) error {
+	var body []byte
+	if request != nil {
+		var err error
+		if body, err = json.Marshal(request); err != nil {
+			return unavailable(op, err)
+		}
+	}
+	r, err := c.send(ctx, op, method, path, body)
+	if err != nil {
+		return unavailable(op, cause(err))
+	}
+	if r.status != http.StatusOK {
+		return unavailable(op, r.err())
+	}
+	if err := json.Unmarshal(r.body, reply); err != nil {
+		return unavailable(op, fmt.Errorf("the reply is malformed: %w", err))
+	}
+	return nil
+}
+
+// reply is a whole HTTP reply.
+type reply struct {
+	status int
+	notRun bool
+	body   []byte
+}
+
+func (r *reply) err() error {
+	text := strings.TrimSpace(string(r.body[:min(len(r.body), maxErrorBytes)]))
+	return fmt.Errorf("status %d: %s", r.status, text)
+}
+
+// writeError is the error of a write whose reply is not a success. A 4xx reply
+// and a stated not_run mean that nothing was written.
+func (r *reply) writeError(op string) error {
+	if r.notRun || r.status/100 == 4 {
+		return unavailable(op, r.err())
+	}
+	return uncertain(op, r.err())
+}
+
+// send sends one request and reads the whole reply. Errors:
+// *api.UnavailableError when no connection was there to write the request to,
+// *api.UncertainError when the request may have been written.
+func (c *Client) send(ctx context.Context, op, method, path string, body []byte) (*reply, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, unavailable(op, err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if c.key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.key)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		if !connected.Load() {
+			return nil, unavailable(op, err)
+		}
+		return nil, uncertain(op, err)
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes+1))
+	if err != nil {
+		return nil, uncertain(op, err)
+	}
+	if len(data) > maxReplyBytes {
+		return nil, uncertain(op, fmt.Errorf("the reply exceeds %d bytes", maxReplyBytes))
+	}
+	return &reply{res.StatusCode, res.Header.Get("X-Outcome") == "not_run", data}, nil
+}
+
+func unavailable(op string, err error) error { return &api.UnavailableError{Op: op, Err: err} }
+func uncertain(op string, err error) error   { return &api.UncertainError{Op: op, Err: err} }
+
+// cause is the error inside a typed one.
+func cause(err error) error {
+	if inner := errors.Unwrap(err); inner != nil {
+		return inner
+	}
+	return err
+}
+
+var _ api.Client = (*Client)(nil)
--- /dev/null
+++ b/plugins/platform/client_test.go
@@ -0,0 +1,124 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	standin "github.com/auburnlead/auburnlead/internal/standin/platform"
+	api "github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/platform/platformtest"
+)
+
+func client(url string) *Client {
+	return NewClient(&Settings{URL: url, Timeout: 10 * time.Second, ConnectTimeout: 10 * time.Second, MaxConnections: 4, IdleTimeout: time.Minute})
+}
+
+// Guards against a write that may have taken effect being reported as not
+// carried out: the ledger and the leases rest on that difference.
+func TestWriteErrors(t *testing.T) {
+	insert := []api.Op{{Key: "a", Value: []byte("1")}}
+	cases := []struct {
+		desc      string
+		faults    platformtest.Faults
+		uncertain bool
+		written   bool
+	}{
+		{"outage", platformtest.Faults{Outage: true}, false, false},
+		{"reply lost after the write", platformtest.Faults{LostReplies: 1}, true, true},
+		{"request lost before the write", platformtest.Faults{DroppedRequests: 1}, true, false},
+		{"rate limit", platformtest.Faults{WritesPerSecond: 1e-9}, false, false},
+	}
+	for _, tc := range cases {
+		Convey("A commit during: "+tc.desc, t, func() {
+			p := standin.New(standin.Settings{Seed: 1})
+			srv := httptest.NewServer(standin.Handler(p))
+			defer srv.Close()
+			c := client(srv.URL)
+			defer c.Close()
+			if tc.desc == "rate limit" { // the burst is one write
+				p.SetFaults(tc.faults)
+				_, err := c.Commit(t.Context(), []api.Op{{Key: "b"}})
+				So(err, ShouldBeNil)
+			}
+			p.SetFaults(tc.faults)
+			_, err := c.Commit(t.Context(), insert)
+			var uncertain *api.UncertainError
+			var unavailable *api.UnavailableError
+			So(errors.As(err, &uncertain), ShouldEqual, tc.uncertain)
+			So(errors.As(err, &unavailable), ShouldEqual, !tc.uncertain)
+			p.SetFaults(platformtest.Faults{})
+			rows, err := c.Get(t.Context(), "a")
+			So(err, ShouldBeNil)
+			So(rows[0].Version > 0, ShouldEqual, tc.written)
+		})
+	}
+	Convey("A commit to an address where nothing listens was not carried out", t, func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		So(l.Close(), ShouldBeNil)
+		_, err = client("http://"+l.Addr().String()).Commit(t.Context(), insert)
+		var unavailable *api.UnavailableError
+		So(errors.As(err, &unavailable), ShouldBeTrue)
+	})
+	Convey("A commit given up by its sender after it was sent, and a 5xx reply, are uncertain", t, func() {
+		ctx, cancel := context.WithCancel(t.Context())
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			cancel()
+			http.Error(w, "broken", http.StatusInternalServerError)
+		}))
+		defer srv.Close()
+		var uncertain *api.UncertainError
+		_, err := client(srv.URL).Commit(ctx, insert)
+		So(errors.As(err, &uncertain), ShouldBeTrue)
+		_, err = client(srv.URL).Commit(t.Context(), insert)
+		So(errors.As(err, &uncertain), ShouldBeTrue)
+	})
+}
+
+// Guards against the client and the stand-in losing or changing messages.
+func TestClient(t *testing.T) {
+	Convey("Rows, conflicts, objects and VMs pass through the protocol", t, func() {
+		p := standin.New(standin.Settings{Seed: 1})
+		srv := httptest.NewServer(standin.Handler(p))
+		defer srv.Close()
+		c := client(srv.URL)
+		defer c.Close()
+		ctx := t.Context()
+
+		done, err := c.Commit(ctx, []api.Op{{Key: "k/1", Value: []byte{0, 255}}, {Key: "k/2"}, {Key: "l"}})
+		So(err, ShouldBeNil)
+		So(done.Versions, ShouldResemble, []int64{1, 2, 3})
+		So(done.At.IsZero(), ShouldBeFalse)
+		rows, err := c.Scan(ctx, "k/", "k/1", 10)
+		So(err, ShouldBeNil)
+		So(rows, ShouldResemble, []api.Row{{Key: "k/2", Version: 2}})
+		_, err = c.Commit(ctx, []api.Op{{Key: "k/1"}, {Key: "new"}})
+		var conflict *api.ConflictError
+		So(errors.As(err, &conflict), ShouldBeTrue)
+		So(conflict.Current, ShouldResemble, []api.Row{{Key: "k/1", Value: []byte{0, 255}, Version: 1}})
+
+		So(c.Objects().Put(ctx, "digest", []byte("body")), ShouldBeNil)
+		body, err := c.Objects().Get(ctx, "digest")
+		So(err, ShouldBeNil)
+		So(string(body), ShouldEqual, "body")
+		_, err = c.Objects().Get(ctx, "other")
+		var missing *api.NotFoundError
+		So(errors.As(err, &missing), ShouldBeTrue)
+
+		p.PutVM(api.VM{ID: "r1", Address: "127.0.0.1:1", FailureDomain: "a", State: api.VMLive})
+		list, err := c.List(ctx)
+		So(err, ShouldBeNil)
+		So(list.VMs, ShouldHaveLength, 1)
+		p.SetFaults(platformtest.Faults{VMLag: time.Hour})
+		list, err = c.List(ctx)
+		So(err, ShouldBeNil)
+		So(list.VMs, ShouldBeEmpty)
+	})
+}
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -2,5 +2,6 @@
 package standard
 
 import (
-	_ "github.com/auburnlead/auburnlead/plugins/node" // registers router.node
+	_ "github.com/auburnlead/auburnlead/plugins/node"     // registers router.node
+	_ "github.com/auburnlead/auburnlead/plugins/platform" // registers router.platform
 )
