--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -45,6 +45,7 @@
 	Output  string     `help:"Output format." enum:"text,json" default:"text" placeholder:"text|json"`
 	Router  routerCmd  `cmd:"" help:"Run the router daemon."`
 	Load    loadCmd    `cmd:"" help:"Send requests to a router."`
+	Standin standinCmd `cmd:"" help:"Run a stand-in for the platform or an upstream."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
