--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,154 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// drawIDs draws distinct node IDs.
+func drawIDs(t *rapid.T, atLeast int) []string {
+	count := rapid.IntRange(atLeast, 40).Draw(t, "nodes")
+	first := rapid.IntRange(0, 1000).Draw(t, "first")
+	ids := make([]string, count)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("w%d", first+i)
+	}
+	return ids
+}
+
+// ranking returns the IDs that Choose picks for a key, best first.
+func ranking(key uint64, ids []string, count int) []string {
+	hashes := make([]uint64, len(ids))
+	for i, id := range ids {
+		hashes[i] = Hash(id)
+	}
+	names := []string{}
+	for _, index := range Choose(make([]int, count), key, hashes) {
+		names = append(names, ids[index])
+	}
+	return names
+}
+
+// Guards against a placement that reshuffles chats of unaffected workers, or
+// sends a moved chat anywhere but to its second choice.
+func TestRemovalMovesOnlyTheNodesKeys(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := drawIDs(t, 3)
+		removed := rapid.IntRange(0, len(ids)-1).Draw(t, "removed")
+		rest := slices.Delete(slices.Clone(ids), removed, removed+1)
+		for range 20 {
+			key := rapid.Uint64().Draw(t, "key")
+			before := ranking(key, ids, len(ids))
+			after := ranking(key, rest, len(rest))
+			expected := slices.DeleteFunc(before, func(id string) bool { return id == ids[removed] })
+			if !slices.Equal(after, expected) {
+				t.Fatalf("ranking without %s is %v, want %v", ids[removed], after, expected)
+			}
+		}
+	})
+}
+
+// Guards against a join that moves chats between old workers.
+func TestAdditionMovesKeysOnlyToTheNewNode(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := drawIDs(t, 2)
+		more := append(slices.Clone(ids), "joined")
+		for range 20 {
+			key := rapid.Uint64().Draw(t, "key")
+			before, after := ranking(key, ids, 1)[0], ranking(key, more, 1)[0]
+			if after != before && after != "joined" {
+				t.Fatalf("key moved from %s to %s", before, after)
+			}
+		}
+	})
+}
+
+// Guards against routers that disagree because they list workers in different
+// orders, and against a partial choice that differs from the full ranking.
+func TestChoiceDoesNotDependOnOrderOrLength(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := drawIDs(t, 1)
+		key := rapid.Uint64().Draw(t, "key")
+		shuffled := rapid.Permutation(ids).Draw(t, "shuffled")
+		count := rapid.IntRange(0, len(ids)+2).Draw(t, "count")
+		full := ranking(key, ids, len(ids))
+		if got := ranking(key, shuffled, count); !slices.Equal(got, full[:min(count, len(ids))]) {
+			t.Fatalf("choice of %d is %v, full ranking %v", count, got, full)
+		}
+	})
+}
+
+// Guards against a biased hash, which would overload a worker by placement
+// alone.
+func TestKeysSpreadEvenly(t *testing.T) {
+	Convey("With 61 workers and 61,000 chats, each is first for 1,000 within six standard deviations", t, func() {
+		hashes := make([]uint64, 61)
+		for i := range hashes {
+			hashes[i] = Hash(fmt.Sprintf("e%d", i))
+		}
+		counts := make([]int, len(hashes))
+		dst := make([]int, 2)
+		for chat := range 61000 {
+			counts[Choose(dst, Hash("workspace", fmt.Sprint(chat)), hashes)[0]]++
+		}
+		So(slices.Min(counts), ShouldBeGreaterThan, 1000-6*32)
+		So(slices.Max(counts), ShouldBeLessThan, 1000+6*32)
+	})
+}
+
+// Guards against a choice outside the domain and an overflow order that
+// repeats or omits a domain.
+func TestTable(t *testing.T) {
+	var nodes []Node
+	for i := range 30 {
+		nodes = append(nodes, Node{ID: fmt.Sprintf("e%d", i), Domain: fmt.Sprintf("d%d", i%5)})
+	}
+	table := NewTable(append(nodes, nodes[0]))
+	Convey("A table groups workers by domain", t, func() {
+		So(table.Len(), ShouldEqual, 30)
+		So(table.Domain("d9"), ShouldEqual, -1)
+		So(table.Choose(make([]int, 2), 1, -1), ShouldBeEmpty)
+		So(table.Size(table.Domain("d3")), ShouldEqual, 6)
+		for key := range uint64(200) {
+			for _, index := range table.Choose(make([]int, 3), Hash("k", fmt.Sprint(key)), 2) {
+				So(table.Node(index).Domain, ShouldEqual, "d2")
+			}
+			order := table.DomainOrder(make([]int, 9), key, 3)
+			So(order[0], ShouldEqual, 3)
+			short := table.DomainOrder(make([]int, 3), key, 3)
+			So(short, ShouldResemble, order[:3])
+			all := slices.Sorted(slices.Values(order))
+			So(all, ShouldResemble, []int{0, 1, 2, 3, 4})
+		}
+	})
+}
+
+// Guards the target of no allocation per decision.
+func TestDecisionAllocatesNothing(t *testing.T) {
+	Convey("Choosing among 1,100 workers allocates nothing", t, func() {
+		hashes := make([]uint64, 1100)
+		for i := range hashes {
+			hashes[i] = Hash(fmt.Sprint(i))
+		}
+		dst := make([]int, 3)
+		So(testing.AllocsPerRun(100, func() {
+			Choose(dst, Hash("workspace", "chat"), hashes)
+		}), ShouldEqual, 0)
+	})
+}
+
+func BenchmarkChoose1100(b *testing.B) {
+	hashes := make([]uint64, 1100)
+	for i := range hashes {
+		hashes[i] = Hash(fmt.Sprint(i))
+	}
+	dst := make([]int, 3)
+	b.ReportAllocs()
+	for i := range b.N {
+		Choose(dst, uint64(i)*prime3, hashes)
+	}
+}
