Parse, check, print and compare object sets

Operators need one place that decides whether a set is valid, and printed sets have to read back unchanged so that get followed by apply changes nothing. Parse, Format, Check and Diff work from one description of the fields. Workers and draining lists are kept sorted, so that the canonical encoding of a set does not depend on the order of its lines.

--- a/internal/core/problem.go
+++ b/internal/core/problem.go
@@ -27,6 +27,7 @@
 	KindAnswerIncomplete    ProblemKind = "answer_incomplete"
 	KindShuttingDown        ProblemKind = "shutting_down"
 	KindNotReady            ProblemKind = "not_ready"
+	KindRevisionConflict    ProblemKind = "revision_conflict"
 )
 
 // problemClass is what all problems of a kind share.
@@ -53,6 +54,7 @@
 	KindAnswerIncomplete:    {http.StatusBadGateway, "The answer was cut off", "send the request again if it may be repeated"},
 	KindShuttingDown:        {http.StatusServiceUnavailable, "This router is stopping", "retry at once; the balancer picks another router"},
 	KindNotReady:            {http.StatusServiceUnavailable, "This router is not ready", "retry after the stated time"},
+	KindRevisionConflict:    {http.StatusConflict, "A newer revision was published first", "compare with the newest revision and submit again on it"},
 }
 
 // Problem is an error towards a caller or operator, sent as problem+json.
--- /dev/null
+++ b/objects/diff.go
@@ -0,0 +1,106 @@
+package objects
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Op is what a change does.
+type Op string
+
+// Operations of a Change.
+const (
+	OpAdded   Op = "added"
+	OpRemoved Op = "removed"
+	OpChanged Op = "changed"
+)
+
+// Change is one difference between two sets. A change without a key concerns
+// a whole object. A worker that was added, removed or moved has the key worker.
+type Change struct {
+	Op      Op     `json:"op"`
+	Section string `json:"section"`
+	Key     string `json:"key,omitempty"`
+	Old     string `json:"old,omitempty"`
+	New     string `json:"new,omitempty"`
+}
+
+func (c Change) String() string {
+	if c.Key == "" {
+		return fmt.Sprintf("%s [%s]", c.Op, c.Section)
+	}
+	return fmt.Sprintf("%s [%s] %s: %q -> %q", c.Op, c.Section, c.Key, c.Old, c.New)
+}
+
+// Diff lists the changes that lead from a to b, in the order of Format.
+func Diff(a, b *Set) []Change {
+	changes := diffKind(nil, KindRank, rankFields, a.Ranks, b.Ranks)
+	changes = diffKind(changes, KindModel, modelFields, a.Models, b.Models)
+	changes = diffKind(changes, KindCaller, callerFields, a.Callers, b.Callers)
+	return diffKind(changes, KindUpstream, upstreamFields, a.Upstreams, b.Upstreams)
+}
+
+func diffKind[T any](changes []Change, kind Kind, fields []field[T], a, b map[string]*T) []Change {
+	names := slices.Collect(maps.Keys(a))
+	names = slices.AppendSeq(names, maps.Keys(b))
+	slices.Sort(names)
+	for _, name := range slices.Compact(names) {
+		section := string(kind) + "." + name
+		was, is := a[name], b[name]
+		switch {
+		case was == nil:
+			changes = append(changes, Change{Op: OpAdded, Section: section})
+		case is == nil:
+			changes = append(changes, Change{Op: OpRemoved, Section: section})
+		default:
+			for _, f := range fields {
+				changes = diffField(changes, section, f, was, is)
+			}
+		}
+	}
+	return changes
+}
+
+func diffField[T any](changes []Change, section string, f field[T], a, b *T) []Change {
+	was, is := f.get(a), f.get(b)
+	if f.repeated {
+		return diffLines(changes, section, f.key, was, is)
+	}
+	from, to := strings.Join(was, ""), strings.Join(is, "")
+	if from != to {
+		changes = append(changes, Change{OpChanged, section, f.key, from, to})
+	}
+	return changes
+}
+
+// diffLines compares the lines of a repeated key by their first word.
+func diffLines(changes []Change, section, key string, was, is []string) []Change {
+	from, to := byFirstWord(was), byFirstWord(is)
+	words := slices.AppendSeq(slices.Collect(maps.Keys(from)), maps.Keys(to))
+	slices.Sort(words)
+	for _, word := range slices.Compact(words) {
+		c := Change{Op: OpChanged, Section: section, Key: key, Old: from[word], New: to[word]}
+		if c.Old == c.New {
+			continue
+		}
+		if c.Old == "" {
+			c.Op = OpAdded
+		}
+		if c.New == "" {
+			c.Op = OpRemoved
+		}
+		changes = append(changes, c)
+	}
+	return changes
+}
+
+func byFirstWord(lines []string) map[string]string {
+	m := make(map[string]string, len(lines))
+	for _, line := range lines {
+		word, _, _ := strings.Cut(line, " ")
+		m[word] = line
+	}
+	return m
+}
--- a/objects/objects.go
+++ b/objects/objects.go
@@ -103,9 +103,10 @@
 	// OnceMethods are the methods that need an Idempotency-Key and run at
 	// most once; services only.
 	OnceMethods []string `json:"once_methods,omitempty"`
-	// Workers in the order of the set.
+	// Workers sorted by ID, so that adding or removing one changes no other
+	// part of the canonical encoding.
 	Workers []Worker `json:"workers"`
-	// Draining lists workers that get no new work.
+	// Draining lists workers that get no new work, sorted.
 	Draining []string `json:"draining,omitempty"`
 }
 
