Add the config and admin plug-ins and the operators' commands

Routers poll the pointer row, follow announcements of peers and keep the newest revision in force; operators get an API on its own listener with its own key. The commands repeat a submission with the same token while its outcome is not known.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -45,6 +45,7 @@
 	Output  string     `help:"Output format." enum:"text,json" default:"text" placeholder:"text|json"`
 	Router  routerCmd  `cmd:"" help:"Run the router daemon."`
 	Version versionCmd `cmd:"" help:"Print the version."`
+	operatorVerbs
 }
 
 // Main parses the arguments, runs the command and returns the exit code.
--- /dev/null
+++ b/plugins/admin/api.go
@@ -0,0 +1,161 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gorilla/mux"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/fx"
+
+	"github.com/auburnlead/auburnlead/internal/adminapi"
+	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/objects"
+	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/publish"
+)
+
+// maxBody bounds a request body: a set of the largest size whose characters
+// JSON escapes with one byte each, and the other fields.
+const maxBody = 2*objects.MaxBytes + 64<<10
+
+// Bounds of the audit listing.
+const (
+	defaultAudit = 20
+	maxAudit     = 500
+)
+
+// API answers the operators' requests.
+type API struct {
+	Params
+	publisher *publish.Publisher
+	cache     *publish.Store // content read for operators, kept between requests
+	now       func() time.Time
+}
+
+// Params are the parts that the API needs.
+type Params struct {
+	fx.In
+	Settings   *Settings
+	Identity   core.Identity
+	Client     platform.Client
+	Config     core.Config
+	Sink       core.RevisionSink
+	Readiness  core.Readiness
+	Addresses  *core.Addresses
+	Scope      tally.Scope
+	Log        *log.Logger
+	Membership core.Membership `optional:"true"`
+}
+
+// NewAPI returns the API.
+func NewAPI(p Params) *API {
+	cache := publish.NewStore()
+	return &API{
+		Params:    p,
+		cache:     cache,
+		publisher: &publish.Publisher{Table: p.Client, Objects: p.Client.Objects(), Cache: cache},
+		now:       time.Now,
+	}
+}
+
+// routes returns the handler of all paths.
+func (a *API) routes(key string) http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/healthz", a.healthz).Methods(http.MethodGet)
+	r.HandleFunc("/readyz", a.readyz).Methods(http.MethodGet)
+	r.HandleFunc("/metrics", a.metrics).Methods(http.MethodGet)
+	v1 := r.PathPrefix("/admin/v1").Subrouter()
+	v1.Use(requireKey(key))
+	v1.HandleFunc("/sets", handle(a.apply)).Methods(http.MethodPost)
+	v1.HandleFunc("/sets:check", handle(a.check)).Methods(http.MethodPost)
+	v1.HandleFunc("/sets:diff", handle(a.diff)).Methods(http.MethodPost)
+	v1.HandleFunc("/sets/current", handle(a.current)).Methods(http.MethodGet)
+	v1.HandleFunc("/status", handle(a.status)).Methods(http.MethodGet)
+	v1.HandleFunc("/audit", handle(a.audit)).Methods(http.MethodGet)
+	v1.HandleFunc("/drain", handle(a.drain)).Methods(http.MethodPost)
+	return http.TimeoutHandler(r, a.Settings.RequestTimeout, "request took too long\n")
+}
+
+// none is the body of requests without one.
+type none struct{}
+
+// handle reads the JSON body of a POST request, runs fn and sends its answer.
+func handle[Req, Rep any](fn func(context.Context, *http.Request, Req) (Rep, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var req Req
+		if r.Method == http.MethodPost {
+			d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+			d.DisallowUnknownFields()
+			if err := d.Decode(&req); err != nil {
+				writeError(w, bodyProblem(err))
+				return
+			}
+		}
+		rep, err := fn(r.Context(), r, req)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, "application/json", rep)
+	}
+}
+
+func bodyProblem(err error) *core.Problem {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return core.NewProblem(core.KindBodyTooLarge, "the body has more than %d bytes", tooLarge.Limit)
+	}
+	return core.NewProblem(core.KindInvalidRequest, "the body is not the expected JSON: %v", err)
+}
+
+func writeJSON(w http.ResponseWriter, status int, contentType string, body any) {
+	w.Header().Set("Content-Type", contentType)
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the connection may be gone
+}
+
+// writeError sends the problem that belongs to an error.
+func writeError(w http.ResponseWriter, err error) {
+	body := adminapi.ProblemBody{}
+	p := problemOf(err, &body)
+	body.ProblemJSON = p.JSON("")
+	if p.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(p.RetryAfter.Seconds())))
+	}
+	writeJSON(w, p.Status(), "application/problem+json", body)
+}
+
+// retryAfter is the wait that answers suggest while the platform is down.
+const retryAfter = 3 * time.Second
+
+func problemOf(err error, body *adminapi.ProblemBody) *core.Problem {
+	var (
+		problem   *core.Problem
+		invalid   *objects.Error
+		conflict  *publish.ConflictError
+		uncertain *publish.UncertainError
+	)
+	switch {
+	case errors.As(err, &problem):
+		return problem
+	case errors.As(err, &invalid):
+		body.Problems = invalid.Problems
+		return core.NewProblem(core.KindInvalidRequest, "the set has %d problems", len(invalid.Problems))
+	case errors.As(err, &conflict):
+		body.Newest = &conflict.Newest
+		return core.NewProblem(core.KindRevisionConflict, "base revision %d is not the newest: revision %d by %s is", conflict.Base, conflict.Newest.Revision, conflict.Newest.Author)
+	case errors.As(err, &uncertain):
+		p := core.NewProblem(core.KindPlatformUnavailable, "%v", err)
+		p.Outcome, p.RetryAfter = core.OutcomeUnknown, retryAfter
+		return p
+	}
+	p := core.NewProblem(core.KindPlatformUnavailable, "%v", err)
+	p.RetryAfter = retryAfter
+	return p
+}
--- /dev/null
+++ b/plugins/admin/server.go
@@ -0,0 +1,139 @@
+package admin
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gorilla/mux"
+	"go.uber.org/fx"
+
+	"github.com/auburnlead/auburnlead/internal/core"
+)
+
+// Limits of the admin API.
+const (
+	maxHeaderBytes    = 16 << 10
+	headerTimeout     = 5 * time.Second
+	idleTimeout       = 60 * time.Second
+	stopTimeout       = 5 * time.Second
+	partOfCoreAddress = "admin" // name of this part in core.Addresses
+)
+
+// Server is the listener of the admin API.
+type Server struct {
+	settings  *Settings
+	addresses *core.Addresses
+	log       *log.Logger
+	http      *http.Server
+}
+
+// NewServer returns a server that listens between start and stop.
+func NewServer(s *Settings, a *core.Addresses, l *log.Logger, api *API, lc fx.Lifecycle) *Server {
+	v := &Server{settings: s, addresses: a, log: l.WithPrefix("admin")}
+	v.http = &http.Server{
+		Handler:           api.routes(s.Key),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       s.RequestTimeout,
+		WriteTimeout:      2 * s.RequestTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	lc.Append(fx.Hook{OnStart: v.start, OnStop: v.stop})
+	return v
+}
+
+func (v *Server) start(context.Context) error {
+	l, err := net.Listen("tcp", v.settings.Listen)
+	if err != nil {
+		return fmt.Errorf("admin: %w; set admin.listen to a free address of this VM", err)
+	}
+	v.addresses.Set(partOfCoreAddress, l.Addr().String())
+	v.log.Info("listening", "address", l.Addr().String())
+	go func() {
+		if err := v.http.Serve(newLimitListener(l, v.settings.MaxConnections)); !errors.Is(err, http.ErrServerClosed) {
+			v.log.Error("listener failed", "err", err)
+		}
+	}()
+	return nil
+}
+
+func (v *Server) stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	if err := v.http.Shutdown(ctx); err != nil {
+		return v.http.Close()
+	}
+	return nil
+}
+
+// requireKey answers 401 to requests without the operators' key. The digests
+// have equal lengths, so the comparison tells nothing about the key.
+func requireKey(key string) mux.MiddlewareFunc {
+	want := sha256.Sum256([]byte(key))
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			given, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+			got := sha256.Sum256([]byte(given))
+			if !ok || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+				core.WriteProblem(w, core.NewProblem(core.KindUnauthorized, "the admin API needs the operators' key"), "")
+				return
+			}
+			next.ServeHTTP(w, r)
+		})
+	}
+}
+
+// limitListener bounds the open connections.
+type limitListener struct {
+	net.Listener
+	slots chan struct{}
+	done  chan struct{}
+	once  sync.Once
+}
+
+func newLimitListener(l net.Listener, limit int) net.Listener {
+	return &limitListener{Listener: l, slots: make(chan struct{}, limit), done: make(chan struct{})}
+}
+
+// Accept waits for a free place before it accepts a connection.
+func (l *limitListener) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &limitConn{Conn: c, release: func() { <-l.slots }}, nil
+}
+
+// Close ends Accept also when it waits for a free place.
+func (l *limitListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return l.Listener.Close()
+}
+
+type limitConn struct {
+	net.Conn
+	once    sync.Once
+	release func()
+}
+
+// Close gives the place back once.
+func (c *limitConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(c.release)
+	return err
+}
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -2,5 +2,7 @@
 package standard
 
 import (
-	_ "github.com/auburnlead/auburnlead/plugins/node" // registers router.node
+	_ "github.com/auburnlead/auburnlead/plugins/admin"  // registers router.admin
+	_ "github.com/auburnlead/auburnlead/plugins/config" // registers router.config
+	_ "github.com/auburnlead/auburnlead/plugins/node"   // registers router.node
 )
