--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -47,6 +47,7 @@
 	Load    loadCmd    `cmd:"" help:"Send requests to a router."`
 	Standin standinCmd `cmd:"" help:"Run a stand-in for the platform or an upstream."`
 	Version versionCmd `cmd:"" help:"Print the version."`
+	operatorVerbs
 }
 
 // Main parses the arguments, runs the command and returns the exit code.
