--- a/admission/admission.go
+++ b/admission/admission.go
@@ -2,6 +2,39 @@
 // request gets the next slot: a hard bound on the load of each worker, a floor
 // for each rank, strict priority above the floors and fair queueing by caller
 // and workspace within a rank. It does no I/O; the time is passed in.
+//
+// Contract. A worker is granted a slot only while its load, the new request
+// included, is at most min(MaxInFlight, max(floor(c*mean), ceil(mean'))), where
+// mean is the mean load of the open workers of the upstream in the failure
+// domain and mean' counts the new request. Within that bound slots go
+//
+//  1. to ranks with waiting work that hold less than their floor of the slots
+//     in use, rounded up to whole slots, plus what they have been short of
+//     since their work began to wait;
+//  2. then by priority, where a rank leaves a few slots free for the ranks
+//     above it, as many as their arrivals in the last seconds need (Config.
+//     Reserve bounds them);
+//  3. within a rank to the caller, and within the caller to the workspace, with
+//     the lowest start tag (start-time fair queueing over tokens).
+//
+// Every request that Offer accepts ends in exactly one of: a Grant, a Refusal
+// or Cancel. When the queue of a rank is full, a request of the caller with
+// the longest queue for its weight is refused to make room, so one caller
+// cannot keep the others out.
+//
+// Failure behaviour: there are no errors. Started work is never preempted. A
+// grant counts as used until Release, or until Grant.Until when no release
+// arrives. Loads that are only known in number (after a take-over) are counted
+// through OccupyUnknown.
+//
+// Concurrency: a Scheduler is not safe for concurrent use. The holder locks
+// around it (level 40) and must not call it from the callbacks of Advance and
+// CloseQueue.
+//
+// Cost: with the first-choice worker free, an Offer, Advance and Release take
+// constant time apart from a scan of the callers that wait. When workers are
+// full for some requests but not for others, Advance scans the queue. Requests
+// are kept in reused records, so nothing is allocated in steady state.
 package admission
 
 import "time"
@@ -22,6 +55,10 @@
 	LoadBound float64
 	// UseBy is the time within which a grant must be used. Default 2 s.
 	UseBy time.Duration
+	// Reserve is the largest share of the slots that less urgent ranks leave
+	// free for more urgent ones, rounded to whole slots. Default 0.05;
+	// negative for none.
+	Reserve float64
 }
 
 // Worker is a worker whose slots the holder grants.
@@ -43,10 +80,12 @@
 	Rank      string
 	// CostTokens is the expected cost in tokens.
 	CostTokens int64
-	// Deadline is the latest useful time of the grant.
+	// Deadline is the latest useful time of the grant; zero for none. A
+	// deadline of now asks for a slot without waiting.
 	Deadline time.Time
 	// Workers are the acceptable workers, best first. When none of them has
-	// room, another worker of the scheduler is used if AnyWorker is set.
+	// room, another worker of the scheduler is used if AnyWorker is set. The
+	// slice must not be modified afterwards.
 	Workers   []string
 	AnyWorker bool
 }
