Add the at-most-once ledger

Bookings and rulings must not run twice when a router crashes, a reply is lost or two routers get the same request. Each request has one row; a claim replaces a row of a known version, so that late and duplicated writes have no effect.

--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,179 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/platform/platformtest"
+)
+
+// inBubble runs a test on virtual time.
+func inBubble(t *testing.T, desc string, test func(*testing.T)) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey(desc, t, func() { test(t) })
+	})
+}
+
+func booking(key, attempt string) Claim {
+	return Claim{Caller: "clerk", Service: "rota-desk", Key: key, Digest: "d", Attempt: attempt, Router: "r1"}
+}
+
+// Guards against decisions that let a request run again or that hide its
+// recorded state.
+func TestDecisions(t *testing.T) {
+	cases := []struct {
+		desc     string
+		result   Result
+		expected Decision
+	}{
+		{"ran", Result{OutcomeRan, []byte("turn 7")}, Decision{State: StateReplay, Answer: []byte("turn 7")}},
+		{"ran with a large answer", Result{OutcomeRan, []byte(strings.Repeat("x", 99))}, Decision{State: StateReplay, Answer: []byte(strings.Repeat("x", 99))}},
+		{"unknown", Result{OutcomeUnknown, nil}, Decision{State: StateUnknown}},
+		{"not run", Result{OutcomeNotRun, nil}, Decision{State: StateClaimed}},
+		{"not finished", Result{}, Decision{State: StateInProgress, Attempt: "a1", Router: "r1"}},
+	}
+	for _, tc := range cases {
+		inBubble(t, "A second claim after a first that is: "+tc.desc, func(t *testing.T) {
+			w := newWorld(1, 2)
+			ctx := t.Context()
+			c := booking("k", "a1")
+			d, err := w.ledgers[0].Claim(ctx, c)
+			So(err, ShouldBeNil)
+			So(d.State, ShouldEqual, StateClaimed)
+			if tc.result.Outcome != "" {
+				So(w.ledgers[0].Finish(ctx, c, tc.result), ShouldBeNil)
+			}
+			d, err = w.ledgers[1].Claim(ctx, booking("k", "a2"))
+			So(err, ShouldBeNil)
+			So(d, ShouldResemble, tc.expected)
+			other := booking("k", "a3")
+			other.Digest = "e"
+			_, err = w.ledgers[0].Claim(ctx, other)
+			var reused *KeyReusedError
+			So(errors.As(err, &reused), ShouldBeTrue)
+		})
+	}
+	inBubble(t, "A damaged row is never run, and a lost object is reported as a run", func(t *testing.T) {
+		w := newWorld(1, 1)
+		l := w.ledgers[0]
+		c := booking("k", "a1")
+		_, err := l.Claim(t.Context(), c)
+		So(err, ShouldBeNil)
+		So(l.Finish(t.Context(), c, Result{OutcomeRan, []byte(strings.Repeat("x", 99))}), ShouldBeNil)
+		l.objects = platformtest.New(platformtest.Options{Now: time.Now}).Objects()
+		_, err = l.Claim(t.Context(), booking("k", "a2"))
+		var noAnswer *AnswerUnavailableError
+		So(errors.As(err, &noAnswer), ShouldBeTrue)
+		l.table = damaged{w.p}
+		d, err := l.Claim(t.Context(), booking("k", "a3"))
+		So(err, ShouldBeNil)
+		So(d.State, ShouldEqual, StateUnknown)
+	})
+}
+
+// Guards against a commit for each claim, which the platform's write limit
+// does not allow, and against one conflict failing the claims beside it.
+func TestGroupCommit(t *testing.T) {
+	inBubble(t, "Claims within 3 ms share a commit; a conflict costs the others one more", func(t *testing.T) {
+		w := newWorld(1, 2)
+		_, err := w.ledgers[1].Claim(t.Context(), booking("k3", "other"))
+		So(err, ShouldBeNil)
+		before := w.p.Stats()
+		var mu sync.Mutex
+		states := map[State]int{}
+		var wg sync.WaitGroup
+		for i := range 20 {
+			wg.Go(func() {
+				d, err := w.ledgers[0].Claim(t.Context(), booking(fmt.Sprintf("k%d", i%19), fmt.Sprintf("a%d", i)))
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil {
+					states[d.State]++
+				}
+			})
+		}
+		wg.Wait()
+		// k3 is taken, and k0 is claimed twice.
+		So(states, ShouldResemble, map[State]int{StateClaimed: 18, StateInProgress: 2})
+		So(w.p.Stats().Writes-before.Writes, ShouldEqual, 3)
+		So(w.p.Stats().Reads, ShouldEqual, 0)
+	})
+}
+
+// Guards against once-requests that hang or are sent while the platform is
+// down, and against results that are lost with it.
+func TestOutage(t *testing.T) {
+	inBubble(t, "A claim fails at once; a result is kept until the platform answers", func(t *testing.T) {
+		w := newWorld(1, 1)
+		l := w.ledgers[0]
+		c := booking("k1", "a1")
+		_, err := l.Claim(t.Context(), c)
+		So(err, ShouldBeNil)
+		w.p.SetFaults(platformtest.Faults{Outage: true})
+		began := time.Now()
+		_, err = l.Claim(t.Context(), booking("k2", "a2"))
+		var notClaimed *NotClaimedError
+		So(errors.As(err, &notClaimed), ShouldBeTrue)
+		So(time.Since(began), ShouldEqual, DefaultGroupWindow)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var pending *PendingError
+		So(errors.As(l.Finish(ctx, c, Result{OutcomeRan, []byte("turn 7")}), &pending), ShouldBeTrue)
+		w.p.SetFaults(platformtest.Faults{})
+		l.Close(t.Context())
+		d, err := New(w.p, w.p.Objects(), l.o).Claim(t.Context(), booking("k1", "a3"))
+		So(err, ShouldBeNil)
+		So(string(d.Answer), ShouldEqual, "turn 7")
+		_, err = l.Claim(t.Context(), booking("k3", "a4"))
+		So(errors.As(err, &notClaimed), ShouldBeTrue)
+	})
+}
+
+// Guards against rows that are deleted before the retention has passed or
+// never, and against every router sweeping the whole ledger.
+func TestSweep(t *testing.T) {
+	inBubble(t, "One router deletes the rows after 7 days of the platform's clock", func(t *testing.T) {
+		w := newWorld(1, 2)
+		ctx := t.Context()
+		for i := range 300 {
+			c := booking(fmt.Sprintf("k%d", i), fmt.Sprintf("a%d", i))
+			_, err := w.ledgers[0].Claim(ctx, c)
+			So(err, ShouldBeNil)
+			if i > 0 { // the first claim is never finished
+				So(w.ledgers[0].Finish(ctx, c, Result{OutcomeRan, nil}), ShouldBeNil)
+			}
+		}
+		sweep := func(router, expected int) {
+			n, err := w.ledgers[router].Sweep(ctx)
+			So(err, ShouldBeNil)
+			So(n, ShouldEqual, expected)
+		}
+		sweep(0, 0) // gives the first row the platform's time
+		<-time.After(DefaultRetention - time.Minute)
+		sweep(1, 0)
+		<-time.After(2 * time.Minute)
+		before := w.p.Stats()
+		sweep(0, 0) // not due
+		So(w.p.Stats().Reads-before.Reads, ShouldEqual, 1)
+		So(w.p.Stats().Writes, ShouldEqual, before.Writes)
+		<-time.After(DefaultSweepEvery)
+		sweep(0, 300)
+		sweep(1, 0)
+	})
+}
+
+// damaged is a table whose rows all have a value that cannot be decoded.
+type damaged struct{ platform.Table }
+
+func (damaged) Commit(_ context.Context, ops []platform.Op) (platform.Committed, error) {
+	return platform.Committed{}, &platform.ConflictError{Current: []platform.Row{{Key: ops[0].Key, Value: []byte("{"), Version: 9}}}
+}
--- /dev/null
+++ b/ledger/state_test.go
@@ -0,0 +1,183 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/auburnlead/auburnlead/platform/platformtest"
+)
+
+// machine drives two routers over one platform, one step at a time, and keeps
+// what a request may and may not do.
+type machine struct {
+	*world
+	claims  int
+	open    []openClaim
+	digests map[string]string // digest of the first claim that may have been written
+}
+
+type openClaim struct {
+	l *Ledger
+	c Claim
+}
+
+var errLater = errors.New("the request was given up")
+
+func (m *machine) claim(t *rapid.T) {
+	m.claims++
+	l := rapid.SampledFrom(m.ledgers).Draw(t, "router")
+	c := Claim{Caller: "juror", Service: "entries-desk", Attempt: fmt.Sprintf("a%d", m.claims), Router: "r"}
+	c.Key = rapid.SampledFrom([]string{"k0", "k1"}).Draw(t, "key")
+	c.Digest = rapid.SampledFrom([]string{"d", "d", "e"}).Draw(t, "digest")
+	ctx, cancel := context.WithTimeoutCause(context.Background(), rapid.SampledFrom([]time.Duration{time.Millisecond, time.Minute}).Draw(t, "patience"), errLater)
+	defer cancel()
+	d, err := l.Claim(ctx, c)
+	if err == nil && d.State == StateInProgress && m.notSent[d.Attempt] {
+		d, err = l.TakeOver(ctx, c, d.Attempt)
+	}
+	m.checkClaim(t, l, c, d, err)
+}
+
+func (m *machine) checkClaim(t *rapid.T, l *Ledger, c Claim, d Decision, err error) {
+	var reused *KeyReusedError
+	switch {
+	case errors.As(err, &reused):
+		if first := m.digests[c.Key]; first == c.Digest {
+			t.Fatalf("%s: digest %s is refused although it was the first", c.Key, first)
+		}
+		return
+	case err != nil:
+		m.notSent[c.Attempt] = true
+		return
+	}
+	if m.digests[c.Key] == "" {
+		m.digests[c.Key] = c.Digest
+	}
+	if m.digests[c.Key] != c.Digest {
+		t.Fatalf("%s: digest %s is accepted after %s", c.Key, c.Digest, m.digests[c.Key])
+	}
+	switch d.State {
+	case StateClaimed:
+		if m.runs[c.Key] > 0 {
+			t.Fatalf("%s may run again", c.Key)
+		}
+		for _, o := range m.open {
+			if o.c.Key == c.Key {
+				t.Fatalf("%s is claimed by %s and %s", c.Key, o.c.Attempt, c.Attempt)
+			}
+		}
+		m.open = append(m.open, openClaim{l, c})
+	case StateReplay:
+		if string(d.Answer) != m.answers[c.Key] {
+			t.Fatalf("%s: answer %q instead of %q", c.Key, d.Answer, m.answers[c.Key])
+		}
+	}
+}
+
+// take removes one claim that is being run.
+func (m *machine) take(t *rapid.T) openClaim {
+	if len(m.open) == 0 {
+		t.Skip("no claim is open")
+	}
+	i := rapid.IntRange(0, len(m.open)-1).Draw(t, "claim")
+	o := m.open[i]
+	m.open = append(m.open[:i:i], m.open[i+1:]...)
+	return o
+}
+
+func (m *machine) finish(t *rapid.T) {
+	o := m.take(t)
+	r := Result{Outcome: rapid.SampledFrom([]Outcome{OutcomeRan, OutcomeNotRun, OutcomeUnknown}).Draw(t, "outcome")}
+	if r.Outcome == OutcomeRan {
+		r.Answer = []byte(rapid.SampledFrom([]string{"", "short", "an answer that exceeds the row"}).Draw(t, "answer"))
+		m.answers[o.c.Key] = string(r.Answer)
+	}
+	if r.Outcome != OutcomeNotRun {
+		m.runs[o.c.Key]++
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	var pending *PendingError
+	if err := o.l.Finish(ctx, o.c, r); err != nil && !errors.As(err, &pending) {
+		t.Fatalf("finish: %v", err)
+	}
+}
+
+func (m *machine) abandon(t *rapid.T) {
+	o := m.take(t)
+	m.notSent[o.c.Attempt] = true
+	o.l.Abandon(o.c)
+}
+
+func (m *machine) setFaults(t *rapid.T) {
+	share := rapid.SampledFrom([]float64{0, 0, 0.5, 1})
+	m.p.SetFaults(platformtest.Faults{
+		Outage:          rapid.Bool().Draw(t, "outage"),
+		LostReplies:     share.Draw(t, "lost"),
+		DroppedRequests: share.Draw(t, "dropped"),
+		LateWrites:      share.Draw(t, "late"),
+		DuplicateWrites: share.Draw(t, "duplicate"),
+		LateBy:          5 * time.Second,
+	})
+}
+
+// tbOnly hides methods of testing.T that are not allowed in a synctest bubble.
+type tbOnly struct{ testing.TB }
+
+// Guards against a sequence of claims, results, faults and pauses after which
+// a request may run again, gets another's answer or accepts another body.
+func TestStateMachine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(tbOnly{t}, func(t *rapid.T) {
+			seed := rapid.Uint64().Draw(t, "seed")
+			m := &machine{world: newWorld(seed, 2), digests: map[string]string{}}
+			defer func() {
+				m.p.SetFaults(platformtest.Faults{})
+				for _, l := range m.ledgers {
+					l.Close(context.Background())
+				}
+				<-time.After(10 * time.Second) // late writes arrive
+			}()
+			t.Repeat(map[string]func(*rapid.T){
+				"claim":   m.claim,
+				"finish":  m.finish,
+				"abandon": m.abandon,
+				"faults":  m.setFaults,
+				"time":    func(*rapid.T) { <-time.After(3 * time.Second) },
+				"sweep": func(t *rapid.T) {
+					if n, _ := rapid.SampledFrom(m.ledgers).Draw(t, "router").Sweep(context.Background()); n > 0 {
+						t.Fatalf("%d rows are swept before the retention has passed", n)
+					}
+				},
+			})
+		})
+	})
+}
+
+// Guards against a decoder that panics on a damaged row or reads one in a way
+// that its own writer would not have meant.
+func FuzzDecode(f *testing.F) {
+	f.Add(record{State: rowClaimed, Digest: "d", Attempt: "a", Router: "r", At: 5}.encode())
+	f.Add(record{State: rowRan, Digest: "d", Attempt: "a", Answer: []byte("answer")}.encode())
+	f.Add([]byte(`{"state":"ran","digest":"d","attempt":"a","router":"","object":"00"}`))
+	f.Add([]byte(`{"state":"claimed"}{}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		r, err := decode(value)
+		if err != nil {
+			return
+		}
+		again, err := decode(r.encode())
+		if err != nil || string(again.encode()) != string(r.encode()) {
+			t.Fatalf("%q is read as %+v, then as %+v (%v)", value, r, again, err)
+		}
+		if r.State != rowRan && (len(r.Answer) > 0 || r.Object != "") {
+			t.Fatalf("%q has an answer in state %s", value, r.State)
+		}
+	})
+}
--- /dev/null
+++ b/ledger/sweep.go
@@ -0,0 +1,140 @@
+package ledger
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/auburnlead/auburnlead/platform"
+)
+
+// sweepRow says when the last sweep was; it lies outside rowPrefix.
+const sweepRow = "ledger-sweep"
+
+// sweepPage is the number of rows that a sweep reads, and at most changes, at
+// once.
+const sweepPage = 256
+
+type sweepRecord struct {
+	At int64 `json:"at"` // platform's clock in ms
+}
+
+// Sweep deletes rows that are older than the retention by the platform's
+// clock and returns their number. Routers may all call it at any time: a sweep
+// that is not due costs one read, and one router carries out each that is.
+// Errors: those of the platform; the next sweep goes on.
+func (l *Ledger) Sweep(ctx context.Context) (int, error) {
+	now, due, err := l.beginSweep(ctx)
+	if err != nil || !due {
+		return 0, err
+	}
+	deleted := 0
+	after := ""
+	for {
+		rows, err := l.table.Scan(ctx, rowPrefix, after, sweepPage)
+		if err != nil {
+			return deleted, err
+		}
+		if len(rows) == 0 {
+			return deleted, nil
+		}
+		after = rows[len(rows)-1].Key
+		n, err := l.sweepRows(ctx, rows, now)
+		deleted += n
+		if err != nil {
+			return deleted, err
+		}
+	}
+}
+
+// beginSweep writes the time of this sweep, which also returns the platform's
+// clock. Another router that does the same first makes it fail.
+func (l *Ledger) beginSweep(ctx context.Context) (now time.Time, due bool, err error) {
+	rows, err := l.table.Get(ctx, sweepRow)
+	if err != nil {
+		return now, false, err
+	}
+	var last sweepRecord
+	if rows[0].Version > 0 && json.Unmarshal(rows[0].Value, &last) != nil {
+		last = sweepRecord{} // a damaged row makes the sweep due
+	}
+	next := last.At + l.o.SweepEvery.Milliseconds()
+	estimate := l.platformMillis()
+	if estimate != 0 && estimate < next {
+		return now, false, nil
+	}
+	// Without an estimate the write only tells the clock and keeps the time.
+	value, err := json.Marshal(sweepRecord{max(estimate, last.At)})
+	if err != nil {
+		return now, false, err
+	}
+	done, err := l.table.Commit(ctx, []platform.Op{{Key: sweepRow, IfVersion: rows[0].Version, Value: value}})
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return now, false, nil
+	}
+	if err != nil {
+		return now, false, err
+	}
+	l.learnClock(done.At)
+	if estimate == 0 {
+		return l.beginSweep(ctx)
+	}
+	return done.At, true, nil
+}
+
+// sweepRows deletes the rows that are too old. A row whose writer did not know
+// the platform's clock gets it now.
+func (l *Ledger) sweepRows(ctx context.Context, rows []platform.Row, now time.Time) (int, error) {
+	var ops []platform.Op
+	for _, row := range rows {
+		if op, ok := l.sweepOp(row, now); ok {
+			ops = append(ops, op)
+		}
+	}
+	if len(ops) == 0 {
+		return 0, nil
+	}
+	_, err := l.table.Commit(ctx, ops)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		// Rows written since the scan are left for the next sweep.
+		ops = slices.DeleteFunc(ops, func(op platform.Op) bool {
+			return slices.ContainsFunc(conflict.Current, func(r platform.Row) bool { return r.Key == op.Key })
+		})
+		if len(ops) == 0 {
+			return 0, nil
+		}
+		_, err = l.table.Commit(ctx, ops)
+	}
+	if err != nil {
+		return 0, err
+	}
+	deleted := 0
+	for _, op := range ops {
+		if op.Delete {
+			deleted++
+		}
+	}
+	return deleted, nil
+}
+
+func (l *Ledger) sweepOp(row platform.Row, now time.Time) (platform.Op, bool) {
+	rec, err := decode(row.Value)
+	if err != nil {
+		return platform.Op{}, false // a malformed row is kept for inspection
+	}
+	op := platform.Op{Key: row.Key, IfVersion: row.Version}
+	switch {
+	case rec.At == 0:
+		rec.At = now.UnixMilli()
+		op.Value = rec.encode()
+		return op, true
+	case now.UnixMilli()-rec.At > l.o.Retention.Milliseconds():
+		op.Delete = true
+		return op, true
+	}
+	return platform.Op{}, false
+}
