--- a/publish/fake_test.go
+++ b/publish/fake_test.go
@@ -21,9 +21,10 @@
 	rows    map[string]platform.Row
 	objects map[string][]byte
 	rand    *rand.Rand
-	lost    float64 // share of writes whose reply is lost, half of them applied
-	down    float64 // share of requests that are refused
-	bytes   int     // read from the object store
+	lost    float64       // share of commits whose reply is lost
+	delay   time.Duration // longest way to or from the platform; needs a synctest bubble
+	down    float64       // share of requests that are refused
+	bytes   int           // read from the object store
 }
 
 func newFake(seed uint64) *fake {
@@ -32,6 +33,27 @@
 
 var errFault = errors.New("injected fault")
 
+// travel waits for a random time below the delay.
+func (f *fake) travel() {
+	f.mu.Lock()
+	d := f.draw()
+	f.mu.Unlock()
+	if d > 0 {
+		<-time.After(d)
+	}
+}
+
+// giveUp waits out a reply that does not come.
+func (f *fake) giveUp() {
+	f.mu.Unlock()
+	for range 20 {
+		f.travel()
+	}
+	f.mu.Lock()
+}
+
+func (f *fake) draw() time.Duration { return time.Duration(f.rand.Float64() * float64(f.delay)) }
+
 func (f *fake) refused(op string) error {
 	if f.rand.Float64() < f.down {
 		return &platform.UnavailableError{Op: op, Err: errFault}
@@ -40,6 +62,8 @@
 }
 
 func (f *fake) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+	f.travel()
+	defer f.travel()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	list := make([]platform.Row, len(keys))
@@ -63,34 +87,53 @@
 	return list[:min(limit, len(list))], f.refused("scan")
 }
 
+// Commit loses replies in three ways: the request is never applied, applied at
+// once, or applied after the caller was told that the reply is lost.
 func (f *fake) Commit(_ context.Context, ops []platform.Op) (platform.Committed, error) {
+	f.travel()
+	defer f.travel()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.refused("commit"); err != nil {
 		return platform.Committed{}, err
 	}
-	lost := f.rand.Float64() < f.lost
-	if lost && f.rand.IntN(2) == 0 {
-		return platform.Committed{}, &platform.UncertainError{Op: "commit", Err: errFault}
+	if f.rand.Float64() >= f.lost {
+		return platform.Committed{Versions: make([]int64, len(ops))}, f.apply(ops)
 	}
+	// The caller gives up on the reply after a long wait, in which others go on.
+	defer f.giveUp()
+	switch f.rand.IntN(3) {
+	case 0:
+		_ = f.apply(ops) // the caller must not learn the result
+	case 1:
+		later := 10 * f.draw()
+		go func() {
+			<-time.After(later)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			_ = f.apply(ops) // the caller must not learn the result
+		}()
+	}
+	return platform.Committed{}, &platform.UncertainError{Op: "commit", Err: errFault}
+}
+
+func (f *fake) apply(ops []platform.Op) error {
 	for _, op := range ops {
 		if row := f.rows[op.Key]; op.IfVersion != platform.AnyVersion && row.Version != op.IfVersion {
-			return platform.Committed{}, &platform.ConflictError{Current: []platform.Row{row}}
+			return &platform.ConflictError{Current: []platform.Row{row}}
 		}
 	}
 	for _, op := range ops {
 		f.rows[op.Key] = platform.Row{Key: op.Key, Value: op.Value, Version: f.rows[op.Key].Version + 1}
 	}
-	if lost {
-		return platform.Committed{}, &platform.UncertainError{Op: "commit", Err: errFault}
-	}
-	return platform.Committed{Versions: make([]int64, len(ops))}, nil
+	return nil
 }
 
 // store is the fake's object store.
 type store struct{ *fake }
 
 func (s store) Put(_ context.Context, name string, body []byte) error {
+	s.travel()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.objects[name] = body
@@ -98,6 +141,7 @@
 }
 
 func (s store) Get(_ context.Context, name string) ([]byte, error) {
+	s.travel()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	body, ok := s.objects[name]
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -16,6 +16,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/auburnlead/auburnlead/objects"
@@ -221,11 +223,11 @@
 			stored[digest] = true
 		}
 	}
-	for digest, body := range chunks {
+	for _, digest := range slices.Sorted(maps.Keys(chunks)) {
 		if stored[digest] {
 			continue
 		}
-		if err := p.putOne(ctx, digest, body); err != nil {
+		if err := p.putOne(ctx, digest, chunks[digest]); err != nil {
 			return err
 		}
 	}
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -83,7 +83,7 @@
 type outageAfterCommit struct{ *fake }
 
 func (o outageAfterCommit) Commit(ctx context.Context, ops []platform.Op) (platform.Committed, error) {
-	_, _ = o.fake.Commit(ctx, ops) // the caller must not learn the result
+	_ = o.apply(ops) // the caller must not learn the result
 	o.down = 1
 	return platform.Committed{}, &platform.UncertainError{Op: "commit", Err: errFault}
 }
