--- /dev/null
+++ b/publish/example_test.go
@@ -0,0 +1,50 @@
+package publish_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/auburnlead/auburnlead/objects"
+	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/publish"
+)
+
+// Two operators submit a set on the same base, then a reader takes the newest
+// revision.
+func Example() {
+	ctx := context.Background()
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	platform := platformtest.New(platformtest.Options{Now: func() time.Time { return now }})
+
+	set, err := objects.Load("set.ini", []byte("[rank.urgent]\npriority = 0\n"))
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	p := publish.Publisher{Table: platform, Objects: platform.Objects()}
+	r, err := p.Submit(ctx, publish.Submission{Set: set, Base: 0, Token: "t1", Author: "asha", Now: now})
+	fmt.Println("revision", r.Revision, err)
+
+	_, err = p.Submit(ctx, publish.Submission{Set: set, Base: 0, Token: "t2", Author: "thandi", Now: now})
+	var conflict *publish.ConflictError
+	fmt.Println(errors.As(err, &conflict), conflict.Newest.Author)
+
+	store := publish.NewStore()
+	newest, err := publish.Newest(ctx, platform)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	inForce, err := store.Advance(ctx, newest.Revision, newest.Manifest, platform.Objects())
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println("in force", inForce.Revision, len(inForce.Set.Ranks))
+	// Output:
+	// revision 1 <nil>
+	// true asha
+	// in force 1 1
+}
