Add the request path from caller to upstream

Cause: the router has no data path yet.

Change: answer checks frame identity, order and the explicit end of streams, reads bounded server-sent events and assembles whole answers. plugins/upstream sends attempts over net/http and states not_run only when no byte can have left or the upstream says so. plugins/dispatch places requests, uses and returns slots, resumes, retries within a budget and ejects workers. plugins/caller serves chat completions, models and services. core.Frame.ID becomes a byte slice so that a frame costs no allocation; core.Attempt gets SendBy, and core.LoadInterest lets holders choose the workers that are polled.

Result: go test -race passes for plugins/caller, with a caller, a router and stand-in upstreams that cut, double, reorder and mix in foreign frames.

--- /dev/null
+++ b/answer/assembler.go
@@ -0,0 +1,248 @@
+package answer
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+)
+
+// Usage is the token count of an answer.
+type Usage struct {
+	PromptTokens        int64         `json:"prompt_tokens"`
+	CompletionTokens    int64         `json:"completion_tokens"`
+	TotalTokens         int64         `json:"total_tokens"`
+	PromptTokensDetails *PromptDetail `json:"prompt_tokens_details,omitempty"`
+}
+
+// PromptDetail says how many prompt tokens came from the cache.
+type PromptDetail struct {
+	CachedTokens int64 `json:"cached_tokens"`
+}
+
+// Cached is the number of prompt tokens that came from the cache.
+func (u *Usage) Cached() int64 {
+	if u.PromptTokensDetails == nil {
+		return 0
+	}
+	return u.PromptTokensDetails.CachedTokens
+}
+
+// envelope has the fields that chunks and the whole answer share.
+type envelope struct {
+	ID                string          `json:"id"`
+	Object            string          `json:"object"`
+	Created           int64           `json:"created"`
+	Model             string          `json:"model"`
+	SystemFingerprint string          `json:"system_fingerprint,omitempty"`
+	ServiceTier       json.RawMessage `json:"service_tier,omitempty"`
+}
+
+type chunk struct {
+	envelope
+	Choices []chunkChoice   `json:"choices"`
+	Usage   json.RawMessage `json:"usage"`
+}
+
+type chunkChoice struct {
+	Index        int       `json:"index"`
+	Delta        delta     `json:"delta"`
+	FinishReason *string   `json:"finish_reason"`
+	Logprobs     *logprobs `json:"logprobs"`
+}
+
+type delta struct {
+	Role             string     `json:"role,omitempty"`
+	Content          *string    `json:"content"`
+	Refusal          *string    `json:"refusal,omitempty"`
+	ReasoningContent *string    `json:"reasoning_content,omitempty"`
+	ToolCalls        []toolCall `json:"tool_calls,omitempty"`
+}
+
+type toolCall struct {
+	Index    int      `json:"index,omitempty"`
+	ID       string   `json:"id,omitempty"`
+	Type     string   `json:"type,omitempty"`
+	Function function `json:"function"`
+}
+
+type function struct {
+	Name      string `json:"name"`
+	Arguments string `json:"arguments"`
+}
+
+type logprobs struct {
+	Content []json.RawMessage `json:"content"`
+	Refusal []json.RawMessage `json:"refusal,omitempty"`
+}
+
+type completion struct {
+	envelope
+	Choices []choice        `json:"choices"`
+	Usage   json.RawMessage `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int       `json:"index"`
+	Message      delta     `json:"message"`
+	Logprobs     *logprobs `json:"logprobs"`
+	FinishReason *string   `json:"finish_reason"`
+}
+
+// parts collects one choice. Text is kept in byte slices, so that appending a
+// chunk costs its own length and not that of the answer so far.
+type parts struct {
+	role, finish               string
+	content, refusal, thoughts *[]byte
+	tools                      []*toolParts
+	logprobs                   *logprobs
+}
+
+type toolParts struct {
+	id, kind, name string
+	arguments      []byte
+}
+
+// Bounds on indexes in chunks; an upstream that exceeds them is at fault.
+const (
+	maxChoices   = 128
+	maxToolCalls = 1024
+)
+
+// Assembler builds a chat.completion from chat.completion.chunk objects. It is
+// not safe for concurrent use.
+type Assembler struct {
+	max     int
+	size    int
+	head    envelope
+	choices map[int]*parts
+	usage   json.RawMessage
+}
+
+// NewAssembler returns an Assembler for chunks of maxBytes in all.
+func NewAssembler(maxBytes int) *Assembler {
+	return &Assembler{max: maxBytes, choices: map[int]*parts{}}
+}
+
+// Add takes in the next chunk. Errors: *LimitError, or an error that says why
+// the chunk is malformed.
+func (a *Assembler) Add(data []byte) error {
+	if a.size += len(data); a.size > a.max {
+		return &LimitError{"answer", a.max}
+	}
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return fmt.Errorf("answer: malformed chunk: %w; have the upstream send chat.completion.chunk objects", err)
+	}
+	if a.head.ID == "" {
+		a.head = c.envelope
+	}
+	if len(c.Usage) > 0 && string(c.Usage) != "null" {
+		a.usage = c.Usage
+	}
+	for i := range c.Choices {
+		if err := a.addChoice(&c.Choices[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a *Assembler) addChoice(c *chunkChoice) error {
+	if c.Index < 0 || c.Index >= maxChoices {
+		return fmt.Errorf("answer: choice index %d is not between 0 and %d; have the upstream correct it", c.Index, maxChoices-1)
+	}
+	p := a.choices[c.Index]
+	if p == nil {
+		p = &parts{}
+		a.choices[c.Index] = p
+	}
+	if c.Delta.Role != "" {
+		p.role = c.Delta.Role
+	}
+	if c.FinishReason != nil {
+		p.finish = *c.FinishReason
+	}
+	appendText(&p.content, c.Delta.Content)
+	appendText(&p.refusal, c.Delta.Refusal)
+	appendText(&p.thoughts, c.Delta.ReasoningContent)
+	if c.Logprobs != nil {
+		if p.logprobs == nil {
+			p.logprobs = &logprobs{}
+		}
+		p.logprobs.Content = append(p.logprobs.Content, c.Logprobs.Content...)
+		p.logprobs.Refusal = append(p.logprobs.Refusal, c.Logprobs.Refusal...)
+	}
+	for _, t := range c.Delta.ToolCalls {
+		if err := p.addTool(t); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func appendText(to **[]byte, text *string) {
+	if text == nil {
+		return
+	}
+	if *to == nil {
+		*to = &[]byte{}
+	}
+	**to = append(**to, *text...)
+}
+
+func (p *parts) addTool(t toolCall) error {
+	if t.Index < 0 || t.Index > len(p.tools) || t.Index >= maxToolCalls {
+		return fmt.Errorf("answer: tool call index %d follows %d calls; have the upstream number calls from 0 without gaps", t.Index, len(p.tools))
+	}
+	if t.Index == len(p.tools) {
+		p.tools = append(p.tools, &toolParts{})
+	}
+	tool := p.tools[t.Index]
+	if t.ID != "" {
+		tool.id = t.ID
+	}
+	if t.Type != "" {
+		tool.kind = t.Type
+	}
+	tool.name += t.Function.Name
+	tool.arguments = append(tool.arguments, t.Function.Arguments...)
+	return nil
+}
+
+// JSON returns the chat.completion. Call it after the explicit end only.
+func (a *Assembler) JSON() ([]byte, error) {
+	c := completion{envelope: a.head, Usage: a.usage, Choices: []choice{}}
+	c.Object = "chat.completion"
+	for index, p := range a.choices {
+		c.Choices = append(c.Choices, p.choice(index))
+	}
+	sort.Slice(c.Choices, func(i, j int) bool { return c.Choices[i].Index < c.Choices[j].Index })
+	body, err := json.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("answer: %w; have the upstream send valid chunks", err)
+	}
+	return body, nil
+}
+
+func (p *parts) choice(index int) choice {
+	c := choice{Index: index, Logprobs: p.logprobs}
+	c.Message = delta{Role: p.role, Content: text(p.content), Refusal: text(p.refusal), ReasoningContent: text(p.thoughts)}
+	if c.Message.Role == "" {
+		c.Message.Role = "assistant"
+	}
+	if p.finish != "" {
+		c.FinishReason = &p.finish
+	}
+	for _, t := range p.tools {
+		c.Message.ToolCalls = append(c.Message.ToolCalls, toolCall{ID: t.id, Type: t.kind, Function: function{t.name, string(t.arguments)}})
+	}
+	return c
+}
+
+func text(b *[]byte) *string {
+	if b == nil {
+		return nil
+	}
+	s := string(*b)
+	return &s
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -137,6 +137,14 @@
 	WorkerEjected(upstream, worker string, ejected bool)
 }
 
+// LoadInterest is implemented by a HealthReports that wants the load of some
+// workers only, so that each worker is polled by its holder and not by every
+// router of the domain.
+type LoadInterest interface {
+	// WantsLoad reports whether this router has to poll the worker.
+	WantsLoad(upstream, worker string) bool
+}
+
 // LoadReport is a worker's answer to GET /v1/load.
 type LoadReport struct {
 	Running      int      `json:"running"`
@@ -237,16 +245,21 @@
 	Priority    int
 	Deadline    time.Time
 	LastEventID string // resume after this frame; empty at first
+	// SendBy is the time after which the attempt must not be sent any more,
+	// since its slot is void then. Zero for no bound.
+	SendBy time.Time
 }
 
-// Frame is one event of an engine's stream.
+// Frame is one event of an engine's stream. Both slices are valid until the
+// next read; they are slices so that a frame costs no allocation.
 type Frame struct {
-	ID   string // "<attempt>/<sequence>"
-	Data []byte // valid until the next read
+	ID   []byte // "<attempt>/<sequence>"
+	Data []byte
 }
 
-// FrameReader reads an engine's stream. Next returns io.EOF when the
-// connection ended, with or without the explicit end.
+// FrameReader reads an engine's stream. Next returns io.EOF or another error
+// of the connection when it ended, with or without the explicit end, and
+// *answer.LimitError when the stream is not worth reading again.
 type FrameReader interface {
 	Next() (Frame, error)
 	io.Closer
--- /dev/null
+++ b/internal/jsonfields/jsonfields.go
@@ -0,0 +1,114 @@
+// Package jsonfields finds the members of a JSON object without decoding their
+// values. It expects JSON that json.Valid has accepted: on other input the
+// result is unspecified, but it neither panics nor reads out of bounds.
+package jsonfields
+
+import "bytes"
+
+// Member is one member of an object, as offsets into the JSON text.
+type Member struct {
+	Key        []byte // between the quotes, escapes not decoded
+	Start, End int    // of the value
+}
+
+// Object calls fn for each member of the object in text, in order, until fn
+// returns false. It reports whether text is an object.
+func Object(text []byte, fn func(Member) bool) bool {
+	i := space(text, 0)
+	if i >= len(text) || text[i] != '{' {
+		return false
+	}
+	i = space(text, i+1)
+	for i < len(text) && text[i] == '"' {
+		keyEnd := skipString(text, i)
+		if keyEnd > len(text) || keyEnd < i+2 {
+			return true
+		}
+		m := Member{Key: text[i+1 : keyEnd-1]}
+		m.Start = space(text, min(space(text, keyEnd)+1, len(text))) // past the colon
+		m.End = skipValue(text, m.Start)
+		if m.End <= m.Start || !fn(m) {
+			return true
+		}
+		if i = space(text, m.End); i >= len(text) || text[i] != ',' {
+			return true
+		}
+		i = space(text, i+1)
+	}
+	return true
+}
+
+// Array calls fn with each element of the array in text, in order, until fn
+// returns false. It reports whether text is an array.
+func Array(text []byte, fn func(element []byte) bool) bool {
+	i := space(text, 0)
+	if i >= len(text) || text[i] != '[' {
+		return false
+	}
+	i = space(text, i+1)
+	for i < len(text) && text[i] != ']' {
+		end := skipValue(text, i)
+		if end <= i || !fn(text[i:end]) {
+			return true
+		}
+		if i = space(text, end); i >= len(text) || text[i] != ',' {
+			return true
+		}
+		i = space(text, i+1)
+	}
+	return true
+}
+
+func space(text []byte, i int) int {
+	for i < len(text) && (text[i] == ' ' || text[i] == '\n' || text[i] == '\t' || text[i] == '\r') {
+		i++
+	}
+	return i
+}
+
+// skipString returns the offset after the string that starts at i.
+func skipString(text []byte, i int) int {
+	for i++; i < len(text); {
+		quote := bytes.IndexByte(text[i:], '"')
+		if quote < 0 {
+			return len(text)
+		}
+		end := i + quote
+		escapes := 0
+		for end-escapes > i && text[end-escapes-1] == '\\' {
+			escapes++
+		}
+		if escapes%2 == 0 {
+			return end + 1
+		}
+		i = end + 1
+	}
+	return len(text)
+}
+
+// skipValue returns the offset after the value that starts at i.
+func skipValue(text []byte, i int) int {
+	depth := 0
+	for i < len(text) {
+		switch text[i] {
+		case '"':
+			i = skipString(text, i)
+			if depth == 0 {
+				return i
+			}
+			continue
+		case '{', '[':
+			depth++
+		case '}', ']':
+			if depth--; depth <= 0 {
+				return i + 1 + min(depth, 0)
+			}
+		case ',', ' ', '\n', '\t', '\r':
+			if depth == 0 {
+				return i
+			}
+		}
+		i++
+	}
+	return i
+}
--- /dev/null
+++ b/plugins/caller/routes.go
@@ -0,0 +1,190 @@
+package caller
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/objects"
+)
+
+// Names of headers of the caller API.
+const (
+	headerRequestID = "X-Request-Id"
+	headerWorker    = "X-Worker"
+	headerWorkspace = "X-Workspace"
+	headerChatID    = "X-Chat-Id"
+	headerRank      = "X-Rank"
+	headerDeadline  = "X-Deadline-Ms"
+)
+
+const servicesPath = "/v1/services/"
+
+// request is a request with what is known of it.
+type request struct {
+	*http.Request
+	id     string
+	caller *objects.Caller
+	set    *objects.Set
+	w      *response
+}
+
+// handler answers a request or returns the problem to answer with.
+type handler func(*request) *core.Problem
+
+func (s *Server) routes() http.Handler {
+	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
+	router.Handle("/v1/chat/completions", s.handle("chat", s.chat)).Methods(http.MethodPost)
+	router.Handle("/v1/models", s.handle("models", s.models)).Methods(http.MethodGet)
+	router.PathPrefix(servicesPath).Handler(s.handle("service", s.service))
+	router.NotFoundHandler = s.handle("none", func(*request) *core.Problem {
+		return core.NewProblem(core.KindNotFound, "there is no such path")
+	})
+	router.MethodNotAllowedHandler = s.handle("none", func(r *request) *core.Problem {
+		return core.NewProblem(core.KindInvalidRequest, "the path does not take %s", r.Method)
+	})
+	return router
+}
+
+// handle admits, authenticates, answers, counts and logs a request.
+func (s *Server) handle(route string, h handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
+		begin := time.Now()
+		r := &request{Request: hr, id: newRequestID(), w: newResponse(w, s.settings.WriteTimeout)}
+		r.w.Header().Set(headerRequestID, r.id)
+		problem := s.admit(r, h)
+		if problem != nil && !r.w.started() {
+			if problem.Kind == core.KindUnauthorized {
+				r.w.Header().Set("WWW-Authenticate", "Bearer")
+			}
+			core.WriteProblem(r.w, problem, r.id)
+		}
+		s.ended(route, r, problem, time.Since(begin))
+	})
+}
+
+func (s *Server) admit(r *request, h handler) *core.Problem {
+	if !s.gate.enter() {
+		r.w.Header().Set("Connection", "close")
+		return core.NewProblem(core.KindShuttingDown, "the router takes no new requests")
+	}
+	defer s.gate.leave()
+	revision := s.config.Current()
+	if revision == nil {
+		p := core.NewProblem(core.KindNotReady, "no configuration is in force yet")
+		p.RetryAfter = time.Second
+		return p
+	}
+	caller, problem := s.authenticate(r.Request)
+	if problem != nil {
+		return problem
+	}
+	r.set, r.caller = revision.Set, caller
+	return h(r)
+}
+
+// newRequestID returns an ID that is unique in practice. It is no secret.
+func newRequestID() string {
+	var b [16]byte
+	for i := range b {
+		b[i] = byte(rand.Uint32())
+	}
+	return hex.EncodeToString(b[:])
+}
+
+// models lists the models that the caller may use.
+func (s *Server) models(r *request) *core.Problem {
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		OwnedBy string `json:"owned_by"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{"list", []model{}}
+	for _, name := range slices.Sorted(slices.Values(r.caller.Models)) {
+		if r.set.Models[name] != nil {
+			list.Data = append(list.Data, model{name, "model", "auburnlead"})
+		}
+	}
+	r.w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(r.w).Encode(list) // the connection may be gone
+	return nil
+}
+
+// body reads the whole body of a request within its bounds.
+func (s *Server) body(r *request) ([]byte, *core.Problem) {
+	limit := s.settings.BodyBytes
+	if r.ContentLength > limit {
+		r.w.Header().Set("Connection", "close")
+		return nil, core.NewProblem(core.KindBodyTooLarge, "the body has more than %d bytes", limit)
+	}
+	controller := http.NewResponseController(r.w)
+	_ = controller.SetReadDeadline(time.Now().Add(s.settings.BodyTimeout))
+	// A deadline that stays on the connection would later pass for the caller
+	// going away.
+	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
+	body, err := readAll(http.MaxBytesReader(r.w, r.Body, limit), r.ContentLength)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, core.NewProblem(core.KindBodyTooLarge, "the body has more than %d bytes", limit)
+	case err != nil:
+		r.w.Header().Set("Connection", "close")
+		p := core.NewProblem(core.KindInvalidRequest, "the body did not arrive whole within %s", s.settings.BodyTimeout)
+		p.Err = err
+		return nil, p
+	}
+	return body, nil
+}
+
+// readAll reads a body of known or unknown (-1) length.
+func readAll(body io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(body)
+	}
+	b := make([]byte, length)
+	_, err := io.ReadFull(body, b)
+	return b, err
+}
+
+// maxDeadline bounds the deadline that a caller can ask for.
+const maxDeadline = time.Hour
+
+// deadline parses the time in ms that a caller gives a request.
+func deadline(text string, now time.Time) (time.Time, *core.Problem) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 1 || ms > maxDeadline.Milliseconds() {
+		return time.Time{}, core.NewProblem(core.KindInvalidRequest, "the deadline is not a number of milliseconds between 1 and %d", maxDeadline.Milliseconds())
+	}
+	return now.Add(time.Duration(ms) * time.Millisecond), nil
+}
+
+// maxNameBytes bounds workspaces, chat IDs and idempotency keys.
+const maxNameBytes = 255
+
+// checkName refuses text that is too long or has control characters.
+func checkName(what, text string) *core.Problem {
+	if len(text) > maxNameBytes {
+		return core.NewProblem(core.KindInvalidRequest, "%s has more than %d bytes", what, maxNameBytes)
+	}
+	for i := range len(text) {
+		if text[i] < ' ' || text[i] == 0x7f {
+			return core.NewProblem(core.KindInvalidRequest, "%s has a control character", what)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/plugins/caller/service.go
@@ -0,0 +1,136 @@
+package caller
+
+import (
+	"net/http"
+	"net/textproto"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/objects"
+)
+
+// hopHeaders apply to one connection (RFC 9110, 7.6.1) and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// routerHeaders are meant for the router or set by it. Authorization has the
+// caller's key of this router, which an upstream must not see.
+var routerHeaders = []string{
+	"Authorization", headerRank, headerDeadline, headerChatID, headerRequestID, headerWorker,
+	"X-Attempt-Id", "X-Priority", "X-Outcome", "Last-Event-Id", "Content-Length", "Expect",
+}
+
+// service answers calls below /v1/services/{name}/.
+func (s *Server) service(r *request) *core.Problem {
+	name, path, problem := servicePath(r.URL)
+	if problem != nil {
+		return problem
+	}
+	u := r.set.Upstreams[name]
+	if u == nil || u.Kind != objects.UpstreamService || !slices.Contains(r.caller.Services, name) {
+		return notAvailable("service", name)
+	}
+	call, problem := serviceRequest(r, name, path)
+	if problem != nil {
+		return problem
+	}
+	if call.Body, problem = s.body(r); problem != nil {
+		return problem
+	}
+	result, err := s.dispatcher.Service(r.Context(), call)
+	if err != nil {
+		return asProblem(err)
+	}
+	r.answer(result)
+	return nil
+}
+
+func serviceRequest(r *request, name, path string) (*core.ServiceRequest, *core.Problem) {
+	rank, problem := rankOf(r.set, r.caller, r.Header.Get(headerRank))
+	if problem != nil {
+		return nil, problem
+	}
+	due, problem := deadline(r.Header.Get(headerDeadline), time.Now())
+	if problem != nil {
+		return nil, problem
+	}
+	key := r.Header.Get("Idempotency-Key")
+	if p := checkName("the Idempotency-Key", key); p != nil {
+		return nil, p
+	}
+	workspace := r.Header.Get(headerWorkspace)
+	if p := checkName("the workspace", workspace); p != nil {
+		return nil, p
+	}
+	return &core.ServiceRequest{
+		RequestID: r.id, Caller: r.caller, Rank: rank, Workspace: workspace, Service: name, Method: r.Method, Path: path,
+		Header: passedOn(r.Header), IdempotencyKey: key, Deadline: due,
+	}, nil
+}
+
+// servicePath splits a path into the service's name and the path at the
+// service, with query and escapes as sent.
+func servicePath(u *url.URL) (name, path string, problem *core.Problem) {
+	rest := strings.TrimPrefix(u.EscapedPath(), servicesPath)
+	name, path, _ = strings.Cut(rest, "/")
+	decoded, err := url.PathUnescape(path)
+	if err != nil {
+		return "", "", core.NewProblem(core.KindInvalidRequest, "the path is malformed")
+	}
+	// A dot segment could lead out of the base URL of the worker.
+	for segment := range strings.SplitSeq(decoded, "/") {
+		if segment == "." || segment == ".." {
+			return "", "", core.NewProblem(core.KindInvalidRequest, "the path has a dot segment")
+		}
+	}
+	path = "/" + path
+	if u.RawQuery != "" {
+		path += "?" + u.RawQuery
+	}
+	return name, path, nil
+}
+
+// passedOn returns the headers without those of one connection and those of
+// the router.
+func passedOn(h http.Header) http.Header {
+	out := h.Clone()
+	for _, list := range h.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	for _, name := range routerHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// replayedHeader marks the stored answer of an earlier request.
+const replayedHeader = "Idempotent-Replayed"
+
+// answer sends the answer of a service.
+func (r *request) answer(a *core.ServiceAnswer) {
+	h := r.w.Header()
+	for name, values := range passedOn(a.Header) {
+		h[name] = values
+	}
+	r.showWorker(a.Worker)
+	if a.Replayed {
+		h.Set(replayedHeader, "true")
+	}
+	if a.Status != http.StatusNoContent && a.Status != http.StatusNotModified && r.Method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
+	r.w.WriteHeader(a.Status)
+	if len(a.Body) > 0 {
+		_, _ = r.w.Write(a.Body) // the connection may be gone
+	}
+}
--- /dev/null
+++ b/plugins/dispatch/setup.go
@@ -0,0 +1,112 @@
+// Package dispatch is the plug-in that runs requests: it places a request on a
+// worker, gets a slot from the worker's holder, sends attempts, resumes and
+// retries them, and has non-idempotent requests run at most once.
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/fx"
+
+	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/kernel"
+	"github.com/auburnlead/auburnlead/retry"
+)
+
+// Settings is the section [dispatch].
+type Settings struct {
+	// MaxWait is the longest wait for a slot of a request without an earlier
+	// deadline. Default 30s.
+	MaxWait time.Duration `ini:"max_wait" default:"30s" min:"100ms" max:"10m"`
+	// MaxAttempts bounds the attempts of one request. Default 4.
+	MaxAttempts int `ini:"max_attempts" default:"4" min:"1" max:"16"`
+	// MaxResumes bounds the resumptions of one attempt. Default 3.
+	MaxResumes int `ini:"max_resumes" default:"3" min:"0" max:"16"`
+	// RetryRatio is the share of recent successes that may be retried.
+	// Default 0.1.
+	RetryRatio float64 `ini:"retry_ratio" default:"0.1" min:"0" max:"1"`
+	// RetryMinimum is the number of retries a second that are always allowed,
+	// so that a router with little traffic can retry. Default 1.
+	RetryMinimum float64 `ini:"retry_minimum" default:"1" min:"0" max:"1000"`
+	// BackoffBase and BackoffMax bound the delay before a retry. Defaults
+	// 20ms and 1s.
+	BackoffBase time.Duration `ini:"backoff_base" default:"20ms" min:"1ms" max:"10s"`
+	BackoffMax  time.Duration `ini:"backoff_max" default:"1s" min:"1ms" max:"1m"`
+}
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		ID:       "router.dispatch",
+		Settings: func() any { return &Settings{} },
+		Options: func(s any) fx.Option {
+			return fx.Module("dispatch",
+				fx.Supply(s.(*Settings)),
+				// The record of attempts stands alone, since plugins/peer needs
+				// it and the dispatcher needs plugins/peer.
+				fx.Provide(newAttemptsFor, fx.Annotate(func(a *Attempts) core.AttemptSource { return a })),
+				fx.Provide(newFromParams, func(d *Dispatcher) core.Dispatcher { return d }),
+			)
+		},
+	})
+}
+
+// Params are the parts that the plug-in uses.
+type Params struct {
+	fx.In
+
+	Settings   *Settings
+	Identity   core.Identity
+	Config     core.Config
+	Attempts   *Attempts
+	Slots      core.Slots
+	Engines    core.Engines
+	Services   core.Services
+	Background *core.Background
+	Logger     *log.Logger
+	Lifecycle  fx.Lifecycle
+	Health     core.HealthReports `optional:"true"`
+	Peers      core.PeerAttempts  `optional:"true"`
+	Scope      tally.Scope        `optional:"true"`
+}
+
+func newAttemptsFor(id core.Identity) *Attempts { return NewAttempts(id.Router, id.Incarnation) }
+
+func newFromParams(p Params) *Dispatcher {
+	d := New(p)
+	p.Lifecycle.Append(fx.Hook{OnStart: func(context.Context) error {
+		p.Background.Every(ejectionReport, 0.1, func(context.Context) { d.health.report(time.Now()) })
+		p.Background.Every(endingsPeriod, 0.1, d.flush)
+		return nil
+	}})
+	return d
+}
+
+// New returns a dispatcher. It subscribes to the configuration.
+func New(p Params) *Dispatcher {
+	if p.Scope == nil {
+		p.Scope = tally.NoopScope
+	}
+	d := &Dispatcher{
+		settings: p.Settings,
+		domain:   p.Identity.FailureDomain,
+		router:   p.Identity.Router,
+		attempts: p.Attempts,
+		slots:    p.Slots,
+		engines:  p.Engines,
+		services: p.Services,
+		peers:    p.Peers,
+		submit:   p.Background.Submit,
+		budget:   retry.NewBudget(p.Settings.RetryRatio, p.Settings.RetryMinimum),
+		backoff:  retry.Backoff{Base: p.Settings.BackoffBase, Max: p.Settings.BackoffMax},
+		health:   newHealth(p.Health),
+		metrics:  newMetrics(p.Scope.SubScope("dispatch")),
+		log:      p.Logger.WithPrefix("dispatch"),
+		random:   rand.Float64,
+	}
+	p.Config.Subscribe(d.apply)
+	return d
+}
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -3,7 +3,10 @@
 
 import (
 	_ "github.com/auburnlead/auburnlead/plugins/admin"    // registers router.admin
+	_ "github.com/auburnlead/auburnlead/plugins/caller"   // registers router.caller
 	_ "github.com/auburnlead/auburnlead/plugins/config"   // registers router.config
+	_ "github.com/auburnlead/auburnlead/plugins/dispatch" // registers router.dispatch
 	_ "github.com/auburnlead/auburnlead/plugins/node"     // registers router.node
 	_ "github.com/auburnlead/auburnlead/plugins/platform" // registers router.platform
+	_ "github.com/auburnlead/auburnlead/plugins/upstream" // registers router.upstream
 )
