--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -203,6 +203,13 @@
 	Chunk(data []byte) error
 }
 
+// ChatRestarter is implemented by a ChatSink that passes nothing on before the
+// end. An answer that is cut can then be started anew on another worker.
+type ChatRestarter interface {
+	// Restart drops the chunks so far; Start is called again.
+	Restart()
+}
+
 // ServiceRequest is one call of a plain service.
 type ServiceRequest struct {
 	RequestID      string
--- a/plugins/caller/chat.go
+++ b/plugins/caller/chat.go
@@ -204,7 +204,8 @@
 
 // whole answers with the assembled answer.
 func (s *Server) whole(r *request, chat *core.ChatRequest) *core.Problem {
-	sink := &wholeSink{assembler: answer.NewAssembler(s.settings.AnswerBytes)}
+	sink := &wholeSink{max: s.settings.AnswerBytes}
+	sink.Restart()
 	if err := s.dispatcher.Chat(r.Context(), chat, sink); err != nil {
 		return asProblem(err)
 	}
@@ -240,12 +241,16 @@
 
 // wholeSink collects the chunks of an answer.
 type wholeSink struct {
+	max       int
 	assembler *answer.Assembler
 	worker    string
 }
 
 func (w *wholeSink) Start(worker string) error { w.worker = worker; return nil }
 
+// Restart drops the chunks so far, of which the caller has seen nothing.
+func (w *wholeSink) Restart() { w.assembler = answer.NewAssembler(w.max) }
+
 func (w *wholeSink) Chunk(data []byte) error { return w.assembler.Add(data) }
 
 // streamSink sends chunks as server-sent events.
@@ -304,6 +309,7 @@
 
 // Guard the interfaces that the dispatcher uses.
 var (
-	_ core.ChatSink = (*streamSink)(nil)
-	_ core.ChatSink = (*wholeSink)(nil)
+	_ core.ChatSink      = (*streamSink)(nil)
+	_ core.ChatSink      = (*wholeSink)(nil)
+	_ core.ChatRestarter = (*wholeSink)(nil)
 )
--- a/plugins/caller/path_test.go
+++ b/plugins/caller/path_test.go
@@ -223,4 +223,3 @@
 		Reset(func() { So(r.slots.balanced(), ShouldBeTrue) })
 	})
 }
-
--- a/plugins/caller/routes.go
+++ b/plugins/caller/routes.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -148,14 +149,15 @@
 	return body, nil
 }
 
+// firstBodyBytes bounds the memory for a body before its bytes arrive.
+const firstBodyBytes = 64 << 10
+
 // readAll reads a body of known or unknown (-1) length.
 func readAll(body io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(body)
-	}
-	b := make([]byte, length)
-	_, err := io.ReadFull(body, b)
-	return b, err
+	// ReadFrom wants MinRead bytes of room to meet the end without growing.
+	b := bytes.NewBuffer(make([]byte, 0, min(max(length, 0)+bytes.MinRead, firstBodyBytes)))
+	_, err := b.ReadFrom(body)
+	return b.Bytes(), err
 }
 
 // maxDeadline bounds the deadline that a caller can ask for.
--- a/plugins/dispatch/chat.go
+++ b/plugins/dispatch/chat.go
@@ -71,7 +71,7 @@
 			return c.unstarted(ctx, a, sent, err)
 		}
 		if resumes >= c.d.settings.MaxResumes || !c.resumable(ctx, err) || !c.d.budget.Allow(time.Now()) || !c.pause(ctx, resumes) {
-			return c.cut(a, err)
+			return c.cut(ctx, a, err)
 		}
 		c.d.metrics.resumes.Inc(1)
 		a.LastEventID, a.SendBy = checker.LastEventID(), time.Time{}
@@ -217,20 +217,31 @@
 	return true
 }
 
-// cut ends an answer that has started and cannot be completed.
-func (c *chat) cut(a core.Attempt, err error) result {
+// cut ends an answer that has started and cannot be completed by this attempt.
+// It starts anew on another worker when the caller has received nothing yet.
+func (c *chat) cut(ctx context.Context, a core.Attempt, err error) result {
 	c.d.engines.Cancel(a)
+	sink, anew := c.sink.(core.ChatRestarter)
+	var tooLong *answer.LimitError
+	if anew && ctx.Err() == nil && !errors.As(err, &tooLong) {
+		r := result{err: err, sent: core.OutcomeUnknown, retry: true, faulty: true, cost: c.actualCost()}
+		sink.Restart()
+		c.started, c.chunks, c.usage = false, 0, nil
+		return r
+	}
 	p := &core.Problem{Kind: core.KindAnswerIncomplete, Outcome: core.OutcomeRan, Err: err}
 	var gone *sinkError
 	switch {
-	case errors.As(err, &gone):
+	case errors.As(err, &tooLong):
+		p.Detail = "the answer exceeds the router's bounds"
+	case errors.As(err, &gone), errors.Is(ctx.Err(), context.Canceled):
 		p.Detail = "the caller went away"
 	case !time.Now().Before(a.Deadline):
 		p.Detail = "the answer took longer than the deadline or the rank's max_duration allows"
 	default:
 		p.Detail = "the connection to the worker was lost and the answer could not be resumed"
 	}
-	faulty := gone == nil && time.Now().Before(a.Deadline)
+	faulty := gone == nil && ctx.Err() == nil
 	return result{err: p, sent: core.OutcomeRan, faulty: faulty, cost: c.actualCost()}
 }
 
--- a/plugins/dispatch/dispatch.go
+++ b/plugins/dispatch/dispatch.go
@@ -77,28 +77,33 @@
 	}
 	for tries := 1; ; tries++ {
 		again, err := j.attempt(ctx, try)
-		if !again {
+		if !again || tries >= j.d.settings.MaxAttempts {
 			return err
 		}
-		if tries >= j.d.settings.MaxAttempts || !j.d.budget.Allow(time.Now()) {
-			return j.problem(ctx, j.last)
+		if !unsent(j.last) && (!j.d.budget.Allow(time.Now()) || !j.pause(ctx, tries-1)) {
+			return err
 		}
 		j.d.metrics.retries.Inc(1)
-		if !j.pause(ctx, tries-1) {
-			return j.problem(ctx, j.last)
-		}
 	}
 }
 
+// unsent reports whether an attempt failed before its request was sent. The
+// next choice gets the request at once and without regard to the budget, since
+// no worker sees it twice: with a third of the workers down and none ejected,
+// the budget would fail most of their requests.
+func unsent(err error) bool {
+	var failed *core.AttemptError
+	return errors.Is(err, errLateSlot) || errors.As(err, &failed) && failed.Outcome == core.OutcomeNotRun && failed.Status == 0
+}
+
 // attempt gets one slot, makes one attempt with it and gives it back. again
-// asks for another attempt after j.last.
+// says that another attempt may follow; err is the problem if none does.
 func (j *job) attempt(ctx context.Context, try func(context.Context, core.Attempt) result) (again bool, err error) {
 	id := j.d.attempts.begin()
 	defer j.d.attempts.forget(id)
-	slot, err := j.acquire(ctx, id)
+	slot, err := j.patientAcquire(ctx, id)
 	if err != nil {
-		j.last = err
-		return j.retryable(ctx, err), j.problem(ctx, err)
+		return false, j.problem(ctx, err)
 	}
 	var r result
 	defer func() { j.d.slots.Release(slot, r.cost) }()
@@ -123,7 +128,23 @@
 		return false, nil
 	}
 	j.last = r.err
-	return r.retry && ctx.Err() == nil && attemptCtx.Err() == nil, j.problem(ctx, r.err)
+	return r.retry && attemptCtx.Err() == nil, j.problem(attemptCtx, r.err)
+}
+
+// patientAcquire asks for a slot until HolderWait is over: while a holder is
+// being replaced no slot of its workers is granted.
+func (j *job) patientAcquire(ctx context.Context, id string) (core.Slot, error) {
+	giveUp := time.Now().Add(j.d.settings.HolderWait)
+	if j.waitUntil.Before(giveUp) {
+		giveUp = j.waitUntil
+	}
+	for round := 0; ; round++ {
+		slot, err := j.acquire(ctx, id)
+		if err == nil || !holderless(err) || !time.Now().Before(giveUp) || !j.pause(ctx, round) {
+			return slot, err
+		}
+		j.plan.restart(j.failed)
+	}
 }
 
 // errLateSlot says that a slot came too late to be used.
@@ -154,7 +175,8 @@
 
 // acquire asks for a slot along the plan. Moving on after a holder's refusal
 // sends nothing to a worker and is bounded by the plan, so it needs no budget.
-// Errors: *core.SlotError, errNoWorker or the context's.
+// The error is the
+// most telling of those on the way.
 func (j *job) acquire(ctx context.Context, id string) (core.Slot, error) {
 	begin := time.Now()
 	var first error
@@ -183,7 +205,8 @@
 			j.d.metrics.slotWait.RecordDuration(time.Since(begin))
 			return slot, nil
 		}
-		if first == nil || !isOverload(err) {
+		// A full queue tells the caller more than a missing holder does.
+		if first == nil || isOverload(err) {
 			first = err
 		}
 		if ctx.Err() != nil || !j.moveOn(err, workers) {
@@ -220,14 +243,10 @@
 	return errors.As(err, &refused) && (refused.Reason == core.SlotQueueFull || refused.Reason == core.SlotExpired)
 }
 
-// retryable reports whether a slot may be had a little later.
-func (j *job) retryable(ctx context.Context, err error) bool {
+// holderless reports whether a slot was refused because no holder grants now.
+func holderless(err error) bool {
 	var refused *core.SlotError
-	if ctx.Err() != nil || isOverload(err) || !errors.As(err, &refused) {
-		return false
-	}
-	j.plan.restart(j.failed)
-	return time.Now().Before(j.waitUntil)
+	return errors.As(err, &refused) && !isOverload(err)
 }
 
 // pause waits before a retry and reports whether the request is still wanted.
@@ -253,7 +272,8 @@
 // noCapacityRetry is the Retry-After of problems without an estimate.
 const noCapacityRetry = time.Second
 
-// problem states an error towards the caller.
+// problem states an error towards the caller. ctx is that of the attempt, if
+// there was one.
 func (j *job) problem(ctx context.Context, err error) *core.Problem {
 	var p *core.Problem
 	if errors.As(err, &p) {
@@ -265,6 +285,8 @@
 	switch {
 	case !j.deadline.IsZero() && !time.Now().Before(j.deadline):
 		p.Kind, p.Detail, p.RetryAfter = core.KindDeadlineExceeded, "the deadline of the request passed before its answer", 0
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		p.Kind, p.Detail, p.RetryAfter = core.KindDeadlineExceeded, fmt.Sprintf("the request took longer than max_duration of rank %s", j.rank.Name), 0
 	case ctx.Err() != nil:
 		p.Kind, p.Detail = core.KindUpstreamUnavailable, "the request was cancelled"
 	case isOverload(err):
--- a/plugins/dispatch/setup.go
+++ b/plugins/dispatch/setup.go
@@ -22,6 +22,9 @@
 	// MaxWait is the longest wait for a slot of a request without an earlier
 	// deadline. Default 30s.
 	MaxWait time.Duration `ini:"max_wait" default:"30s" min:"100ms" max:"10m"`
+	// HolderWait is the longest time to ask again while no router holds the
+	// workers. A take-over takes up to 12 s. Default 15s.
+	HolderWait time.Duration `ini:"holder_wait" default:"15s" min:"0s" max:"10m"`
 	// MaxAttempts bounds the attempts of one request. Default 4.
 	MaxAttempts int `ini:"max_attempts" default:"4" min:"1" max:"16"`
 	// MaxResumes bounds the resumptions of one attempt. Default 3.
--- /dev/null
+++ b/plugins/upstream/client_test.go
@@ -0,0 +1,309 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/auburnlead/auburnlead/answer"
+	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/objects"
+	"github.com/auburnlead/auburnlead/settings"
+)
+
+type staticConfig struct{ p *core.Published }
+
+func (c staticConfig) Current() *core.Published           { return c.p }
+func (c staticConfig) Subscribe(fn func(*core.Published)) { fn(c.p) }
+
+func published(url string) *core.Published {
+	workers := []objects.Worker{{ID: "w1", FailureDomain: "a", URL: url}, {ID: "w2", FailureDomain: "b", URL: url}}
+	return &core.Published{Set: &objects.Set{Upstreams: map[string]*objects.Upstream{
+		"pool":  {Name: "pool", ReportsLoad: true, Workers: workers},
+		"quiet": {Name: "quiet", Workers: workers},
+	}}}
+}
+
+func newClient(url string) *Client {
+	s := &Settings{}
+	src, err := settings.Open("", nil)
+	if err == nil {
+		err = src.Bind(map[string]any{"upstream": s})
+	}
+	if err != nil {
+		panic(err)
+	}
+	s.AnswerBytes = 1024
+	return New(s, staticConfig{published(url)}, log.New(io.Discard))
+}
+
+// cut at the end of an answer closes the connection after it.
+const cut = "(cut)"
+
+// rawServer answers each request it reads with the next text and counts the
+// requests.
+func rawServer(answers ...string) (url string, requests *atomic.Int64, stop func()) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	requests = &atomic.Int64{}
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		in := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			n := int(requests.Add(1))
+			if n > len(answers) {
+				return
+			}
+			text, closes := strings.CutSuffix(answers[n-1], cut)
+			_, _ = io.WriteString(conn, text)
+			if closes {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return "http://" + l.Addr().String(), requests, func() { _ = l.Close() }
+}
+
+func reply(status int, header, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d x\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(body), body)
+}
+
+func outcomeOf(err error) core.Outcome {
+	var failed *core.AttemptError
+	if errors.As(err, &failed) {
+		return failed.Outcome
+	}
+	return core.OutcomeRan
+}
+
+var booking = &core.ServiceRequest{Method: "POST", Path: "/turns?well=3", Body: []byte(`{}`), IdempotencyKey: "k", Header: http.Header{}}
+
+func attempt() core.Attempt { return core.Attempt{ID: "a1", Upstream: "pool", Worker: "w1"} }
+
+// Guards against callers that are told that a request was not run although it
+// may have run (R3), and against requests that are sent twice (R4).
+func TestOutcomes(t *testing.T) {
+	Convey("A call's failure states whether the call may have run", t, func() {
+		ok := reply(200, "", "fine")
+		for _, c := range []struct {
+			desc     string
+			answers  []string
+			calls    int
+			outcome  core.Outcome // of the last call
+			requests int
+		}{
+			{"answer", []string{ok}, 1, core.OutcomeRan, 1},
+			{"answer of status 500", []string{reply(500, "", "x")}, 1, core.OutcomeRan, 1},
+			{"stated refusal", []string{reply(503, "X-Outcome: not_run\r\n", "")}, 1, core.OutcomeNotRun, 1},
+			{"success that claims not_run", []string{reply(200, "X-Outcome: not_run\r\n", "")}, 1, core.OutcomeRan, 1},
+			{"closed without an answer", []string{cut}, 1, core.OutcomeUnknown, 1},
+			{"closed without an answer on a connection that was used before", []string{ok, cut, ok}, 2, core.OutcomeUnknown, 2},
+			{"echo of the attempt", []string{reply(200, "X-Attempt-Id: a1\r\n", "")}, 1, core.OutcomeRan, 1},
+			{"answer to another attempt", []string{reply(200, "X-Attempt-Id: b2\r\n", "")}, 1, core.OutcomeUnknown, 1},
+			{"refusal of another attempt", []string{reply(503, "X-Attempt-Id: b2\r\nX-Outcome: not_run\r\n", "")}, 1, core.OutcomeUnknown, 1},
+			{"cut answer", []string{"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\nshort" + cut}, 1, core.OutcomeUnknown, 1},
+			{"oversized answer", []string{reply(200, "", strings.Repeat("x", 1025))}, 1, core.OutcomeUnknown, 1},
+			{"oversized header", []string{reply(200, "X: "+strings.Repeat("x", 70000)+"\r\n", "")}, 1, core.OutcomeUnknown, 1},
+			{"not HTTP", []string{"hello\r\n\r\n"}, 1, core.OutcomeUnknown, 1},
+		} {
+			for _, body := range []string{"{}", ""} {
+				Convey(c.desc+" with body "+body, func() {
+					url, requests, stop := rawServer(c.answers...)
+					Reset(stop)
+					client := newClient(url)
+					call := *booking
+					call.Body = []byte(body)
+					var err error
+					for range c.calls {
+						_, err = client.Call(context.Background(), attempt(), &call)
+					}
+					So(outcomeOf(err), ShouldEqual, c.outcome)
+					So(requests.Load(), ShouldEqual, c.requests)
+				})
+			}
+		}
+	})
+	Convey("A request of which no byte can have left was not run", t, func() {
+		url, requests, stop := rawServer()
+		client := newClient(url)
+		Convey("when it comes after the slot is void", func() {
+			Reset(stop)
+			late := attempt()
+			late.SendBy = time.Now().Add(-time.Second)
+			_, err := client.Call(context.Background(), late, booking)
+			So(outcomeOf(err), ShouldEqual, core.OutcomeNotRun)
+			_, err = client.Stream(context.Background(), late, []byte("{}"))
+			So(outcomeOf(err), ShouldEqual, core.OutcomeNotRun)
+		})
+		Convey("when the connection is refused", func() {
+			stop()
+			_, err := client.Call(context.Background(), attempt(), booking)
+			So(outcomeOf(err), ShouldEqual, core.OutcomeNotRun)
+		})
+		Convey("when it was cancelled before", func() {
+			Reset(stop)
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			_, err := client.Call(ctx, attempt(), booking)
+			So(outcomeOf(err), ShouldEqual, core.OutcomeNotRun)
+		})
+		Convey("when the worker is not in the configuration", func() {
+			Reset(stop)
+			_, err := client.Call(context.Background(), core.Attempt{Upstream: "pool", Worker: "w9"}, booking)
+			So(outcomeOf(err), ShouldEqual, core.OutcomeNotRun)
+		})
+		So(requests.Load(), ShouldEqual, 0)
+	})
+	Convey("A connection that has been sealed refuses writes and knows what was sent", t, func() {
+		a, b := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, b) }()
+		c := &countedConn{Conn: a}
+		_, err := c.Write([]byte("12"))
+		So(err, ShouldBeNil)
+		So(c.seal(2), ShouldBeFalse)
+		So(c.seal(1), ShouldBeTrue)
+		_, err = c.Write([]byte("3"))
+		So(err, ShouldEqual, errSealed)
+		So(c.count(), ShouldEqual, 2)
+	})
+}
+
+// Guards against wrong headers towards engines, and against streams that are
+// taken for answers although they are not.
+func TestStream(t *testing.T) {
+	Convey("With an engine", t, func() {
+		var got http.Header
+		answerWith := func(w http.ResponseWriter) { _, _ = io.WriteString(w, "id: a1/1\ndata: x\n\n") }
+		cancelled := make(chan string, 1)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodDelete {
+				cancelled <- r.URL.Path
+				return
+			}
+			got = r.Header
+			w.Header().Set("Content-Type", "text/event-stream; charset=utf-8")
+			answerWith(w)
+		}))
+		Reset(server.Close)
+		client := newClient(server.URL)
+		a := attempt()
+		a.Priority, a.Deadline, a.LastEventID = 3, time.Now().Add(time.Minute), "a1/7"
+		Convey("an attempt carries its ID, priority, deadline and the frame to resume after", func() {
+			frames, err := client.Stream(context.Background(), a, []byte("{}"))
+			So(err, ShouldBeNil)
+			f, err := frames.Next()
+			So(err, ShouldBeNil)
+			So(string(f.ID)+string(f.Data), ShouldEqual, "a1/1x")
+			_, err = frames.Next()
+			So(err, ShouldEqual, io.EOF)
+			So(frames.Close(), ShouldBeNil)
+			So([]string{got.Get("X-Attempt-Id"), got.Get("X-Priority"), got.Get("Last-Event-ID")}, ShouldResemble, []string{"a1", "3", "a1/7"})
+			So(got.Get("X-Deadline-Ms"), ShouldNotBeEmpty)
+		})
+		Convey("an event beyond the limit ends the stream", func() {
+			client.settings.EventBytes = 4
+			answerWith = func(w http.ResponseWriter) { _, _ = io.WriteString(w, "data: 12345\n\n") }
+			frames, err := client.Stream(context.Background(), a, nil)
+			So(err, ShouldBeNil)
+			_, err = frames.Next()
+			var limit *answer.LimitError
+			So(errors.As(err, &limit), ShouldBeTrue)
+			_ = frames.Close()
+		})
+		Convey("an answer that is no event stream has an unknown outcome", func() {
+			answerWith = func(w http.ResponseWriter) { w.Header().Set("Content-Type", "text/html") }
+			_, err := client.Stream(context.Background(), a, nil)
+			So(outcomeOf(err), ShouldEqual, core.OutcomeUnknown)
+		})
+		Convey("a refusal without a word on the outcome is unknown and keeps its status", func() {
+			answerWith = func(w http.ResponseWriter) { w.Header().Set("Retry-After", "7"); w.WriteHeader(429) }
+			_, err := client.Stream(context.Background(), a, nil)
+			var failed *core.AttemptError
+			So(errors.As(err, &failed), ShouldBeTrue)
+			So([]any{failed.Outcome, failed.Status, failed.RetryAfter}, ShouldResemble, []any{core.OutcomeUnknown, 429, 7 * time.Second})
+		})
+		Convey("a stream that stalls is cut", func() {
+			client.settings.StallTimeout = time.Millisecond
+			answerWith = func(w http.ResponseWriter) {
+				_ = http.NewResponseController(w).Flush()
+				<-cancelled
+			}
+			frames, err := client.Stream(context.Background(), a, nil)
+			So(err, ShouldBeNil)
+			_, err = frames.Next()
+			So(err, ShouldNotBeNil)
+			So(err, ShouldNotEqual, io.EOF)
+			_ = frames.Close()
+			cancelled <- ""
+		})
+		Convey("an attempt is cancelled by its ID", func() {
+			client.Cancel(a)
+			So(<-cancelled, ShouldEqual, "/v1/attempts/a1")
+		})
+	})
+}
+
+// loads records load reports and wants those of one worker.
+type loads struct {
+	core.HealthReports
+	got    chan string
+	wanted string
+}
+
+func (l *loads) WorkerLoad(upstream, worker string, r core.LoadReport) {
+	l.got <- fmt.Sprintf("%s/%s %d %v", upstream, worker, r.Running, r.Leaving)
+}
+
+type selective struct{ *loads }
+
+func (s selective) WantsLoad(_, worker string) bool { return worker == s.wanted }
+
+// Guards against polls of workers that another router polls, which would
+// multiply control traffic, and against reports that get lost.
+func TestPollLoads(t *testing.T) {
+	Convey("Load reports are read from wanted workers of upstreams that report", t, func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, `{"running":3,"leaving":true}`)
+		}))
+		Reset(server.Close)
+		client := newClient(server.URL)
+		l := &loads{got: make(chan string, 9), wanted: "w2"}
+		Convey("as the holder says", func() {
+			client.pollLoads(context.Background(), published(server.URL), "a", selective{l})
+			So(<-l.got, ShouldEqual, "pool/w2 3 true")
+		})
+		Convey("or of the own failure domain", func() {
+			client.pollLoads(context.Background(), published(server.URL), "a", l)
+			So(<-l.got, ShouldEqual, "pool/w1 3 true")
+		})
+		So(len(l.got), ShouldEqual, 0)
+	})
+}
