Add membership, slot leases and the peer plug-in

Cause: workers need exactly one holder that grants their slots, and routers need a view of one another to agree on it.

Change: package membership merges views with a byte budget; package lease decides who may grant (promises of a successor, compare-and-set of the row, fenced order leases); plugins/peer runs both over gRPC and the platform's table, and serves Acquire and Release locally and remotely. peer.proto gains RouterEntry.content (status and content merge separately), AcquireReply.waited_ms (a user can tell when a late grant is void) and ReleaseReply.not_holder/holder.

--- /dev/null
+++ b/membership/target.go
@@ -0,0 +1,106 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// goneShare is the share of rounds in which a router that is gone is tried as
+// well, so that parts that were cut off find each other again.
+const goneShare = 0.2
+
+// Target is a router to send to.
+type Target struct {
+	Router  string
+	Address string
+}
+
+// Targets returns up to n random routers of the own domain.
+func (v *View) Targets(now time.Time, n int) []Target {
+	present, gone := v.candidates(now, func(domain string) bool { return domain == v.self.entry.Domain })
+	targets := v.choose(present, n)
+	if len(gone) > 0 && (len(targets) < n || v.cfg.Rand.Float64() < goneShare) {
+		if len(targets) == n {
+			targets = targets[:n-1]
+		}
+		targets = append(targets, v.choose(gone, 1)...)
+	}
+	return targets
+}
+
+// Remote returns a random router of a random other domain, if one is known.
+func (v *View) Remote(now time.Time) (Target, bool) {
+	domains := map[string]bool{}
+	for _, m := range v.members {
+		if d := m.domain(); d != "" && d != v.self.entry.Domain && m.address() != "" {
+			domains[d] = true
+		}
+	}
+	if len(domains) == 0 {
+		return Target{}, false
+	}
+	names := make([]string, 0, len(domains))
+	for d := range domains {
+		names = append(names, d)
+	}
+	slices.Sort(names)
+	name := names[v.cfg.Rand.IntN(len(names))]
+	present, gone := v.candidates(now, func(domain string) bool { return domain == name })
+	if len(present) == 0 || len(gone) > 0 && v.cfg.Rand.Float64() < goneShare {
+		present = gone
+	}
+	return v.choose(present, 1)[0], true
+}
+
+// Domain returns all routers of the own domain that are not gone.
+func (v *View) Domain(now time.Time) []Target {
+	present, _ := v.candidates(now, func(domain string) bool { return domain == v.self.entry.Domain })
+	return v.choose(present, len(present))
+}
+
+func (v *View) candidates(now time.Time, in func(domain string) bool) (present, gone []*member) {
+	for _, m := range v.members {
+		if m == v.self || m.address() == "" || !in(m.domain()) {
+			continue
+		}
+		if v.state(now, m) == Gone {
+			gone = append(gone, m)
+		} else {
+			present = append(present, m)
+		}
+	}
+	byID := func(a, b *member) int { return cmp.Compare(a.entry.Router, b.entry.Router) }
+	slices.SortFunc(present, byID)
+	slices.SortFunc(gone, byID)
+	return present, gone
+}
+
+// choose picks up to n members at random. The lists are sorted, so that a
+// seeded source gives the same choice in each run.
+func (v *View) choose(list []*member, n int) []Target {
+	var targets []Target
+	for _, i := range v.cfg.Rand.Perm(len(list)) {
+		if len(targets) == n {
+			break
+		}
+		targets = append(targets, Target{Router: list[i].entry.Router, Address: list[i].address()})
+	}
+	return targets
+}
+
+// Isolated reports whether nothing was heard from any router of the own domain
+// except the given one for the given time although others are listed as live.
+func (v *View) Isolated(now time.Time, except string, silence time.Duration) bool {
+	others := false
+	for id, m := range v.members {
+		if m == v.self || id == except || m.domain() != v.self.entry.Domain {
+			continue
+		}
+		if !m.heard.IsZero() && now.Sub(m.heard) < silence {
+			return false
+		}
+		others = others || m.listed && !m.listLeaving
+	}
+	return others && now.Sub(v.created) >= silence
+}
--- /dev/null
+++ b/plugins/peer/conn.go
@@ -0,0 +1,176 @@
+package peer
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"github.com/auburnlead/auburnlead/peerpb"
+)
+
+// keyHeader carries the peer key in the metadata of each call.
+const keyHeader = "x-peer-key"
+
+// Bounds of connections. Pings find a dead peer within pingAfter+pingTimeout
+// while a call waits; idle connections are closed and opened again on demand.
+const (
+	pingAfter   = 10 * time.Second
+	pingTimeout = 3 * time.Second
+	idleTimeout = 5 * time.Minute
+	handshake   = 5 * time.Second
+	reconnect   = time.Second // longest wait between attempts to connect
+)
+
+// newServer returns a gRPC server that accepts only calls with the peer key.
+func newServer(s *Settings) *grpc.Server {
+	want := sha256.Sum256([]byte(s.Key))
+	check := func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
+		if !hasKey(ctx, want) {
+			return nil, status.Error(codes.Unauthenticated, "peer: the peer key is missing or wrong; set the same key in [peer] on all routers")
+		}
+		return next(ctx, req)
+	}
+	return grpc.NewServer(
+		grpc.UnaryInterceptor(check),
+		grpc.MaxRecvMsgSize(s.MaxMessage),
+		grpc.MaxSendMsgSize(s.MaxMessage),
+		grpc.MaxConcurrentStreams(uint32(s.MaxStreams)),
+		grpc.ConnectionTimeout(handshake),
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 2 * idleTimeout, Time: pingAfter, Timeout: pingTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingAfter / 2}),
+	)
+}
+
+// hasKey compares digests in constant time, which hides the key's length too.
+func hasKey(ctx context.Context, want [sha256.Size]byte) bool {
+	md, _ := metadata.FromIncomingContext(ctx)
+	values := md.Get(keyHeader)
+	if len(values) != 1 {
+		return false
+	}
+	got := sha256.Sum256([]byte(values[0]))
+	return subtle.ConstantTimeCompare(got[:], want[:]) == 1
+}
+
+// keyCredentials adds the peer key to each call.
+type keyCredentials string
+
+func (k keyCredentials) GetRequestMetadata(context.Context, ...string) (map[string]string, error) {
+	return map[string]string{keyHeader: string(k)}, nil
+}
+
+func (keyCredentials) RequireTransportSecurity() bool { return false }
+
+// conns keeps one connection for each peer address.
+type conns struct {
+	options []grpc.DialOption
+
+	mu     sync.Mutex // level 90
+	byAddr map[string]*grpc.ClientConn
+	closed bool
+}
+
+func newConns(s *Settings) *conns {
+	retry := backoff.DefaultConfig
+	retry.BaseDelay = min(100*time.Millisecond, s.CallTimeout)
+	retry.MaxDelay = reconnect
+	return &conns{
+		byAddr: map[string]*grpc.ClientConn{},
+		options: []grpc.DialOption{
+			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithPerRPCCredentials(keyCredentials(s.Key)),
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(s.MaxMessage), grpc.MaxCallSendMsgSize(s.MaxMessage)),
+			grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingAfter, Timeout: pingTimeout}),
+			grpc.WithIdleTimeout(idleTimeout),
+			grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: s.CallTimeout}),
+		},
+	}
+}
+
+// client returns the client for an address. It does not wait for a connection.
+func (c *conns) client(address string) (peerpb.PeerClient, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, status.Error(codes.Unavailable, "peer: this router is stopping")
+	}
+	if cc := c.byAddr[address]; cc != nil {
+		return peerpb.NewPeerClient(cc), nil
+	}
+	cc, err := grpc.NewClient("passthrough:///"+address, c.options...)
+	if err != nil {
+		return nil, err
+	}
+	c.byAddr[address] = cc
+	return peerpb.NewPeerClient(cc), nil
+}
+
+// prune closes the connections to addresses that no router has.
+func (c *conns) prune(used map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, cc := range c.byAddr {
+		if !used[address] {
+			_ = cc.Close()
+			delete(c.byAddr, address)
+		}
+	}
+}
+
+func (c *conns) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for _, cc := range c.byAddr {
+		_ = cc.Close()
+	}
+	c.byAddr = nil
+}
+
+// limited is a listener with a bounded number of open connections.
+type limited struct {
+	net.Listener
+	room chan struct{}
+}
+
+func limitListener(l net.Listener, n int) net.Listener {
+	return &limited{Listener: l, room: make(chan struct{}, n)}
+}
+
+// Accept closes connections above the bound at once, so that a peer sees a
+// refusal and not a hanging connection.
+func (l *limited) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case l.room <- struct{}{}:
+			return &limitedConn{Conn: c, release: sync.OnceFunc(func() { <-l.room })}, nil
+		default:
+			_ = c.Close()
+		}
+	}
+}
+
+type limitedConn struct {
+	net.Conn
+	release func()
+}
+
+func (c *limitedConn) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/plugins/peer/convert.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/auburnlead/auburnlead/membership"
+	"github.com/auburnlead/auburnlead/peerpb"
+)
+
+func toEntry(e *peerpb.RouterEntry) membership.Entry {
+	out := membership.Entry{
+		Router: e.GetRouter(), Domain: e.GetFailureDomain(), Address: e.GetAddress(),
+		Incarnation: e.GetIncarnation(), Heartbeat: e.GetHeartbeat(), Content: e.GetContent(),
+		Leaving: e.GetLeaving(), Revision: e.GetRevision(), Manifest: e.GetManifest(),
+	}
+	for _, l := range e.GetPools() {
+		out.Pools = append(out.Pools, membership.Pool{Upstream: l.GetUpstream(), Workers: l.GetWorkers(), InFlight: l.GetInFlight(), Held: l.GetHeld()})
+	}
+	return out
+}
+
+func fromEntry(e membership.Entry) *peerpb.RouterEntry {
+	out := &peerpb.RouterEntry{
+		Router: e.Router, FailureDomain: e.Domain, Address: e.Address,
+		Incarnation: e.Incarnation, Heartbeat: e.Heartbeat, Content: e.Content,
+		Leaving: e.Leaving, Revision: e.Revision, Manifest: e.Manifest,
+	}
+	for _, l := range e.Pools {
+		out.Pools = append(out.Pools, &peerpb.PoolLoad{Upstream: l.Upstream, Workers: l.Workers, InFlight: l.InFlight, Held: l.Held})
+	}
+	return out
+}
+
+func toEntries(v *peerpb.View) []membership.Entry {
+	list := make([]membership.Entry, 0, len(v.GetEntries()))
+	for _, e := range v.GetEntries() {
+		list = append(list, toEntry(e))
+	}
+	return list
+}
+
+func fromEntries(from string, list []membership.Entry) *peerpb.View {
+	v := &peerpb.View{From: from}
+	for _, e := range list {
+		v.Entries = append(v.Entries, fromEntry(e))
+	}
+	return v
+}
+
+// entrySize is the encoded size of an entry within a View, tag and length
+// included.
+func entrySize(e membership.Entry) int {
+	n := proto.Size(fromEntry(e))
+	return protowire.SizeTag(2) + protowire.SizeBytes(n)
+}
