Import the peer plug-in into the shipped binary

Cause: a plug-in exists only when it is imported. Change: plugins/standard imports plugins/peer. 'auburnlead router' does not start on this branch yet: plugins/admin.NewAPI returns a type that embeds fx.In, which dig refuses.

--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -5,5 +5,6 @@
 	_ "github.com/auburnlead/auburnlead/plugins/admin"    // registers router.admin
 	_ "github.com/auburnlead/auburnlead/plugins/config"   // registers router.config
 	_ "github.com/auburnlead/auburnlead/plugins/node"     // registers router.node
+	_ "github.com/auburnlead/auburnlead/plugins/peer"     // registers router.peer
 	_ "github.com/auburnlead/auburnlead/plugins/platform" // registers router.platform
 )
