Wire the admin API through a named parameter struct; run the demonstration

Cause: a type that embeds fx.In cannot be provided, so the router did not start. The parameters are now a field.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
-# Targets: build, test, lint, proto.
+# Targets: build, test, lint, demo, proto.
 GO ?= go
 BIN := bin/auburnlead
 
-.PHONY: build test lint proto
+.PHONY: build test lint demo proto
 
 build:
 	$(GO) build -o $(BIN) ./cmd/auburnlead
@@ -16,6 +16,10 @@
 test: lint
 	$(GO) test -race -count=1 ./...
 
+# Runs the whole path as separate processes on loopback, in under a minute.
+demo: build
+	./scripts/demo
+
 # Regenerates the committed gRPC code; needs protoc. The build does not.
 proto:
 	mkdir -p bin
--- a/plugins/admin/api.go
+++ b/plugins/admin/api.go
@@ -32,7 +32,7 @@
 
 // API answers the operators' requests.
 type API struct {
-	Params
+	p         Params
 	publisher *publish.Publisher
 	cache     *publish.Store // content read for operators, kept between requests
 	now       func() time.Time
@@ -57,7 +57,7 @@
 func NewAPI(p Params) *API {
 	cache := publish.NewStore()
 	return &API{
-		Params:    p,
+		p:         p,
 		cache:     cache,
 		publisher: &publish.Publisher{Table: p.Client, Objects: p.Client.Objects(), Cache: cache},
 		now:       time.Now,
@@ -79,7 +79,7 @@
 	v1.HandleFunc("/status", handle(a.status)).Methods(http.MethodGet)
 	v1.HandleFunc("/audit", handle(a.audit)).Methods(http.MethodGet)
 	v1.HandleFunc("/drain", handle(a.drain)).Methods(http.MethodPost)
-	return http.TimeoutHandler(r, a.Settings.RequestTimeout, "request took too long\n")
+	return http.TimeoutHandler(r, a.p.Settings.RequestTimeout, "request took too long\n")
 }
 
 // none is the body of requests without one.
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -9,7 +9,10 @@
 
 cleanup() {
   local name
-  for name in "${!PID[@]}"; do kill -9 "${PID[$name]}" 2>/dev/null; done
+  for name in "${!PID[@]}"; do
+    kill -9 "${PID[$name]}" 2>/dev/null
+    wait "${PID[$name]}" 2>/dev/null
+  done
   [ -n "${KEEP_LOGS:-}" ] && echo "logs: $WORK_DIR" || rm -rf "$WORK_DIR"
 }
 trap cleanup EXIT
@@ -59,7 +62,7 @@
   start "$1" router --set "node.id=$1" --set "node.failure_domain=$2" \
     --set caller.listen=127.0.0.1:0 --set admin.listen=127.0.0.1:0 --set "admin.key=$ADMIN_KEY" \
     --set peer.listen=127.0.0.1:0 --set "peer.key=$PEER_KEY" --set "platform.url=http://${ADDRESS[platform]}" \
-    --set caller.stop_delay=200ms
+    --set caller.drain_delay=200ms
   http PUT "${ADDRESS[platform]}" "/vms/$1" "{\"id\":\"$1\",\"address\":\"$(bound "$1" peer)\",\"failure_domain\":\"$2\",\"state\":\"live\"}" >/dev/null
 }
 
@@ -130,7 +133,7 @@
 in_force() {
   local r out
   out=$("$BIN" --output json status --admin "$(admin r1)") || return 1
-  [ "$(grep -o "\"revision\": *$2\b" <<<"$out" | wc -l)" -ge "$1" ]
+  [ "$(grep -o "\"state\":\"live\",\"revision\":$2\b" <<<"$out" | wc -l)" -ge "$1" ]
 }
 
 # chat NAME ROUTER FLAG...: one chat, the result in NAME.json; fails unless complete.
