--- /dev/null
+++ b/plugins/caller/server_test.go
@@ -0,0 +1,404 @@
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/objects"
+	"github.com/auburnlead/auburnlead/settings"
+)
+
+type staticConfig struct{ p *core.Published }
+
+func (c staticConfig) Current() *core.Published { return c.p }
+func (c staticConfig) Subscribe(fn func(*core.Published)) {
+	if c.p != nil {
+		fn(c.p)
+	}
+}
+
+type fakeDispatcher struct {
+	chat    func(ctx context.Context, r *core.ChatRequest, sink core.ChatSink) error
+	service func(r *core.ServiceRequest) (*core.ServiceAnswer, error)
+}
+
+func (d *fakeDispatcher) Chat(ctx context.Context, r *core.ChatRequest, sink core.ChatSink) error {
+	return d.chat(ctx, r, sink)
+}
+
+func (d *fakeDispatcher) Service(_ context.Context, r *core.ServiceRequest) (*core.ServiceAnswer, error) {
+	return d.service(r)
+}
+
+func (d *fakeDispatcher) InFlight() int { return 0 }
+
+// pipes is a listener of connections in memory, which follow virtual time.
+type pipes struct {
+	conns chan net.Conn
+	done  context.Context
+	close context.CancelFunc
+}
+
+func newPipes(ctx context.Context, backlog int) *pipes {
+	p := &pipes{conns: make(chan net.Conn, backlog)}
+	p.done, p.close = context.WithCancel(ctx)
+	return p
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case conn := <-p.conns:
+		return conn, nil
+	case <-p.done.Done():
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error   { p.close(); return nil }
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (p *pipes) dial() net.Conn {
+	client, server := net.Pipe()
+	p.conns <- server
+	return client
+}
+
+// bench is a server behind connections in memory.
+type bench struct {
+	*Server
+	*pipes
+	dispatcher *fakeDispatcher
+	logged     *bytes.Buffer
+}
+
+func keySum(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func testSet() *objects.Set {
+	return &objects.Set{
+		Ranks:  map[string]*objects.Rank{"urgent": {Name: "urgent"}, "normal": {Name: "normal"}, "board": {Name: "board"}},
+		Models: map[string]*objects.Model{"m": {Name: "m", ContextTokens: 100}, "secret-model": {Name: "secret-model"}},
+		Callers: map[string]*objects.Caller{
+			"clerks": {Name: "clerks", KeySHA256: keySum("clerk-key"), Ranks: []string{"urgent", "normal"}, DefaultRank: "normal", Models: []string{"m", "gone"}, Services: []string{"desk", "m"}},
+			"jurors": {Name: "jurors", KeySHA256: keySum("juror-key"), Ranks: []string{"board"}, DefaultRank: "board", Models: []string{"secret-model"}, Diagnostics: true},
+			"broken": {Name: "broken", KeySHA256: "no digest"},
+		},
+		Upstreams: map[string]*objects.Upstream{
+			"desk":   {Name: "desk", Kind: objects.UpstreamService},
+			"hidden": {Name: "hidden", Kind: objects.UpstreamService},
+		},
+	}
+}
+
+func newBench(t *testing.T) *bench {
+	s := &Settings{}
+	src, err := settings.Open("", nil)
+	if err == nil {
+		err = src.Bind(map[string]any{"caller": s})
+	}
+	if err != nil {
+		panic(err)
+	}
+	s.BodyBytes = 1024
+	b := &bench{pipes: newPipes(t.Context(), 0), dispatcher: &fakeDispatcher{}, logged: &bytes.Buffer{}}
+	b.dispatcher.chat = func(_ context.Context, _ *core.ChatRequest, sink core.ChatSink) error {
+		_ = sink.Start("w1")
+		return sink.Chunk([]byte(`{"id":"c1","choices":[{"index":0,"delta":{"content":"three"}}]}`))
+	}
+	b.Server = New(Params{
+		Settings: s, Config: staticConfig{&core.Published{Set: testSet()}}, Dispatcher: b.dispatcher,
+		Readiness: core.NewReadiness(), Addresses: core.NewAddresses(), Logger: log.New(b.logged),
+	})
+	go b.serve(b.pipes)
+	t.Cleanup(func() { _ = b.http.Close() })
+	return b
+}
+
+// send writes a request on a connection of its own and returns the answer.
+func (b *bench) send(method, path, body string, header ...string) (status int, h http.Header, text string) {
+	conn := b.dial()
+	defer conn.Close()
+	return exchange(conn, requestText(method, path, body, header...))
+}
+
+func newRequest(method, path, body string, header ...string) *http.Request {
+	r, err := http.NewRequest(method, "http://router"+path, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	r.Header.Set("Authorization", "Bearer clerk-key")
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	return r
+}
+
+func requestText(method, path, body string, header ...string) string {
+	var b strings.Builder
+	_ = newRequest(method, path, body, header...).Write(&b)
+	return b.String()
+}
+
+func exchange(conn net.Conn, text string) (int, http.Header, string) {
+	go func() { _, _ = io.WriteString(conn, text) }() // the server may answer before it has read all
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	body, _ := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header, string(body)
+}
+
+func inBubble(t *testing.T, desc string, fn func(b *bench)) {
+	synctest.Test(t, func(t *testing.T) { Convey(desc, t, func() { fn(newBench(t)); synctest.Wait() }) })
+}
+
+const chatBody = `{"model":"m","messages":[{"role":"user","content":"hi"}]}`
+
+// Guards against requests that reach an upstream without right or in a form
+// that the engine reads differently from the router.
+func TestRefusals(t *testing.T) {
+	chat := "/v1/chat/completions"
+	for _, c := range []struct {
+		desc, method, path, body string
+		header                   []string
+		status                   int
+		kind                     string
+	}{
+		{"no key", "POST", chat, chatBody, []string{"Authorization", ""}, 401, "unauthorized"},
+		{"wrong key", "POST", chat, chatBody, []string{"Authorization", "Bearer other"}, 401, "unauthorized"},
+		{"another scheme", "POST", chat, chatBody, []string{"Authorization", "Basic clerk-key"}, 401, "unauthorized"},
+		{"a digest instead of the key", "POST", chat, chatBody, []string{"Authorization", "Bearer " + keySum("clerk-key")}, 401, "unauthorized"},
+		{"no JSON", "POST", chat, `{"model":`, nil, 400, "invalid_request"},
+		{"no object", "POST", chat, `["model"]`, nil, 400, "invalid_request"},
+		{"no model", "POST", chat, `{"messages":[1]}`, nil, 400, "invalid_request"},
+		{"no messages", "POST", chat, `{"model":"m","messages":[]}`, nil, 400, "invalid_request"},
+		{"model twice", "POST", chat, `{"model":"m","messages":[1],"model":"secret-model"}`, nil, 400, "invalid_request"},
+		{"model in other case", "POST", chat, `{"model":"m","messages":[1],"Model":"secret-model"}`, nil, 400, "invalid_request"},
+		{"escaped model", "POST", chat, `{"model":"m","messages":[1],"\u006dodel":"secret-model"}`, nil, 400, "invalid_request"},
+		{"wrong type", "POST", chat, `{"model":"m","messages":[1],"stream":"yes"}`, nil, 400, "invalid_request"},
+		{"bad token limit", "POST", chat, `{"model":"m","messages":[1],"max_tokens":0}`, nil, 400, "invalid_request"},
+		{"bad deadline", "POST", chat, chatBody, []string{"X-Deadline-Ms", "soon"}, 400, "invalid_request"},
+		{"long chat ID", "POST", chat, chatBody, []string{"X-Chat-Id", strings.Repeat("x", 256)}, 400, "invalid_request"},
+		{"oversized body", "POST", chat, strings.Repeat(" ", 1025), nil, 413, "body_too_large"},
+		{"oversized header", "POST", chat, chatBody, []string{"X-Filler", strings.Repeat("x", 40000)}, 431, ""},
+		{"unknown model", "POST", chat, `{"model":"x","messages":[1]}`, nil, 404, "not_found"},
+		{"another caller's model", "POST", chat, `{"model":"secret-model","messages":[1]}`, nil, 404, "not_found"},
+		{"another caller's rank", "POST", chat, chatBody, []string{"X-Rank", "board"}, 404, "not_found"},
+		{"unknown path", "GET", "/v1/other", "", nil, 404, "not_found"},
+		{"wrong method", "GET", chat, "", nil, 400, "invalid_request"},
+		{"unknown service", "GET", "/v1/services/x/turns", "", nil, 404, "not_found"},
+		{"another caller's service", "GET", "/v1/services/hidden/turns", "", nil, 404, "not_found"},
+		{"no service", "GET", "/v1/services/m/turns", "", nil, 404, "not_found"},
+		{"dot segment", "GET", "/v1/services/desk/a/%2e%2e/b", "", nil, 400, "invalid_request"},
+	} {
+		inBubble(t, "A request is refused: "+c.desc, func(b *bench) {
+			status, header, body := b.send(c.method, c.path, c.body, c.header...)
+			So(status, ShouldEqual, c.status)
+			if c.kind == "" {
+				return // net/http answers itself
+			}
+			So(body, ShouldContainSubstring, "urn:auburnlead:problem:"+c.kind+`"`)
+			So(body, ShouldContainSubstring, `"outcome":"not_run"`)
+			So(header.Get("Content-Type"), ShouldEqual, "application/problem+json")
+			So(header.Get("X-Request-Id"), ShouldNotBeEmpty)
+			So(b.logged.String(), ShouldNotContainSubstring, "key")
+		})
+	}
+	inBubble(t, "Objects that exist and those that do not get the same answer", func(b *bench) {
+		_, _, unknown := b.send("POST", chat, `{"model":"secret-mode1","messages":[1]}`)
+		_, _, hidden := b.send("POST", chat, `{"model":"secret-model","messages":[1]}`)
+		strip := func(s string) string { before, _, _ := strings.Cut(s, `"request_id"`); return before }
+		So(strip(hidden), ShouldEqual, strings.ReplaceAll(strip(unknown), "mode1", "model"))
+	})
+}
+
+// Guards against fields of a request that get lost or are taken from the wrong
+// place, and against answers in the wrong form.
+func TestAnswers(t *testing.T) {
+	inBubble(t, "Headers take precedence over fields of the body", func(b *bench) {
+		var got *core.ChatRequest
+		answer := b.dispatcher.chat
+		b.dispatcher.chat = func(ctx context.Context, r *core.ChatRequest, sink core.ChatSink) error {
+			got = r
+			return answer(ctx, r, sink)
+		}
+		body := `{"model":"m","messages":[{}],"workspace":"w","chat_id":"c","rank":"normal","deadline_ms":5000,"max_tokens":500}`
+		status, _, _ := b.send("POST", "/v1/chat/completions", body, "X-Chat-Id", "c2", "X-Rank", "urgent")
+		So(status, ShouldEqual, 200)
+		So([]any{got.Workspace, got.ChatID, got.Rank.Name, time.Until(got.Deadline), got.MaxTokens}, ShouldResemble, []any{"w", "c2", "urgent", 5 * time.Second, int64(100)})
+	})
+	inBubble(t, "The worker is named to callers with diagnostics only", func(b *bench) {
+		_, h, _ := b.send("POST", "/v1/chat/completions", chatBody)
+		So(h.Get("X-Worker"), ShouldBeEmpty)
+		_, h, _ = b.send("POST", "/v1/chat/completions", `{"model":"secret-model","messages":[1]}`, "Authorization", "Bearer juror-key")
+		So(h.Get("X-Worker"), ShouldEqual, "w1")
+	})
+	inBubble(t, "The list of models has those that exist and that the caller may use", func(b *bench) {
+		_, _, body := b.send("GET", "/v1/models", "")
+		So(body, ShouldEqual, `{"object":"list","data":[{"id":"m","object":"model","owned_by":"auburnlead"}]}`+"\n")
+	})
+	inBubble(t, "A chunk of several lines stays one event", func(b *bench) {
+		So(string(appendEvent(nil, []byte("{\n}"))), ShouldEqual, "data: {\ndata: }\n\n")
+	})
+	inBubble(t, "A service gets the call without the key and the headers of the connection", func(b *bench) {
+		var got *core.ServiceRequest
+		b.dispatcher.service = func(r *core.ServiceRequest) (*core.ServiceAnswer, error) {
+			got = r
+			return &core.ServiceAnswer{Status: 201, Body: []byte("ok"), Header: http.Header{"X-Own": {"1"}, "Keep-Alive": {"5"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}}}, nil
+		}
+		status, h, body := b.send("POST", "/v1/services/desk/turns%2F3?a=b", "x", "Idempotency-Key", "k", "Connection", "X-Hop", "X-Hop", "1", "X-Attempt-Id", "forged", "X-Own", "2")
+		So([]any{status, body, h.Get("X-Own"), h.Get("Keep-Alive") + h.Get("X-Hop")}, ShouldResemble, []any{201, "ok", "1", ""})
+		So([]string{got.Service, got.Path, got.IdempotencyKey, string(got.Body)}, ShouldResemble, []string{"desk", "/turns%2F3?a=b", "k", "x"})
+		So(got.Header.Get("Authorization")+got.Header.Get("X-Hop")+got.Header.Get("X-Attempt-Id"), ShouldBeEmpty)
+		So(got.Header.Get("X-Own"), ShouldEqual, "2")
+	})
+	inBubble(t, "A router without configuration is not ready", func(b *bench) {
+		b.config = staticConfig{}
+		status, h, body := b.send("GET", "/v1/models", "")
+		So([]any{status, h.Get("Retry-After")}, ShouldResemble, []any{503, "1"})
+		So(body, ShouldContainSubstring, "not_ready")
+	})
+}
+
+// Guards against slow clients that hold connections, and against streams that
+// are cut although they make progress.
+func TestSlowClients(t *testing.T) {
+	stream := requestText("POST", "/v1/chat/completions", `{"stream":true,`+chatBody[1:])
+	inBubble(t, "A body that does not arrive in time is refused", func(b *bench) {
+		conn := b.dial()
+		defer conn.Close()
+		begin := time.Now()
+		status, _, body := exchange(conn, stream[:len(stream)-5])
+		So(status, ShouldEqual, 400)
+		So(body, ShouldContainSubstring, "did not arrive")
+		So(time.Since(begin), ShouldEqual, b.settings.BodyTimeout)
+	})
+	inBubble(t, "A client that does not read is cut and the request ends", func(b *bench) {
+		ended := make(chan error, 1)
+		b.dispatcher.chat = func(_ context.Context, _ *core.ChatRequest, sink core.ChatSink) (err error) {
+			_ = sink.Start("w1")
+			for err == nil {
+				err = sink.Chunk([]byte("{}"))
+			}
+			ended <- err
+			return err
+		}
+		conn := b.dial()
+		defer conn.Close()
+		begin := time.Now()
+		_, err := io.WriteString(conn, stream)
+		So(err, ShouldBeNil)
+		So(<-ended, ShouldNotBeNil)
+		So(time.Since(begin), ShouldBeLessThanOrEqualTo, b.settings.WriteTimeout+deadlineStep)
+	})
+	inBubble(t, "A long stream that makes progress is not cut, and the next request on its connection is served", func(b *bench) {
+		b.dispatcher.chat = func(ctx context.Context, _ *core.ChatRequest, sink core.ChatSink) error {
+			_ = sink.Start("w1")
+			for range 30 {
+				<-time.After(time.Minute)
+				if err := sink.Chunk([]byte("{}")); err != nil || ctx.Err() != nil {
+					return err
+				}
+			}
+			return nil
+		}
+		conn := b.dial()
+		defer conn.Close()
+		for range 2 {
+			status, _, body := exchange(conn, stream)
+			So(status, ShouldEqual, 200)
+			So(body, ShouldEqual, strings.Repeat("data: {}\n\n", 30)+"data: [DONE]\n\n")
+		}
+	})
+	inBubble(t, "A request is cancelled when its caller closes the connection", func(b *bench) {
+		ended := make(chan struct{})
+		b.dispatcher.chat = func(ctx context.Context, _ *core.ChatRequest, sink core.ChatSink) error {
+			<-ctx.Done()
+			close(ended)
+			return ctx.Err()
+		}
+		conn := b.dial()
+		_, _ = io.WriteString(conn, stream)
+		synctest.Wait()
+		_ = conn.Close()
+		<-ended
+	})
+}
+
+// Guards against a stop that cuts requests or that refuses them before the
+// load balancer can know of it (R6).
+func TestStop(t *testing.T) {
+	inBubble(t, "A stopping router serves until the delay is over, then refuses, and waits for streams", func(b *bench) {
+		finish := make(chan struct{})
+		b.dispatcher.chat = func(_ context.Context, _ *core.ChatRequest, sink core.ChatSink) error {
+			_ = sink.Start("w1")
+			<-finish
+			return nil
+		}
+		var streamed string
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _, streamed = b.send("POST", "/v1/chat/completions", `{"stream":true,`+chatBody[1:])
+		}()
+		synctest.Wait()
+		var stopped atomic.Bool
+		go func() { _ = b.Stop(context.Background()); stopped.Store(true) }()
+		<-time.After(2999 * time.Millisecond)
+		ready, _ := b.readiness.Ready()
+		So(ready, ShouldBeFalse)
+		status, _, _ := b.send("GET", "/v1/models", "")
+		So(status, ShouldEqual, 200)
+		<-time.After(time.Minute)
+		status, _, body := b.send("GET", "/v1/models", "")
+		So(status, ShouldEqual, 503)
+		So(body, ShouldContainSubstring, "shutting_down")
+		So(stopped.Load(), ShouldBeFalse)
+		close(finish)
+		<-done
+		So(streamed, ShouldEqual, "data: [DONE]\n\n")
+		<-time.After(time.Second)
+		So(stopped.Load(), ShouldBeTrue)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Connections beyond the bound wait until another one is closed", t, func() {
+			inner := newPipes(t.Context(), 2)
+			inner.dial()
+			inner.dial()
+			l := limitConnections(inner, 1)
+			first, err := l.Accept()
+			So(err, ShouldBeNil)
+			var accepted atomic.Bool
+			go func() { _, err := l.Accept(); accepted.Store(err == nil) }()
+			synctest.Wait()
+			So(accepted.Load(), ShouldBeFalse)
+			_ = first.Close()
+			_ = first.Close() // gives back one place only
+			synctest.Wait()
+			So(accepted.Load(), ShouldBeTrue)
+			ended := make(chan error, 1)
+			go func() { _, err := l.Accept(); ended <- err }()
+			synctest.Wait()
+			_ = l.Close()
+			So(<-ended, ShouldEqual, net.ErrClosed)
+		})
+	})
+}
--- a/plugins/dispatch/dispatch.go
+++ b/plugins/dispatch/dispatch.go
@@ -26,7 +26,6 @@
 	services core.Services
 	peers    core.PeerAttempts // may be nil
 	once     onceLedger        // may be nil
-	endings  endings
 	submit   func(func(context.Context)) bool
 	budget   *retry.Budget
 	backoff  retry.Backoff
--- a/plugins/dispatch/once.go
+++ b/plugins/dispatch/once.go
@@ -11,46 +11,14 @@
 	"time"
 
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/ledger"
 )
 
-// onceClaim names a request that must run at most once and the attempt that
-// wants to run it.
-type onceClaim struct {
-	Caller, Service, Key string
-	Digest               string // of the request
-	Attempt, Router      string
-}
-
-// onceState is the state of a request in the ledger.
-type onceState int
-
-// States of a request in the ledger.
-const (
-	onceClaimed    onceState = iota // by this claim: run it
-	onceReplay                      // has run, the answer is stored
-	onceInProgress                  // claimed by another attempt
-	onceUnknown                     // may have run
-)
-
-// onceDecision is the ledger's answer to a claim.
-type onceDecision struct {
-	State           onceState
-	Answer          []byte // stored answer for onceReplay
-	Attempt, Router string // that hold the claim for onceInProgress
-}
-
-// errKeyReused says that the key belongs to another request.
-var errKeyReused = errors.New("the Idempotency-Key belongs to another request")
-
-// onceLedger is the at-most-once ledger.
+// onceLedger is the part of *ledger.Ledger that dispatch uses.
 type onceLedger interface {
-	// Claim records that the attempt runs the request, before it is sent.
-	// Errors: errKeyReused, or any other when nothing may be sent.
-	Claim(ctx context.Context, c onceClaim) (onceDecision, error)
-	// TakeOver claims a request whose other attempt was certainly not sent.
-	TakeOver(ctx context.Context, c onceClaim, other string) (onceDecision, error)
-	// Finish records how a claimed request ended.
-	Finish(ctx context.Context, c onceClaim, o core.Outcome, answer []byte) error
+	Claim(ctx context.Context, c ledger.Claim) (ledger.Decision, error)
+	TakeOver(ctx context.Context, c ledger.Claim, other string) (ledger.Decision, error)
+	Finish(ctx context.Context, c ledger.Claim, r ledger.Result) error
 }
 
 // claimTimeout bounds a write to the ledger while a caller waits.
@@ -69,13 +37,13 @@
 		return nil, c.unclaimed(errors.New("the router has no ledger"))
 	}
 	ctx = context.WithoutCancel(ctx)
-	claim := onceClaim{
+	claim := ledger.Claim{
 		Caller: c.caller.Name, Service: c.request.Service, Key: c.request.IdempotencyKey,
 		Digest: requestDigest(c.request), Attempt: c.d.attempts.begin(), Router: c.d.router,
 	}
 	claimed, answer, err := c.claim(ctx, claim)
 	if !claimed {
-		// Also when the ledger holds the claim after all: it is never sent.
+		// Also true when the ledger holds the claim after all.
 		c.d.attempts.end(claim.Attempt, stateNotSent)
 		return answer, err
 	}
@@ -86,39 +54,33 @@
 }
 
 // claim claims the request, or returns the answer or problem instead.
-func (c *call) claim(ctx context.Context, claim onceClaim) (claimed bool, a *core.ServiceAnswer, err error) {
+func (c *call) claim(ctx context.Context, claim ledger.Claim) (claimed bool, a *core.ServiceAnswer, err error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	decision, err := c.d.once.Claim(ctx, claim)
-	if err == nil && decision.State == onceInProgress {
+	if err == nil && decision.State == ledger.StateInProgress {
 		decision, err = c.inquire(ctx, claim, decision)
 	}
-	var p *core.Problem
-	switch {
-	case errors.Is(err, errKeyReused):
-		return false, nil, core.NewProblem(core.KindKeyReused, "the key was used for another request to service %s", claim.Service)
-	case errors.As(err, &p):
-		return false, nil, p
-	case err != nil:
+	if err != nil {
 		return false, nil, c.unclaimed(err)
 	}
 	switch decision.State {
-	case onceClaimed:
+	case ledger.StateClaimed:
 		return true, nil, nil
-	case onceReplay:
+	case ledger.StateReplay:
 		a, err := decodeAnswer(decision.Answer)
 		if err != nil {
 			return false, nil, &core.Problem{Kind: core.KindOutcomeUnknown, Outcome: core.OutcomeRan, Detail: "the request has run, but its stored answer is unreadable", Err: err}
 		}
 		return false, a, nil
-	case onceInProgress:
+	case ledger.StateInProgress:
 		return false, nil, &core.Problem{Kind: core.KindInProgress, Outcome: core.OutcomeUnknown, RetryAfter: inProgressRetry, Detail: "another request with this key is running"}
 	}
 	return false, nil, &core.Problem{Kind: core.KindOutcomeUnknown, Outcome: core.OutcomeUnknown, Detail: "an earlier request with this key may have run"}
 }
 
 // inquire asks the router that holds a claim about its attempt.
-func (c *call) inquire(ctx context.Context, claim onceClaim, other onceDecision) (onceDecision, error) {
+func (c *call) inquire(ctx context.Context, claim ledger.Claim, other ledger.Decision) (ledger.Decision, error) {
 	switch c.d.stateOf(ctx, other.Router, other.Attempt) {
 	case stateActive:
 		return other, nil
@@ -128,11 +90,11 @@
 		// The end is recorded before the state changes, so a second look
 		// finds it.
 		again, err := c.d.once.Claim(ctx, claim)
-		if err != nil || again.State != onceInProgress {
+		if err != nil || again.State != ledger.StateInProgress {
 			return again, err
 		}
 	}
-	return onceDecision{State: onceUnknown}, nil
+	return ledger.Decision{State: ledger.StateUnknown}, nil
 }
 
 // stateOf returns the state of an attempt of a router, gone when that router
@@ -152,42 +114,38 @@
 	return state
 }
 
+// unclaimed states why a request was not claimed. It has not been sent.
 func (c *call) unclaimed(err error) *core.Problem {
+	var reused *ledger.KeyReusedError
+	var unread *ledger.AnswerUnavailableError
 	p := core.NewProblem(core.KindPlatformUnavailable, "the request could not be recorded and was not sent")
+	switch {
+	case errors.As(err, &reused):
+		return core.NewProblem(core.KindKeyReused, "the key was used for another request to service %s", c.request.Service)
+	case errors.As(err, &unread):
+		p.Detail, p.Outcome = "the request has run before, but its stored answer cannot be read now", core.OutcomeRan
+	}
 	p.RetryAfter, p.Err = noCapacityRetry, err
 	return p
 }
 
-// record writes the end of a claimed request to the ledger. While that fails
-// it is repeated in the background, and the attempt stays active for routers
-// that ask unless it was never sent.
-func (c *call) record(ctx context.Context, claim onceClaim) {
-	e := &ending{claim: claim, outcome: c.outcome}
-	if c.answer != nil {
-		e.answer = encodeAnswer(c.answer)
-	}
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	if err := c.d.finish(ctx, e); err != nil {
-		c.d.log.Warn("end of a request not recorded yet", "attempt", claim.Attempt, "outcome", e.outcome, "error", err)
-		c.d.endings.add(e)
-	}
-}
-
-// finish records an end and changes the state of the attempt.
-func (d *Dispatcher) finish(ctx context.Context, e *ending) error {
+// record writes the end of a claimed request to the ledger, which goes on with
+// it in the background when that takes too long.
+func (c *call) record(ctx context.Context, claim ledger.Claim) {
+	r := ledger.Result{Outcome: ledger.Outcome(c.outcome)}
 	state := stateEnded
-	if e.outcome == core.OutcomeNotRun {
+	switch {
+	case c.outcome == core.OutcomeNotRun:
 		state = stateNotSent
-		d.attempts.end(e.claim.Attempt, state)
-	}
-	if err := d.once.Finish(ctx, e.claim, e.outcome, e.answer); err != nil {
-		return err
+	case c.answer != nil:
+		r.Answer = encodeAnswer(c.answer)
 	}
-	if state == stateEnded {
-		d.attempts.end(e.claim.Attempt, state)
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	if err := c.d.once.Finish(ctx, claim, r); err != nil {
+		c.d.log.Warn("end of a request is not recorded yet", "attempt", claim.Attempt, "outcome", r.Outcome, "error", err)
 	}
-	return nil
+	c.d.attempts.end(claim.Attempt, state)
 }
 
 // requestDigest tells requests with the same key apart. Parts are preceded by
--- a/plugins/dispatch/setup.go
+++ b/plugins/dispatch/setup.go
@@ -14,6 +14,8 @@
 
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/kernel"
+	"github.com/auburnlead/auburnlead/ledger"
+	"github.com/auburnlead/auburnlead/platform"
 	"github.com/auburnlead/auburnlead/retry"
 )
 
@@ -68,6 +70,7 @@
 	Slots      core.Slots
 	Engines    core.Engines
 	Services   core.Services
+	Platform   platform.Client
 	Background *core.Background
 	Logger     *log.Logger
 	Lifecycle  fx.Lifecycle
@@ -80,15 +83,43 @@
 
 func newFromParams(p Params) *Dispatcher {
 	d := New(p)
-	p.Lifecycle.Append(fx.Hook{OnStart: func(context.Context) error {
-		p.Background.Every(ejectionReport, 0.1, func(context.Context) { d.health.report(time.Now()) })
-		p.Background.Every(endingsPeriod, 0.1, d.flush)
-		return nil
-	}})
+	l := ledger.New(p.Platform, p.Platform.Objects(), ledger.Options{Now: time.Now, After: time.After})
+	d.once = l
+	p.Lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			p.Background.Every(ejectionReport, 0.1, func(context.Context) { d.health.report(time.Now()) })
+			p.Background.Every(sweepPeriod, 0.5, d.sweep(l))
+			return nil
+		},
+		OnStop: func(ctx context.Context) error { closeLedger(ctx, l); return nil },
+	})
 	return d
 }
 
-// New returns a dispatcher. It subscribes to the configuration.
+// sweepPeriod is the period at which a router looks whether a sweep of the
+// ledger is due. 400 routers then cause one read in 9 s.
+const sweepPeriod = time.Hour
+
+func (d *Dispatcher) sweep(l *ledger.Ledger) func(context.Context) {
+	return func(ctx context.Context) {
+		if n, err := l.Sweep(ctx); err != nil {
+			d.log.Warn("sweep of the ledger failed; the next one goes on", "deleted", n, "error", err)
+		}
+	}
+}
+
+// recordTime is the longest wait at the stop for ends that are not recorded. A
+// row that stays claimed counts as unknown once the router is gone.
+const recordTime = 10 * time.Second
+
+func closeLedger(ctx context.Context, l *ledger.Ledger) {
+	ctx, cancel := context.WithTimeout(ctx, recordTime)
+	defer cancel()
+	l.Close(ctx)
+}
+
+// New returns a dispatcher without a ledger. It subscribes to the
+// configuration.
 func New(p Params) *Dispatcher {
 	if p.Scope == nil {
 		p.Scope = tally.NoopScope
