--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
-# Targets: build, test, lint, demo, proto.
+# Targets: build, test, lint, demo, latency, proto.
 GO ?= go
 BIN := bin/auburnlead
 
-.PHONY: build test lint demo proto
+.PHONY: build test lint demo latency proto
 
 build:
 	$(GO) build -o $(BIN) ./cmd/auburnlead
@@ -20,6 +20,10 @@
 demo: build
 	./scripts/demo
 
+# Measures what one router adds to latency, and its memory with open streams.
+latency: build
+	./scripts/latency
+
 # Regenerates the committed gRPC code; needs protoc. The build does not.
 proto:
 	mkdir -p bin
