--- a/internal/cli/admin.go
+++ b/internal/cli/admin.go
@@ -20,12 +20,15 @@
 
 // Limits of a request to the admin API.
 const (
-	adminTimeout  = 90 * time.Second // of one attempt; above the server's own
-	maxAnswer     = 64 << 20         // bytes
-	submitTries   = 4
-	submitBackoff = time.Second // grows linearly with the tries
+	adminTimeout = 90 * time.Second // of one attempt; above the server's own
+	maxAnswer    = 64 << 20         // bytes
+	submitTries  = 4
 )
 
+// submitBackoff is the wait before the second try; it grows with each try.
+// Tests shorten it.
+var submitBackoff = time.Second
+
 // adminFlags are the flags of the commands that talk to a router.
 type adminFlags struct {
 	Admin    string `help:"Base URL of a router's admin API." default:"http://127.0.0.1:8090" env:"AUBURNLEAD_ADMIN" placeholder:"URL"`
--- /dev/null
+++ b/plugins/admin/admin_test.go
@@ -0,0 +1,146 @@
+package admin
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/objects"
+	"github.com/auburnlead/auburnlead/platform/platformtest"
+)
+
+// noConfig is a router without a revision.
+type noConfig struct{}
+
+func (noConfig) Current() *core.Published        { return nil }
+func (noConfig) Subscribe(func(*core.Published)) {}
+
+func newTestAPI() (*API, http.Handler) {
+	api := NewAPI(Params{
+		Settings: &Settings{RequestTimeout: time.Minute}, Log: log.New(io.Discard), Config: noConfig{}, Scope: NewScope(),
+		Client:    platformtest.New(platformtest.Options{Now: time.Now}),
+		Readiness: core.NewReadiness(), Addresses: core.NewAddresses(),
+	})
+	return api, api.routes("operators")
+}
+
+func request(h http.Handler, method, path, key, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	if key != "" {
+		r.Header.Set("Authorization", key)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+// Guards against admin paths that answer without the operators' key, and
+// against bodies without bounds.
+func TestRequests(t *testing.T) {
+	Convey("Only health, readiness and metrics answer without the key", t, func() {
+		api, h := newTestAPI()
+		for _, path := range []string{"POST /admin/v1/sets", "POST /admin/v1/sets:check", "POST /admin/v1/sets:diff", "GET /admin/v1/sets/current", "GET /admin/v1/status", "GET /admin/v1/audit", "POST /admin/v1/drain"} {
+			method, path, _ := strings.Cut(path, " ")
+			for _, key := range []string{"", "Bearer wrong", "Bearer ", "operators"} {
+				So(request(h, method, path, key, "{}").Code, ShouldEqual, http.StatusUnauthorized)
+			}
+			So(request(h, method, path, "Bearer operators", "{").Code, ShouldNotEqual, http.StatusUnauthorized)
+		}
+		So(request(h, "GET", "/healthz", "", "").Code, ShouldEqual, http.StatusOK)
+		So(request(h, "GET", "/readyz", "", "").Code, ShouldEqual, http.StatusOK)
+		api.p.Readiness.Require("config")
+		w := request(h, "GET", "/readyz", "", "")
+		So(w.Code, ShouldEqual, http.StatusServiceUnavailable)
+		So(w.Body.String(), ShouldEqual, "config: starting\n")
+	})
+	Convey("Malformed requests are refused with the reason", t, func() {
+		_, h := newTestAPI()
+		tests := []struct {
+			desc, path, body string
+			status           int
+			expected         string
+		}{
+			{"body above the limit", "sets:check", `{"set":"` + strings.Repeat("x", maxBody) + `"}`, http.StatusRequestEntityTooLarge, "body_too_large"},
+			{"set above the limit", "sets:check", `{"set":"` + strings.Repeat("x", objects.MaxBytes+1) + `"}`, http.StatusBadRequest, "at most 4194304 bytes"},
+			{"unknown field", "sets:check", `{"sett":""}`, http.StatusBadRequest, "sett"},
+			{"no author", "sets", `{"set":"","token":"t"}`, http.StatusBadRequest, "token and author"},
+			{"empty set", "sets", `{"set":"","token":"t","author":"a"}`, http.StatusBadRequest, "the set has no rank"},
+			{"empty drain", "drain", `{"token":"t","author":"a"}`, http.StatusBadRequest, "no worker"},
+		}
+		for _, test := range tests {
+			Convey(test.desc, func() {
+				w := request(h, "POST", "/admin/v1/"+test.path, "Bearer operators", test.body)
+				So(w.Code, ShouldEqual, test.status)
+				So(w.Header().Get("Content-Type"), ShouldEqual, "application/problem+json")
+				So(w.Body.String(), ShouldContainSubstring, test.expected)
+			})
+		}
+	})
+}
+
+// Guards against metrics that a scraper cannot read.
+func TestMetrics(t *testing.T) {
+	Convey("Counters, gauges and histograms are totals in the text format", t, func() {
+		api, h := newTestAPI()
+		scope := api.p.Scope.SubScope("caller").Tagged(map[string]string{"rank": "urgent"})
+		scope.Counter("requests").Inc(2)
+		scope.Gauge("in-flight").Update(1.5)
+		d := scope.Histogram("wait", tally.DurationBuckets{time.Millisecond, time.Second})
+		d.RecordDuration(time.Microsecond)
+		d.RecordDuration(500 * time.Millisecond)
+		d.RecordDuration(time.Hour)
+		request(h, "GET", "/metrics", "", "") // a scrape must not reset anything
+		So(request(h, "GET", "/metrics", "", "").Body.String(), ShouldEqual, strings.Join([]string{
+			`auburnlead_caller_in_flight{rank="urgent"} 1.5`,
+			`auburnlead_caller_requests{rank="urgent"} 2`,
+			`auburnlead_caller_wait_bucket{rank="urgent",le="+Inf"} 3`,
+			`auburnlead_caller_wait_bucket{rank="urgent",le="0.001"} 1`,
+			`auburnlead_caller_wait_bucket{rank="urgent",le="1"} 2`,
+			`auburnlead_caller_wait_count{rank="urgent"} 3`, ""}, "\n"))
+	})
+}
+
+// Guards against an unbounded number of connections, and against a place that
+// is never given back.
+func TestLimitListener(t *testing.T) {
+	Convey("A connection above the limit is accepted when another one closes", t, func() {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		l := newLimitListener(inner, 1)
+		accepted := make(chan net.Conn)
+		go func() {
+			defer close(accepted)
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				accepted <- c
+			}
+		}()
+		for range 2 {
+			c, err := net.Dial("tcp", inner.Addr().String())
+			So(err, ShouldBeNil)
+			defer c.Close()
+		}
+		first := <-accepted
+		So(len(l.(*limitListener).slots), ShouldEqual, 1)
+		So(first.Close(), ShouldBeNil)
+		_ = first.Close() // a second Close gives nothing back
+		second := <-accepted
+		So(len(l.(*limitListener).slots), ShouldEqual, 1)
+		So(l.Close(), ShouldBeNil)
+		_, open := <-accepted
+		So(open, ShouldBeFalse)
+		So(second.Close(), ShouldBeNil)
+	})
+}
--- a/plugins/admin/api.go
+++ b/plugins/admin/api.go
@@ -32,7 +32,7 @@
 
 // API answers the operators' requests.
 type API struct {
-	Params
+	p         Params
 	publisher *publish.Publisher
 	cache     *publish.Store // content read for operators, kept between requests
 	now       func() time.Time
@@ -56,8 +56,9 @@
 // NewAPI returns the API.
 func NewAPI(p Params) *API {
 	cache := publish.NewStore()
+	p.Log = p.Log.WithPrefix("admin")
 	return &API{
-		Params:    p,
+		p:         p,
 		cache:     cache,
 		publisher: &publish.Publisher{Table: p.Client, Objects: p.Client.Objects(), Cache: cache},
 		now:       time.Now,
@@ -79,7 +80,7 @@
 	v1.HandleFunc("/status", handle(a.status)).Methods(http.MethodGet)
 	v1.HandleFunc("/audit", handle(a.audit)).Methods(http.MethodGet)
 	v1.HandleFunc("/drain", handle(a.drain)).Methods(http.MethodPost)
-	return http.TimeoutHandler(r, a.Settings.RequestTimeout, "request took too long\n")
+	return http.TimeoutHandler(r, a.p.Settings.RequestTimeout, "request took too long\n")
 }
 
 // none is the body of requests without one.
--- a/plugins/admin/health.go
+++ b/plugins/admin/health.go
@@ -20,7 +20,7 @@
 }
 
 func (a *API) readyz(w http.ResponseWriter, _ *http.Request) {
-	ready, reason := a.Readiness.Ready()
+	ready, reason := a.p.Readiness.Ready()
 	if !ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		fmt.Fprintln(w, reason)
@@ -31,15 +31,15 @@
 
 func (a *API) status(context.Context, *http.Request, none) (adminapi.Status, error) {
 	s := adminapi.Status{
-		Router: a.Identity.Router, FailureDomain: a.Identity.FailureDomain,
-		Addresses: a.Addresses.All(), Members: []core.Member{},
+		Router: a.p.Identity.Router, FailureDomain: a.p.Identity.FailureDomain,
+		Addresses: a.p.Addresses.All(), Members: []core.Member{},
 	}
-	s.Ready, s.Reason = a.Readiness.Ready()
-	if p := a.Config.Current(); p != nil {
+	s.Ready, s.Reason = a.p.Readiness.Ready()
+	if p := a.p.Config.Current(); p != nil {
 		s.Revision, s.Manifest, s.AppliedAt = p.Revision, p.Manifest, p.AppliedAt
 	}
-	if a.Membership != nil {
-		s.Members = append(s.Members, a.Membership.Members()...)
+	if a.p.Membership != nil {
+		s.Members = append(s.Members, a.p.Membership.Members()...)
 	}
 	slices.SortFunc(s.Members, func(x, y core.Member) int { return strings.Compare(x.Router, y.Router) })
 	return s, nil
@@ -49,7 +49,7 @@
 // format. Histograms are sent with cumulative buckets.
 func (a *API) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	source, ok := a.Scope.(tally.TestScope)
+	source, ok := a.p.Scope.(tally.TestScope)
 	if !ok {
 		return
 	}
--- a/plugins/admin/sets.go
+++ b/plugins/admin/sets.go
@@ -41,11 +41,11 @@
 func (a *API) submit(ctx context.Context, s publish.Submission) (adminapi.Applied, error) {
 	r, err := a.publisher.Submit(ctx, s)
 	if err != nil {
-		a.Log.WithPrefix("admin").Warn("submission failed", "author", s.Author, "base", s.Base, "err", err)
+		a.p.Log.Warn("submission failed", "author", s.Author, "base", s.Base, "err", err)
 		return adminapi.Applied{}, err
 	}
-	a.Log.WithPrefix("admin").Info("published", "revision", r.Revision, "author", r.Author)
-	a.Sink.Announced(a.Identity.Router, r.Revision, r.Manifest)
+	a.p.Log.Info("published", "revision", r.Revision, "author", r.Author)
+	a.p.Sink.Announced(a.p.Identity.Router, r.Revision, r.Manifest)
 	return adminapi.Applied{Revision: r}, nil
 }
 
@@ -71,18 +71,18 @@
 
 // newest reads the newest revision with its set from the platform.
 func (a *API) newest(ctx context.Context) (publish.Revision, *objects.Set, error) {
-	r, err := publish.Newest(ctx, a.Client)
+	r, err := publish.Newest(ctx, a.p.Client)
 	if err != nil || r.Revision == 0 {
 		return r, objects.NewSet(), err
 	}
-	if _, err := a.cache.Advance(ctx, r.Revision, r.Manifest, a.Client.Objects()); err != nil {
+	if _, err := a.cache.Advance(ctx, r.Revision, r.Manifest, a.p.Client.Objects()); err != nil {
 		return r, nil, err
 	}
 	// A concurrent request may have moved the cache beyond r already.
 	if c := a.cache.Current(); c.Revision == r.Revision {
 		return r, c.Set, nil
 	}
-	set, _, err := publish.Fetch(ctx, r, a.cache, a.Client.Objects())
+	set, _, err := publish.Fetch(ctx, r, a.cache, a.p.Client.Objects())
 	return r, set, err
 }
 
@@ -94,7 +94,7 @@
 	if err == nil {
 		return adminapi.Current{Revision: r, Source: "platform", Set: string(objects.Format(set))}, nil
 	}
-	if p := a.Config.Current(); p != nil {
+	if p := a.p.Config.Current(); p != nil {
 		return adminapi.Current{Revision: publish.Revision{Revision: p.Revision, Manifest: p.Manifest}, Source: "router", Set: string(objects.Format(p.Set))}, nil
 	}
 	return adminapi.Current{}, err
@@ -109,7 +109,7 @@
 		}
 		limit = n
 	}
-	records, err := publish.History(ctx, a.Client, limit)
+	records, err := publish.History(ctx, a.p.Client, limit)
 	return adminapi.AuditList{Records: records}, err
 }
 
