--- a/plugins/admin/sets.go
+++ b/plugins/admin/sets.go
@@ -41,10 +41,10 @@
 func (a *API) submit(ctx context.Context, s publish.Submission) (adminapi.Applied, error) {
 	r, err := a.publisher.Submit(ctx, s)
 	if err != nil {
-		a.p.Log.WithPrefix("admin").Warn("submission failed", "author", s.Author, "base", s.Base, "err", err)
+		a.p.Log.Warn("submission failed", "author", s.Author, "base", s.Base, "err", err)
 		return adminapi.Applied{}, err
 	}
-	a.p.Log.WithPrefix("admin").Info("published", "revision", r.Revision, "author", r.Author)
+	a.p.Log.Info("published", "revision", r.Revision, "author", r.Author)
 	a.p.Sink.Announced(a.p.Identity.Router, r.Revision, r.Manifest)
 	return adminapi.Applied{Revision: r}, nil
 }
