--- a/answer/answer_test.go
+++ b/answer/answer_test.go
@@ -226,3 +226,18 @@
 		}
 	}
 }
+
+// Guards against allocation for each frame, which would grow with the number
+// of open streams.
+func TestFrameAllocatesNothing(t *testing.T) {
+	r := NewReader(&repeat{event: []byte("id: a/1\ndata: {\"choices\":[]}\n\n")}, testLimits)
+	defer r.Release()
+	checker := NewChecker("a")
+	n := testing.AllocsPerRun(1000, func() {
+		e, _ := r.Next()
+		_, _ = checker.Check(e.ID, e.Data)
+	})
+	if n > 0 {
+		t.Fatalf("%v allocations for each frame", n)
+	}
+}
--- a/plugins/caller/routes.go
+++ b/plugins/caller/routes.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"time"
@@ -62,6 +63,7 @@
 		begin := time.Now()
 		r := &request{Request: hr, id: newRequestID(), w: newResponse(w, s.settings.WriteTimeout)}
 		r.w.Header().Set(headerRequestID, r.id)
+		defer s.logPanic(r)
 		problem := s.admit(r, h)
 		if problem != nil && !r.w.started() {
 			if problem.Kind == core.KindUnauthorized {
@@ -73,6 +75,15 @@
 	})
 }
 
+// logPanic logs a panic and closes the connection, as net/http does, whose own
+// log is kept at level debug since clients can fill it.
+func (s *Server) logPanic(r *request) {
+	if v := recover(); v != nil {
+		s.log.Error("request panicked; report this with the stack", "request", r.id, "panic", v, "stack", string(debug.Stack()))
+		panic(http.ErrAbortHandler)
+	}
+}
+
 func (s *Server) admit(r *request, h handler) *core.Problem {
 	if !s.gate.enter() {
 		r.w.Header().Set("Connection", "close")
@@ -126,6 +137,9 @@
 // body reads the whole body of a request within its bounds.
 func (s *Server) body(r *request) ([]byte, *core.Problem) {
 	limit := s.settings.BodyBytes
+	if r.Body == http.NoBody {
+		return nil, nil
+	}
 	if r.ContentLength > limit {
 		r.w.Header().Set("Connection", "close")
 		return nil, core.NewProblem(core.KindBodyTooLarge, "the body has more than %d bytes", limit)
--- a/plugins/caller/server_test.go
+++ b/plugins/caller/server_test.go
@@ -270,6 +270,13 @@
 		So(got.Header.Get("Authorization")+got.Header.Get("X-Hop")+got.Header.Get("X-Attempt-Id"), ShouldBeEmpty)
 		So(got.Header.Get("X-Own"), ShouldEqual, "2")
 	})
+	inBubble(t, "A panic is logged, and the request counts as ended", func(b *bench) {
+		b.dispatcher.chat = func(context.Context, *core.ChatRequest, core.ChatSink) error { panic("fault") }
+		status, _, _ := b.send("POST", "/v1/chat/completions", chatBody)
+		So(status, ShouldEqual, 0)
+		So(b.logged.String(), ShouldContainSubstring, "request panicked")
+		<-b.gate.close()
+	})
 	inBubble(t, "A router without configuration is not ready", func(b *bench) {
 		b.config = staticConfig{}
 		status, h, body := b.send("GET", "/v1/models", "")
--- a/plugins/dispatch/chat_test.go
+++ b/plugins/dispatch/chat_test.go
@@ -149,6 +149,16 @@
 		So(len(b.engines.connections), ShouldEqual, 1)
 		So(len(b.engines.cancelled), ShouldEqual, 1)
 	})
+	inBubble(t, "A chat that failed on a worker does not leave the choice to the holder", func(t *testing.T) {
+		b := newBench()
+		var anyWorker []bool
+		b.slots.grant = func(r core.SlotRequest, _ *core.Slot) error { anyWorker = append(anyWorker, r.AnyWorker); return nil }
+		b.engines.fault = func(n int, _ core.Attempt) streamFault {
+			return streamFault{refuse: map[int]error{1: failure(core.OutcomeNotRun, 0)}[n]}
+		}
+		So(b.chat(t.Context(), &textSink{}), ShouldBeNil)
+		So(anyWorker, ShouldResemble, []bool{true, false})
+	})
 	inBubble(t, "A model without workers is replaced by its fallback, if it has one", func(t *testing.T) {
 		b := newBench()
 		pools, model := b.index.Load().engines("new")
--- a/plugins/dispatch/dispatch.go
+++ b/plugins/dispatch/dispatch.go
@@ -189,10 +189,12 @@
 			return core.Slot{}, first
 		}
 		slot, err := j.d.slots.Acquire(ctx, core.SlotRequest{
-			Attempt:    id,
-			Upstream:   from.upstream.Name,
-			Workers:    workers,
-			AnyWorker:  true,
+			Attempt:  id,
+			Upstream: from.upstream.Name,
+			Workers:  workers,
+			// A worker that has just failed is idle, so that a holder without
+			// knowledge of it would choose it again.
+			AnyWorker:  len(j.failed) == 0,
 			Caller:     j.caller.Name,
 			Weight:     j.caller.Weight,
 			Workspace:  j.space,
--- a/plugins/dispatch/once.go
+++ b/plugins/dispatch/once.go
@@ -48,8 +48,15 @@
 		return answer, err
 	}
 	c.repeat = false
+	ended := false
+	defer func() {
+		if !ended {
+			c.outcome = core.OutcomeUnknown // a panic is on its way
+		}
+		c.record(ctx, claim)
+	}()
 	err = c.run(ctx, c.try)
-	c.record(ctx, claim)
+	ended = true
 	return c.answer, err
 }
 
--- a/plugins/dispatch/service_test.go
+++ b/plugins/dispatch/service_test.go
@@ -129,6 +129,16 @@
 		So(again.Replayed, ShouldBeTrue)
 		So(b.services.ran, ShouldEqual, 1)
 	})
+	inBubble(t, "A claimed request that ends in a panic counts as unknown", func(t *testing.T) {
+		b := newBench()
+		b.withLedger(t, newPlatform(0))
+		b.services.fault = func(int) (bool, error) { panic("fault") }
+		So(func() { _, _ = b.call(t.Context(), "POST", "k") }, ShouldPanic)
+		b.services.mu.Unlock() // left locked by the panic
+		_, err := b.call(t.Context(), "POST", "k")
+		So(problemOf(err), ShouldEqual, "outcome_unknown unknown")
+		So(b.slots.balanced(), ShouldBeTrue)
+	})
 	for _, c := range []struct {
 		desc    string
 		peers   core.PeerAttempts
--- a/plugins/upstream/client_test.go
+++ b/plugins/upstream/client_test.go
@@ -264,6 +264,13 @@
 			_ = frames.Close()
 			cancelled <- ""
 		})
+		Convey("a worker that does not answer is given up", func() {
+			client.settings.StallTimeout = time.Millisecond
+			answerWith = func(http.ResponseWriter) { <-cancelled }
+			_, err := client.Stream(context.Background(), a, nil)
+			So(outcomeOf(err), ShouldEqual, core.OutcomeUnknown)
+			cancelled <- ""
+		})
 		Convey("an attempt is cancelled by its ID", func() {
 			client.Cancel(a)
 			So(<-cancelled, ShouldEqual, "/v1/attempts/a1")
--- a/plugins/upstream/engines.go
+++ b/plugins/upstream/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"mime"
@@ -25,20 +26,25 @@
 		return nil, notRun(err)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
+	// A paused worker accepts connections and never answers.
+	timer := time.AfterFunc(c.settings.StallTimeout, func() { cancel(errStalled) })
 	r := request(ctx, http.MethodPost, u, body)
 	setAttempt(r.Header, a)
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set("Accept", "text/event-stream")
 	response, err := c.roundTrip(r, a.SendBy)
-	if err != nil {
-		cancel(nil)
-		return nil, err
+	if err == nil {
+		err = checkStream(response)
 	}
-	if err := checkStream(response); err != nil {
+	if err != nil {
+		timer.Stop()
 		cancel(nil)
 		return nil, err
 	}
-	return newStream(response.Body, cancel, c.settings.StallTimeout, c.settings.limits()), nil
+	return &stream{
+		body: response.Body, reader: answer.NewReader(response.Body, c.settings.limits()),
+		cancel: cancel, stall: c.settings.StallTimeout, timer: timer,
+	}, nil
 }
 
 // checkStream accepts an answer that is an event stream.
@@ -64,13 +70,7 @@
 }
 
 // errStalled ends a stream that sends nothing any more.
-var errStalled = fmt.Errorf("upstream: the stream has stalled; see stall_timeout")
-
-func newStream(body io.ReadCloser, cancel context.CancelCauseFunc, stall time.Duration, limits answer.Limits) *stream {
-	s := &stream{body: body, reader: answer.NewReader(body, limits), cancel: cancel, stall: stall}
-	s.timer = time.AfterFunc(stall, func() { cancel(errStalled) })
-	return s
-}
+var errStalled = errors.New("upstream: the stream has stalled; see stall_timeout")
 
 // Next returns the next frame.
 func (s *stream) Next() (core.Frame, error) {
--- a/plugins/upstream/setup.go
+++ b/plugins/upstream/setup.go
@@ -25,8 +25,8 @@
 	IdleTimeout time.Duration `ini:"idle_timeout" default:"20s" min:"1s" max:"10m"`
 	// ConnectTimeout bounds the connection setup, TLS included. Default 1s.
 	ConnectTimeout time.Duration `ini:"connect_timeout" default:"1s" min:"10ms" max:"30s"`
-	// StallTimeout is the longest time without a frame of an engine's stream
-	// after its header. The attempt counts as cut then. Default 15s.
+	// StallTimeout is the longest time without the header or a frame of an
+	// engine's stream. The attempt counts as cut then. Default 15s.
 	StallTimeout time.Duration `ini:"stall_timeout" default:"15s" min:"1s" max:"10m"`
 	// HeaderBytes bounds the header of an answer. Default 65536 bytes.
 	HeaderBytes int64 `ini:"header_bytes" default:"65536" min:"1024" max:"1048576"`
