Check sets in linear time and bound the report

Duplicate priorities are reported against the first holder, cycles are found in one walk, references are looked up by binary search, and a report ends after 1,000 problems. Names without object and objects under another name are problems now, not panics.

--- a/objects/check.go
+++ b/objects/check.go
@@ -12,22 +12,50 @@
 // Check verifies the ranges of all values and the references between objects.
 // Errors: *Error with every problem.
 func Check(s *Set) error {
-	if problems := check(s); len(problems) > 0 {
-		return &Error{Problems: problems}
+	return newError("", check(s))
+}
+
+// newError returns nil without problems, and leaves out those beyond the most.
+func newError(name string, problems []Problem) error {
+	if len(problems) == 0 {
+		return nil
 	}
-	return nil
+	if more := len(problems) - maxProblems; more > 0 {
+		problems = append(problems[:maxProblems:maxProblems], Problem{Detail: fmt.Sprintf("%d more problems", more), Remedy: "correct the ones above first"})
+	}
+	return &Error{Name: name, Problems: problems}
 }
 
-// checker collects the problems of one set.
+// maxProblems bounds the problems of a report, so that the report on a large
+// file of another kind stays readable.
+const maxProblems = 1000
+
+// checker collects the problems of one set. All checks take time in proportion
+// to the set's size, since its text has up to MaxBytes.
 type checker struct {
 	set      *Set
+	ranks    []string // names, sorted
+	models   []string
+	services []string
+	cyclic   map[string]bool // models whose fallbacks form a cycle
 	problems []Problem
 }
 
 func check(s *Set) []Problem {
-	c := &checker{set: s}
-	checkKind(c, KindRank, rankFields, s.Ranks, c.rank)
-	c.ranks()
+	missing := missingObjects(nil, KindRank, s.Ranks)
+	missing = missingObjects(missing, KindModel, s.Models)
+	missing = missingObjects(missing, KindCaller, s.Callers)
+	if missing = missingObjects(missing, KindUpstream, s.Upstreams); len(missing) > 0 {
+		return missing
+	}
+	c := &checker{set: s, ranks: slices.Sorted(maps.Keys(s.Ranks)), models: slices.Sorted(maps.Keys(s.Models)), cyclic: cyclic(s.Models)}
+	for _, name := range slices.Sorted(maps.Keys(s.Upstreams)) {
+		if s.Upstreams[name].Kind == UpstreamService {
+			c.services = append(c.services, name)
+		}
+	}
+	checkKind(c, KindRank, rankFields, s.Ranks, func(string, *Rank) {})
+	c.rankRules()
 	checkKind(c, KindModel, modelFields, s.Models, c.model)
 	checkKind(c, KindCaller, callerFields, s.Callers, c.caller)
 	c.keys()
@@ -35,6 +63,16 @@
 	return c.problems
 }
 
+// missingObjects reports names without an object, which a decoded set can have.
+func missingObjects[T any](problems []Problem, kind Kind, all map[string]*T) []Problem {
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		if all[name] == nil {
+			problems = append(problems, Problem{Section: string(kind) + "." + name, Detail: "the object is missing", Remedy: "remove the name or add the object"})
+		}
+	}
+	return problems
+}
+
 func (c *checker) report(section, key, detail, allowed, remedy string) {
 	c.problems = append(c.problems, Problem{section, key, detail, allowed, remedy})
 }
@@ -46,6 +84,9 @@
 		if !validName(name) {
 			c.report(section, "", fmt.Sprintf("%q is not a valid name", name), nameAllowed, "rename the object")
 		}
+		if named := nameOf(all[name]); named != name {
+			c.report(section, "", fmt.Sprintf("the object is named %q", named), "the name that it has in the set", "give it the same name")
+		}
 		for _, f := range fields {
 			if f.check == nil {
 				continue
@@ -58,22 +99,21 @@
 	}
 }
 
-func (c *checker) rank(section string, r *Rank) {
-	for _, other := range c.set.Ranks {
-		if other.Name < r.Name && other.Priority == r.Priority {
-			c.report(section, "priority", fmt.Sprintf("rank %s has priority %d too", other.Name, r.Priority), "0 to 9, each once", "give each rank its own priority")
-		}
-	}
-}
-
-// ranks checks the rules that concern all ranks together.
-func (c *checker) ranks() {
-	if len(c.set.Ranks) == 0 {
+// rankRules checks the rules that concern all ranks together.
+func (c *checker) rankRules() {
+	if len(c.ranks) == 0 {
 		c.report("rank", "", "the set has no rank", "at least one", "add a section [rank.name]")
 	}
 	sum := 0.0
-	for _, name := range slices.Sorted(maps.Keys(c.set.Ranks)) {
-		sum += c.set.Ranks[name].Floor
+	first := map[int]string{}
+	for _, name := range c.ranks {
+		r := c.set.Ranks[name]
+		sum += r.Floor
+		if other, taken := first[r.Priority]; taken {
+			c.report("rank."+name, "priority", fmt.Sprintf("rank %s has priority %d too", other, r.Priority), "0 to 9, each once", "give each rank its own priority")
+			continue
+		}
+		first[r.Priority] = name
 	}
 	// 1e-9 absorbs the rounding of decimal fractions such as 0.1.
 	if sum > 1+1e-9 {
@@ -81,32 +121,60 @@
 	}
 }
 
+// nameOf returns the name that an object carries itself.
+func nameOf(object any) string {
+	switch o := object.(type) {
+	case *Rank:
+		return o.Name
+	case *Model:
+		return o.Name
+	case *Caller:
+		return o.Name
+	case *Upstream:
+		return o.Name
+	}
+	return ""
+}
+
 func (c *checker) model(section string, m *Model) {
-	if m.Fallback == "" {
-		return
-	}
-	c.references(section, "fallback", "model", c.modelNames(), m.Fallback)
-	seen := map[string]bool{m.Name: true}
-	for next := c.set.Models[m.Fallback]; next != nil; next = c.set.Models[next.Fallback] {
-		if seen[next.Name] {
-			// Each member of the cycle reports it, a model that only leads
-			// into the cycle does not.
-			if next.Name == m.Name {
-				c.report(section, "fallback", "the fallbacks form a cycle", "the name of a model whose fallbacks end", "remove the fallback of one model of the cycle")
+	if m.Fallback != "" {
+		c.references(section, "fallback", "a model", c.models, m.Fallback)
+	}
+	if c.cyclic[m.Name] {
+		c.report(section, "fallback", "the fallbacks form a cycle", "the name of a model whose fallbacks end", "remove the fallback of one model of the cycle")
+	}
+}
+
+// cyclic returns the models that are part of a cycle of fallbacks; models that
+// only lead into one are not. Each model is visited at most three times.
+func cyclic(models map[string]*Model) map[string]bool {
+	inCycle := map[string]bool{}
+	walk := map[string]string{} // model to the start of the walk that reached it first
+	for start := range models {
+		m := models[start]
+		for m != nil {
+			if _, reached := walk[m.Name]; reached {
+				break
 			}
-			return
+			walk[m.Name] = start
+			m = models[m.Fallback]
+		}
+		// The walk ended in a model of its own: the rest of it is a cycle.
+		for m != nil && walk[m.Name] == start && !inCycle[m.Name] {
+			inCycle[m.Name] = true
+			m = models[m.Fallback]
 		}
-		seen[next.Name] = true
 	}
+	return inCycle
 }
 
 func (c *checker) caller(section string, o *Caller) {
-	c.references(section, "ranks", "rank", slices.Sorted(maps.Keys(c.set.Ranks)), o.Ranks...)
+	c.references(section, "ranks", "a rank", c.ranks, o.Ranks...)
 	if o.DefaultRank != "" && !slices.Contains(o.Ranks, o.DefaultRank) {
 		c.report(section, "default_rank", fmt.Sprintf("%q is not one of the caller's ranks", o.DefaultRank), strings.Join(o.Ranks, ", "), "name one of them or extend ranks")
 	}
-	c.references(section, "models", "model", c.modelNames(), o.Models...)
-	c.references(section, "services", "upstream of kind service", c.serviceNames(), o.Services...)
+	c.references(section, "models", "a model", c.models, o.Models...)
+	c.references(section, "services", "an upstream of kind service", c.services, o.Services...)
 }
 
 // keys reports callers with the same key: a request could not be attributed.
@@ -123,7 +191,7 @@
 }
 
 func (c *checker) upstream(section string, u *Upstream) {
-	c.references(section, "models", "model", c.modelNames(), u.Models...)
+	c.references(section, "models", "a model", c.models, u.Models...)
 	if u.Kind == UpstreamEngine && len(u.Models) == 0 {
 		c.report(section, "models", "an engine upstream serves at least one model", "names of models", "list the models")
 	}
@@ -160,14 +228,15 @@
 		known[w.ID] = true
 		urls[w.URL] = w.ID
 	}
-	c.references(section, "draining", "worker of the upstream", ids, u.Draining...)
+	c.references(section, "draining", "a worker of the upstream", slices.Sorted(slices.Values(ids)), u.Draining...)
 }
 
-// references reports names that are not among the existing ones.
+// references reports names that are not among the existing ones, which are
+// sorted.
 func (c *checker) references(section, key, what string, existing []string, names ...string) {
 	for _, name := range names {
-		if !slices.Contains(existing, name) {
-			c.report(section, key, fmt.Sprintf("%q is not a %s", name, what), shortList(existing), "correct the name or add the object")
+		if _, found := slices.BinarySearch(existing, name); !found {
+			c.report(section, key, fmt.Sprintf("%q is not %s", name, what), shortList(existing), "correct the name or add the object")
 		}
 	}
 }
@@ -184,19 +253,6 @@
 	return strings.Join(names, ", ")
 }
 
-func (c *checker) modelNames() []string { return slices.Sorted(maps.Keys(c.set.Models)) }
-
-func (c *checker) serviceNames() []string {
-	var names []string
-	for name, u := range c.set.Upstreams {
-		if u.Kind == UpstreamService {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
 func validBaseURL(text string) bool {
 	u, err := url.Parse(text)
 	if err != nil || u.Scheme != "http" && u.Scheme != "https" {
--- a/objects/objects_test.go
+++ b/objects/objects_test.go
@@ -75,10 +75,11 @@
 		{"key twice", "floor = 0.3", "floor = 0.3\nfloor = 0.4", "rank.urgent floor: the key appears 2 times"},
 		{"section twice", "[rank.bulk]", "[rank.urgent]\npriority = 4\n[rank.bulk]", "rank.urgent : the section appears twice"},
 		{"fallback cycle", "weights = rota-8b/v2", "weights = rota-8b/v2\nfallback = m3", "model.m2 fallback: the fallbacks form a cycle"},
+		{"fallback on itself", "weights = rota-8b/v2", "weights = rota-8b/v2\nfallback = m2", "model.m2 fallback: the fallbacks form a cycle"},
 		{"unknown fallback", "fallback = m2", "fallback = m9", "model.m3 fallback: \"m9\" is not a model"},
 		{"unknown rank", "ranks = urgent, bulk", "ranks = urgent, slow", "caller.clerks ranks: \"slow\" is not a rank"},
 		{"default rank not allowed", "default_rank = bulk", "default_rank = slow", "caller.clerks default_rank: \"slow\" is not one"},
-		{"engine as service", "services = desk", "services = pool", "caller.clerks services: \"pool\" is not a upstream of kind service"},
+		{"engine as service", "services = desk", "services = pool", "caller.clerks services: \"pool\" is not an upstream of kind service"},
 		{"bad key digest", "key_sha256 = 0011", "key_sha256 = ZZ11", "caller.clerks key_sha256: \"ZZ11"},
 		{"duplicate worker", "worker = e2 ", "worker = e1 ", "upstream.pool worker: worker e1 appears twice"},
 		{"host name in URL", "http://127.0.0.1:9001", "http://engine-1:9001", "upstream.pool worker: \"http://engine-1:9001\""},
@@ -102,6 +103,15 @@
 		text = strings.NewReplacer("fallback = m2", "fallback = m9", "draining = e2", "draining = e7", "floor = 0.3", "flor = 1").Replace(text)
 		So(len(problemsOf(text)), ShouldEqual, 4)
 	})
+	Convey("A file of another kind does not give a report without bounds", t, func() {
+		var b strings.Builder
+		for i := range 3000 {
+			fmt.Fprintf(&b, "[rank.r%d]\npriority = 3\n", i)
+		}
+		list := problemsOf(b.String())
+		So(len(list), ShouldEqual, maxProblems+1)
+		So(list[maxProblems], ShouldContainSubstring, "1999 more problems")
+	})
 	Convey("Callers with the same key are refused", t, func() {
 		s, err := Load("", []byte(valid))
 		So(err, ShouldBeNil)
--- a/objects/parse.go
+++ b/objects/parse.go
@@ -71,8 +71,8 @@
 // *Error with every problem.
 func Parse(name string, data []byte) (*Set, error) {
 	s, problems := parse(data)
-	if len(problems) > 0 {
-		return nil, &Error{Name: name, Problems: problems}
+	if err := newError(name, problems); err != nil {
+		return nil, err
 	}
 	return s, nil
 }
@@ -92,8 +92,8 @@
 			}
 		}
 	}
-	if len(problems) > 0 {
-		return nil, &Error{Name: name, Problems: problems}
+	if err := newError(name, problems); err != nil {
+		return nil, err
 	}
 	return s, nil
 }
