Refuse incomplete chunks and bound audit rows by size

A chunk with a null object crashed the reader; it is a CorruptError now, as is an object that appears twice. Audit rows keep 32 KB of changes, since the size of a change depends on the lists in it.

--- a/publish/chunk.go
+++ b/publish/chunk.go
@@ -127,17 +127,12 @@
 		if err := json.Unmarshal(bodies[digest], &c); err != nil {
 			return nil, &CorruptError{Name: digest, Err: err}
 		}
-		for _, o := range c.Ranks {
-			s.Ranks[o.Name] = o
-		}
-		for _, o := range c.Models {
-			s.Models[o.Name] = o
-		}
-		for _, o := range c.Callers {
-			s.Callers[o.Name] = o
-		}
-		for _, o := range c.Upstreams {
-			s.Upstreams[o.Name] = o
+		complete := add(s.Ranks, c.Ranks, func(o *objects.Rank) string { return o.Name }) &&
+			add(s.Models, c.Models, func(o *objects.Model) string { return o.Name }) &&
+			add(s.Callers, c.Callers, func(o *objects.Caller) string { return o.Name }) &&
+			add(s.Upstreams, c.Upstreams, func(o *objects.Upstream) string { return o.Name })
+		if !complete {
+			return nil, &CorruptError{Name: digest, Err: errors.New("an object is missing or appears twice")}
 		}
 		workers = append(workers, c.Workers...)
 	}
@@ -151,3 +146,15 @@
 	}
 	return s, nil
 }
+
+// add puts the objects of a chunk into a set and reports whether each exists
+// and is new.
+func add[T any](all map[string]*T, some []*T, name func(*T) string) bool {
+	for _, o := range some {
+		if o == nil || all[name(o)] != nil {
+			return false
+		}
+		all[name(o)] = o
+	}
+	return true
+}
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -33,9 +33,9 @@
 	AuditPrefix = "config/audit/"
 )
 
-// maxAuditChanges bounds the changes kept in an audit row, so that the first
-// set of a large deployment fits a row. The rest is counted in Omitted.
-const maxAuditChanges = 200
+// maxAuditBytes bounds the text of the changes kept in an audit row, so that the
+// first set of a large deployment fits a row. The rest is counted in Omitted.
+const maxAuditBytes = 32 << 10
 
 // commitAttempts bounds the commits of one Submit. Each lost reply or lost
 // race with an own earlier attempt takes one.
@@ -55,7 +55,7 @@
 type Audit struct {
 	Revision
 	Changes []objects.Change `json:"changes"`
-	Omitted int              `json:"omitted,omitempty"` // changes beyond the first 200
+	Omitted int              `json:"omitted,omitempty"` // changes beyond 32 KB of text
 }
 
 // Submission asks for a set to be published.
@@ -192,10 +192,7 @@
 	}
 	r := Revision{s.Base + 1, Digest(manifest), s.Base, s.Token, s.Author, s.Now}
 	record := Audit{Revision: r, Changes: objects.Diff(was, s.Set)}
-	if len(record.Changes) > maxAuditChanges {
-		record.Omitted = len(record.Changes) - maxAuditChanges
-		record.Changes = record.Changes[:maxAuditChanges]
-	}
+	record.shorten()
 	if next, err = json.Marshal(r); err != nil {
 		return nil, nil, fmt.Errorf("publish: encode: %w; use a time between the years 1 and 9999", err)
 	}
@@ -205,6 +202,19 @@
 	return next, audit, nil
 }
 
+// shorten leaves out the changes beyond maxAuditBytes.
+func (a *Audit) shorten() {
+	size := 0
+	for i, c := range a.Changes {
+		size += len(c.Section) + len(c.Key) + len(c.Old) + len(c.New)
+		if size > maxAuditBytes {
+			a.Omitted = len(a.Changes) - i
+			a.Changes = a.Changes[:i]
+			return
+		}
+	}
+}
+
 // put writes the chunks that the current revision does not have, then the
 // manifest. Putting the same body again is harmless, so an uncertain put is
 // repeated once.
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -1,6 +1,8 @@
 package publish
 
 import (
+	"context"
+	"encoding/json"
 	"errors"
 	"testing"
 
@@ -115,6 +117,27 @@
 				So(other.Current().Set, ShouldResemble, &next)
 			})
 		})
+		Convey("The audit row of a large set stays within its bound", func() {
+			list, err := History(ctx, f, 1)
+			So(err, ShouldBeNil)
+			So(list[0].Omitted, ShouldEqual, 0) // 202 objects
+			next := *set
+			u := *set.Upstreams["pool"]
+			u.Workers = nil
+			for _, w := range set.Upstreams["pool"].Workers {
+				w.FailureDomain = "west-b"
+				u.Workers = append(u.Workers, w)
+			}
+			next.Upstreams = map[string]*objects.Upstream{"pool": &u}
+			_, err = p.Submit(ctx, Submission{Set: &next, Base: 1, Token: "2", Author: "a"})
+			So(err, ShouldBeNil)
+			list, err = History(ctx, f, 1)
+			So(err, ShouldBeNil)
+			So(len(list[0].Changes)+list[0].Omitted, ShouldEqual, 1100)
+			rows, err := f.Get(ctx, auditKey(2))
+			So(err, ShouldBeNil)
+			So(len(rows[0].Value), ShouldBeLessThan, 3*maxAuditBytes)
+		})
 		Convey("Corrupt and missing content is not put in force", func() {
 			_, err := v.Advance(ctx, 2, first.Manifest, corrupt{}, f.Objects())
 			var bad *CorruptError
@@ -126,3 +149,26 @@
 		})
 	})
 }
+
+// Guards against announced or stored content that crashes a router.
+func FuzzFetch(f *testing.F) {
+	f.Add([]byte(`{"ranks":[{"name":"a"},null],"workers":[{"upstream":"u","id":"w"}]}`), uint64(1))
+	f.Add([]byte(`{"upstreams":[{"name":"u"}],"workers":[{"upstream":"u","id":"w"}]}`), uint64(1))
+	f.Fuzz(func(t *testing.T, chunk []byte, revision uint64) {
+		body, _ := json.Marshal(manifest{revision, []string{Digest(chunk)}})
+		for _, top := range [][]byte{body, chunk} {
+			bodies := fixed{Digest(chunk): chunk, Digest(top): top}
+			set, _, err := Fetch(ctx, Revision{Revision: 1, Manifest: Digest(top)}, bodies)
+			if err != nil {
+				continue
+			}
+			_ = objects.Check(set) // the set need not be valid
+			objects.Format(set)
+		}
+	})
+}
+
+// fixed is a source with the given content.
+type fixed map[string][]byte
+
+func (f fixed) Get(_ context.Context, digest string) ([]byte, error) { return f[digest], nil }
