Answer unknown to submissions that were cut off

A submission that ran into the request timeout was answered with a text that the commands took for a failure, although it may have been published. The answer states the outcome unknown, and the commands repeat it with the same token. The admin API reads content from the router's own store instead of a second one. Failed polls are logged once for each outage, and revisions are logged outside the lock.

--- a/internal/cli/admin.go
+++ b/internal/cli/admin.go
@@ -123,6 +123,9 @@
 	e := &problemError{}
 	if json.Unmarshal(text, &e.body) != nil || e.body.Title == "" {
 		e.body.Title, e.body.Detail, e.body.Remedy = answer.Status, strings.TrimSpace(string(text)), "check --admin"
+		if answer.StatusCode >= http.StatusInternalServerError {
+			e.body.Outcome = core.OutcomeUnknown // an intermediary may have answered
+		}
 	}
 	code := ExitFailed
 	switch answer.StatusCode {
--- a/internal/cli/admin_test.go
+++ b/internal/cli/admin_test.go
@@ -52,7 +52,7 @@
 			&admin.Settings{Listen: "127.0.0.1:0", Key: "operators", MaxConnections: 8, RequestTimeout: 30 * time.Second}),
 		fx.Provide(node.NewLogger, core.NewReadiness, core.NewBackground, admin.NewScope, admin.NewAPI, admin.NewServer,
 			func() platform.Client { return p }, func() core.Membership { return members{} },
-			fx.Annotate(config.NewFollower, fx.As(new(core.Config)), fx.As(new(core.RevisionSink)))),
+			fx.Annotate(config.NewFollower, fx.As(new(core.Config)), fx.As(new(core.RevisionSink)), fx.As(new(core.ObjectSource)))),
 		fx.Invoke(func(_ *admin.Server, c core.Config) {
 			c.Subscribe(func(p *core.Published) { inForce <- p.Revision })
 		}))
--- a/plugins/admin/admin_test.go
+++ b/plugins/admin/admin_test.go
@@ -23,10 +23,11 @@
 
 func (noConfig) Current() *core.Published        { return nil }
 func (noConfig) Subscribe(func(*core.Published)) {}
+func (noConfig) Object(string) ([]byte, bool)    { return nil, false }
 
 func newTestAPI() (*API, http.Handler) {
 	api := NewAPI(Params{
-		Settings: &Settings{RequestTimeout: time.Minute}, Log: log.New(io.Discard), Config: noConfig{}, Scope: NewScope(),
+		Settings: &Settings{RequestTimeout: time.Minute}, Log: log.New(io.Discard), Config: noConfig{}, Objects: noConfig{}, Scope: NewScope(),
 		Client:    platformtest.New(platformtest.Options{Now: time.Now}),
 		Readiness: core.NewReadiness(), Addresses: core.NewAddresses(),
 	})
--- a/plugins/admin/api.go
+++ b/plugins/admin/api.go
@@ -34,7 +34,6 @@
 type API struct {
 	p         Params
 	publisher *publish.Publisher
-	cache     *publish.Store // content read for operators, kept between requests
 	now       func() time.Time
 }
 
@@ -45,6 +44,7 @@
 	Identity   core.Identity
 	Client     platform.Client
 	Config     core.Config
+	Objects    core.ObjectSource
 	Sink       core.RevisionSink
 	Readiness  core.Readiness
 	Addresses  *core.Addresses
@@ -55,16 +55,25 @@
 
 // NewAPI returns the API.
 func NewAPI(p Params) *API {
-	cache := publish.NewStore()
 	p.Log = p.Log.WithPrefix("admin")
 	return &API{
 		p:         p,
-		cache:     cache,
-		publisher: &publish.Publisher{Table: p.Client, Objects: p.Client.Objects(), Cache: cache},
+		publisher: &publish.Publisher{Table: p.Client, Objects: p.Client.Objects(), Cache: inForce{p.Objects}},
 		now:       time.Now,
 	}
 }
 
+// inForce gives the content that this router has in force.
+type inForce struct{ objects core.ObjectSource }
+
+// Get implements publish.Source.
+func (f inForce) Get(_ context.Context, digest string) ([]byte, error) {
+	if body, ok := f.objects.Object(digest); ok {
+		return body, nil
+	}
+	return nil, &platform.NotFoundError{Name: digest}
+}
+
 // routes returns the handler of all paths.
 func (a *API) routes(key string) http.Handler {
 	r := mux.NewRouter()
@@ -80,7 +89,19 @@
 	v1.HandleFunc("/status", handle(a.status)).Methods(http.MethodGet)
 	v1.HandleFunc("/audit", handle(a.audit)).Methods(http.MethodGet)
 	v1.HandleFunc("/drain", handle(a.drain)).Methods(http.MethodPost)
-	return http.TimeoutHandler(r, a.p.Settings.RequestTimeout, "request took too long\n")
+	return http.TimeoutHandler(r, a.p.Settings.RequestTimeout, timeoutBody(a.p.Settings.RequestTimeout))
+}
+
+// timeoutBody is the answer to a request that was cut off. A submission may
+// have been published by then.
+func timeoutBody(limit time.Duration) string {
+	p := core.NewProblem(core.KindPlatformUnavailable, "the request took more than %s", limit)
+	p.Outcome = core.OutcomeUnknown
+	text, err := json.Marshal(adminapi.ProblemBody{ProblemJSON: p.JSON("")})
+	if err != nil {
+		return p.Error()
+	}
+	return string(text)
 }
 
 // none is the body of requests without one.
--- a/plugins/admin/sets.go
+++ b/plugins/admin/sets.go
@@ -75,14 +75,7 @@
 	if err != nil || r.Revision == 0 {
 		return r, objects.NewSet(), err
 	}
-	if _, err := a.cache.Advance(ctx, r.Revision, r.Manifest, a.p.Client.Objects()); err != nil {
-		return r, nil, err
-	}
-	// A concurrent request may have moved the cache beyond r already.
-	if c := a.cache.Current(); c.Revision == r.Revision {
-		return r, c.Set, nil
-	}
-	set, _, err := publish.Fetch(ctx, r, a.cache, a.p.Client.Objects())
+	set, _, err := publish.Fetch(ctx, r, a.publisher.Cache, a.publisher.Objects)
 	return r, set, err
 }
 
--- a/plugins/config/follower.go
+++ b/plugins/config/follower.go
@@ -38,6 +38,7 @@
 	now      func() time.Time
 	store    *publish.Store
 	current  atomic.Pointer[core.Published]
+	failing  atomic.Bool // the last poll failed; logged once
 
 	peersMu sync.Mutex // level 90
 	peers   core.ObjectFetcher
@@ -167,10 +168,15 @@
 	cancel()
 	if err != nil {
 		f.metrics.pollErrors.Inc(1)
-		f.log.Warn("poll failed", "err", err)
+		if !f.failing.Swap(true) {
+			f.log.Warn("poll failed", "err", err)
+		}
 		f.unready("no revision reached yet: " + err.Error())
 		return
 	}
+	if f.failing.Swap(false) {
+		f.log.Info("poll succeeded again")
+	}
 	if newest.Revision == 0 {
 		f.unready("no configuration has been published yet")
 		return
@@ -199,6 +205,7 @@
 	if applied != nil {
 		f.metrics.applied.Inc(1)
 		f.notify()
+		f.log.Info("revision in force", "revision", applied.Revision)
 	}
 }
 
@@ -215,7 +222,6 @@
 	f.notified = p
 	f.current.Store(p)
 	f.metrics.revision.Update(float64(p.Revision))
-	f.log.Info("revision in force", "revision", p.Revision)
 	for _, fn := range f.subscribers {
 		fn(p)
 	}
