--- a/plugins/admin/api.go
+++ b/plugins/admin/api.go
@@ -56,6 +56,7 @@
 // NewAPI returns the API.
 func NewAPI(p Params) *API {
 	cache := publish.NewStore()
+	p.Log = p.Log.WithPrefix("admin")
 	return &API{
 		p:         p,
 		cache:     cache,
