Ask the second choice before waiting for the first

Cause: a request waited in the queue of its first choice's holder while the second choice had room, since each holder decides for its own workers only.

Change: dispatch asks for the first choice and then the second without waiting, and only then queues. A holder that expects no slot in time leads to the other domains while time is left.

--- a/plugins/dispatch/chat_test.go
+++ b/plugins/dispatch/chat_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -29,16 +30,18 @@
 		late    int                            // grants that come too late
 		problem string
 		grants  int
-		other   bool // served by the other failure domain
+		worker  string // first, second or other domain; empty for any
 	}{
-		{"the first choice", func(int, bool) reason { return "" }, 0, "", 1, false},
-		{"the second choice when the first has no holder", func(_ int, first bool) reason { return map[bool]reason{true: core.SlotNoHolder}[first] }, 0, "", 1, false},
-		{"another domain when the queue is full", func(n int, _ bool) reason { return map[int]reason{1: core.SlotQueueFull}[n] }, 0, "", 1, true},
-		{"nothing when all queues are full", func(int, bool) reason { return core.SlotQueueFull }, 0, "overloaded not_run", 0, false},
-		{"nothing when the wait is over", func(int, bool) reason { return core.SlotExpired }, 0, "overloaded not_run", 0, false},
-		{"a worker whose holder is replaced meanwhile", func(n int, _ bool) reason { return map[bool]reason{true: core.SlotNoHolder}[n < 200] }, 0, "", 1, false},
-		{"nothing when no holder comes", func(int, bool) reason { return core.SlotUnanswered }, 0, "upstream_unavailable not_run", 0, false},
-		{"a new slot when the first one came too late", func(int, bool) reason { return "" }, 1, "", 2, false},
+		{"the first choice", func(int, bool) reason { return "" }, 0, "", 1, "first"},
+		{"the second choice when the first has no holder", func(_ int, first bool) reason { return map[bool]reason{true: core.SlotNoHolder}[first] }, 0, "", 1, "second"},
+		{"the second choice when the first has no room", func(n int, _ bool) reason { return map[int]reason{1: core.SlotExpired}[n] }, 0, "", 1, "second"},
+		{"the first choice when both had no room and it comes first", func(n int, _ bool) reason { return map[bool]reason{true: core.SlotExpired}[n < 3] }, 0, "", 1, "first"},
+		{"another domain when the queue is full", func(n int, _ bool) reason { return map[bool]reason{true: core.SlotQueueFull}[n < 4] }, 0, "", 1, "other domain"},
+		{"nothing when all queues are full", func(int, bool) reason { return core.SlotQueueFull }, 0, "overloaded not_run", 0, ""},
+		{"nothing when the wait is over", func(int, bool) reason { return core.SlotExpired }, 0, "overloaded not_run", 0, ""},
+		{"a worker whose holder is replaced meanwhile", func(n int, _ bool) reason { return map[bool]reason{true: core.SlotNoHolder}[n < 200] }, 0, "", 1, ""},
+		{"nothing when no holder comes", func(int, bool) reason { return core.SlotUnanswered }, 0, "upstream_unavailable not_run", 0, ""},
+		{"a new slot when the first one came too late", func(int, bool) reason { return "" }, 1, "", 2, "first"},
 	} {
 		inBubble(t, "A chat gets "+c.desc, func(t *testing.T) {
 			b := newBench()
@@ -62,7 +65,9 @@
 			if c.problem == "" {
 				So(sink.text.String(), ShouldEqual, wholeAnswer(5))
 				So(len(b.engines.connections), ShouldEqual, 1)
-				So(strings.Contains("w1 w3 w5 w7 w9 w11 w13 w15 w17 w19", b.engines.connections[0].Worker), ShouldEqual, c.other)
+				place := map[string]string{workers[0]: "first", workers[1]: "second"}
+				got := cmp.Or(place[b.engines.connections[0].Worker], "other domain")
+				So(got, ShouldEqual, cmp.Or(c.worker, got))
 			}
 		})
 	}
@@ -141,7 +146,13 @@
 	inBubble(t, "A chat that failed on a worker does not leave the choice to the holder", func(t *testing.T) {
 		b := newBench()
 		var anyWorker []bool
-		b.slots.grant = func(r core.SlotRequest, _ *core.Slot) error { anyWorker = append(anyWorker, r.AnyWorker); return nil }
+		b.slots.grant = func(r core.SlotRequest, _ *core.Slot) error {
+			if r.Wait == 0 {
+				return refusal(core.SlotExpired)
+			}
+			anyWorker = append(anyWorker, r.AnyWorker)
+			return nil
+		}
 		b.engines.fault = func(n int, _ core.Attempt) streamFault {
 			return streamFault{refuse: map[int]error{1: failure(core.OutcomeNotRun, 0)}[n]}
 		}
--- a/plugins/dispatch/dispatch.go
+++ b/plugins/dispatch/dispatch.go
@@ -174,34 +174,19 @@
 
 // acquire asks for a slot along the plan. Moving on after a holder's refusal
 // sends nothing to a worker and is bounded by the plan, so it needs no budget.
-// The error is the
-// most telling of those on the way.
+// The error is the most telling of those on the way.
 func (j *job) acquire(ctx context.Context, id string) (core.Slot, error) {
 	begin := time.Now()
 	var first error
 	for {
-		now := time.Now()
-		from, workers := j.plan.next(now)
+		from, workers := j.plan.next(time.Now())
 		if from == nil {
 			if first == nil {
 				first = errNoWorker
 			}
 			return core.Slot{}, first
 		}
-		slot, err := j.d.slots.Acquire(ctx, core.SlotRequest{
-			Attempt:  id,
-			Upstream: from.upstream.Name,
-			Workers:  workers,
-			// A worker that has just failed is idle, so that a holder without
-			// knowledge of it would choose it again.
-			AnyWorker:  len(j.failed) == 0,
-			Caller:     j.caller.Name,
-			Weight:     j.caller.Weight,
-			Workspace:  j.space,
-			Rank:       j.rank.Name,
-			CostTokens: j.cost,
-			Wait:       max(j.waitUntil.Sub(now), 0),
-		})
+		slot, err := j.ask(ctx, id, from, workers)
 		if err == nil {
 			j.d.metrics.slotWait.RecordDuration(time.Since(begin))
 			return slot, nil
@@ -216,6 +201,39 @@
 	}
 }
 
+// ask asks for a slot of the first choice, then of the second, which may have
+// another holder, and only then waits in the queue of the first one's holder: a
+// first choice at its bound must not hold back a request for which the second
+// has room.
+func (j *job) ask(ctx context.Context, id string, from *pool, workers []string) (core.Slot, error) {
+	r := core.SlotRequest{
+		Attempt:    id,
+		Upstream:   from.upstream.Name,
+		Workers:    workers,
+		Caller:     j.caller.Name,
+		Weight:     j.caller.Weight,
+		Workspace:  j.space,
+		Rank:       j.rank.Name,
+		CostTokens: j.cost,
+	}
+	if len(workers) > 1 {
+		slot, err := j.d.slots.Acquire(ctx, r)
+		if err == nil || !isOverload(err) || ctx.Err() != nil {
+			return slot, err
+		}
+		r.Workers = []string{workers[1], workers[0]}
+		if slot, err := j.d.slots.Acquire(ctx, r); err == nil {
+			return slot, nil
+		}
+		r.Workers = workers
+	}
+	// A worker that has just failed is idle, so that a holder without knowledge
+	// of it would choose it again.
+	r.AnyWorker = len(j.failed) == 0
+	r.Wait = max(time.Until(j.waitUntil), 0)
+	return j.d.slots.Acquire(ctx, r)
+}
+
 // errNoWorker says that no worker is left to try.
 var errNoWorker = errors.New("no worker is open for the request")
 
@@ -227,10 +245,11 @@
 		return false
 	}
 	switch refused.Reason {
-	case core.SlotExpired:
-		return false // the whole wait is used up
-	case core.SlotQueueFull:
+	case core.SlotExpired, core.SlotQueueFull:
+		// Expired before the end of the wait means that the holder expects
+		// no slot in time.
 		j.plan.leave()
+		return time.Now().Before(j.waitUntil)
 	default:
 		// The first choice has no holder that grants; the second choice may
 		// have another one.
