Attach load sums to slot requests and releases

Cause: a holder learned the load of the other holders once a second from the exchange of views. In a small pool the load changes by half in that time, and the bound kept requests waiting beside free slots. Ruled out: a shorter exchange interval, since its cost grows with the domain and not with the traffic.

--- a/plugins/peer/acquire.go
+++ b/plugins/peer/acquire.go
@@ -165,7 +165,11 @@
 	}
 	call, cancel := context.WithTimeout(ctx, time.Duration(r.GetWaitMs())*time.Millisecond+answerGrace)
 	defer cancel()
+	r.Sums = p.ownSums(r.GetUpstream())
 	reply, err := client.Acquire(call, r)
+	if err == nil {
+		p.observeSums(router, r.GetUpstream(), reply.GetSums())
+	}
 	if err != nil {
 		p.log.Debug("no answer to a slot request", "holder", router, "upstream", r.GetUpstream(), "err", err)
 		p.giveBack(router, core.Slot{Attempt: r.GetAttempt(), Upstream: r.GetUpstream(), Worker: firstOf(r.GetWorkers()), Until: p.now().Add(answerGrace)}, -1)
--- a/plugins/peer/peer.go
+++ b/plugins/peer/peer.go
@@ -52,6 +52,7 @@
 
 	releases releases
 	using    using
+	fresh    freshSums
 }
 
 // workerKey names a worker of an upstream.
@@ -72,6 +73,7 @@
 	peer.conns = newConns(p.Settings)
 	peer.releases.init()
 	peer.using.init()
+	peer.fresh.init()
 	return peer
 }
 
--- a/plugins/peer/pool.go
+++ b/plugins/peer/pool.go
@@ -221,18 +221,21 @@
 	}
 }
 
-// otherLoads sums up what the other routers of the domain hold.
+// otherLoads sums up what the other routers of the domain hold. Sums that came
+// with a call count while they are fresher than the exchange of views.
 func (p *Peer) otherLoads() map[string]sums {
 	p.viewMu.Lock()
 	defer p.viewMu.Unlock()
+	now := p.now()
 	out := map[string]sums{}
-	for _, m := range p.view.Members(p.now()) {
+	for _, m := range p.view.Members(now) {
 		if m.Router == p.id.Router || m.Domain != p.id.FailureDomain || m.State == membership.Gone {
 			continue
 		}
 		for _, l := range m.Pools {
 			s := out[l.Upstream]
-			out[l.Upstream] = sums{s.workers + int(l.Workers), s.inFlight + int(l.InFlight)}
+			load := p.fresh.of(now, m.Router, l.Upstream, sums{int(l.Workers), int(l.InFlight)}, p.s.Exchange)
+			out[l.Upstream] = sums{s.workers + load.workers, s.inFlight + load.inFlight}
 		}
 	}
 	return out
--- a/plugins/peer/release.go
+++ b/plugins/peer/release.go
@@ -119,6 +119,7 @@
 // retryReleases repeats the releases that have not been confirmed.
 func (p *Peer) retryReleases(context.Context) {
 	now := p.now()
+	p.fresh.prune(now, p.s.Exchange)
 	var due []*release
 	p.releases.mu.Lock()
 	for id, r := range p.releases.open {
@@ -174,7 +175,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.s.CallTimeout)
 	defer cancel()
-	reply, err := client.Release(ctx, &peerpb.ReleaseRequest{Attempt: s.Attempt, Upstream: s.Upstream, Worker: s.Worker, CostTokens: r.cost})
+	reply, err := client.Release(ctx, &peerpb.ReleaseRequest{
+		Attempt: s.Attempt, Upstream: s.Upstream, Worker: s.Worker, CostTokens: r.cost,
+		Router: p.id.Router, Sums: p.ownSums(s.Upstream),
+	})
+	if err == nil {
+		p.observeSums(router, s.Upstream, reply.GetSums())
+	}
 	switch {
 	case err != nil:
 		return false, present
--- a/plugins/peer/service.go
+++ b/plugins/peer/service.go
@@ -38,13 +38,17 @@
 	if r.GetAttempt() == "" || len(r.GetWorkers()) == 0 {
 		return nil, status.Error(codes.InvalidArgument, "peer: a slot request needs an attempt and at least one worker")
 	}
-	return s.p.grant(ctx, r), nil
+	s.p.observeSums(r.GetRouter(), r.GetUpstream(), r.GetSums())
+	reply := s.p.grant(ctx, r)
+	reply.Sums = s.p.ownSums(r.GetUpstream())
+	return reply, nil
 }
 
 // Release takes a slot back.
 func (s *service) Release(_ context.Context, r *peerpb.ReleaseRequest) (*peerpb.ReleaseReply, error) {
+	s.p.observeSums(r.GetRouter(), r.GetUpstream(), r.GetSums())
 	if s.p.releaseHere(r.GetUpstream(), r.GetWorker(), r.GetAttempt(), r.GetCostTokens()) {
-		return &peerpb.ReleaseReply{}, nil
+		return &peerpb.ReleaseReply{Sums: s.p.ownSums(r.GetUpstream())}, nil
 	}
 	_, _, hint := s.p.poolFor(&peerpb.AcquireRequest{Upstream: r.GetUpstream(), Workers: []string{r.GetWorker()}})
 	return &peerpb.ReleaseReply{NotHolder: true, Holder: hint}, nil
