--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -172,3 +172,34 @@
 type fixed map[string][]byte
 
 func (f fixed) Get(_ context.Context, digest string) ([]byte, error) { return f[digest], nil }
+
+// BenchmarkAdvance measures what one changed worker of 1,100 costs a router.
+func BenchmarkAdvance(b *testing.B) {
+	f := newPlatform()
+	set := largeSet()
+	p := publisher(f)
+	first, err := p.Submit(ctx, Submission{Set: set, Token: "1", Author: "a"})
+	if err != nil {
+		b.Fatal(err)
+	}
+	next := *set
+	u := *set.Upstreams["pool"]
+	u.Workers = u.Workers[:1099]
+	next.Upstreams = map[string]*objects.Upstream{"pool": &u}
+	second, err := p.Submit(ctx, Submission{Set: &next, Base: 1, Token: "2", Author: "a"})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		b.StopTimer()
+		v := NewStore()
+		if _, err := v.Advance(ctx, first.Revision, first.Manifest, f.Objects()); err != nil {
+			b.Fatal(err)
+		}
+		b.StartTimer()
+		if _, err := v.Advance(ctx, second.Revision, second.Manifest, v, f.Objects()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
