Close a worker that shows no sign of life

Cause: a paused engine accepts connections and answers nothing. The holder went on granting its slots, so requests waited for their stall time-out of 15 s.

Change: three load reports in a row that do not come, without a request that ends on the worker in between, close it until a report comes. The second condition keeps a flood that delays the reports of a whole pool from closing it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -133,6 +133,9 @@
 type HealthReports interface {
 	// WorkerLoad passes on a worker's load report.
 	WorkerLoad(upstream, worker string, l LoadReport)
+	// WorkerUnanswered says that a worker did not answer when asked for its
+	// load report.
+	WorkerUnanswered(upstream, worker string)
 	// WorkerEjected opens or closes a worker for new work.
 	WorkerEjected(upstream, worker string, ejected bool)
 }
--- a/plugins/peer/leases.go
+++ b/plugins/peer/leases.go
@@ -43,6 +43,9 @@
 	// A report from the worker or its users.
 	leaving, ejected bool
 	limit            int // of the last load report, 0 when none
+	// missed counts the load reports in a row that did not come, without a
+	// request that ended on the worker in between.
+	missed int
 
 	better      string // a better holder and since when it is known
 	betterSince time.Time
@@ -167,9 +170,19 @@
 	if u == nil || u.IsDraining(l.key.worker) {
 		return false
 	}
-	return l.held && l.counted && !l.leaving && !l.ejected && l.lease.MayGrant(now)
+	return l.held && l.counted && !l.leaving && !l.ejected && !l.silent() && l.lease.MayGrant(now)
 }
 
+// silentAfter is the number of load reports in a row whose absence closes a
+// worker. A paused worker accepts connections, so requests sent to it would
+// wait for their stall time-out.
+const silentAfter = 3
+
+// silent reports whether the worker shows no sign of life. A worker on which
+// requests end is alive however late its reports are: a flood that delays the
+// reports of a whole pool must not close it.
+func (l *slotLease) silent() bool { return l.missed >= silentAfter }
+
 // maxInFlight is the worker's limit. The caller holds leaseMu.
 func (p *Peer) maxInFlight(l *slotLease) int {
 	limit := 0
--- a/plugins/peer/query.go
+++ b/plugins/peer/query.go
@@ -98,12 +98,25 @@
 // WorkerLoad implements core.HealthReports.
 func (p *Peer) WorkerLoad(upstream, worker string, report core.LoadReport) {
 	p.health(workerKey{upstream, worker}, func(l *slotLease) bool {
-		changed := l.leaving != report.Leaving || l.limit != report.Limit
-		l.leaving, l.limit = report.Leaving, report.Limit
+		changed := l.leaving != report.Leaving || l.limit != report.Limit || l.silent()
+		l.leaving, l.limit, l.missed = report.Leaving, report.Limit, 0
 		return changed
 	})
 }
 
+// WorkerUnanswered implements core.HealthReports.
+func (p *Peer) WorkerUnanswered(upstream, worker string) {
+	p.health(workerKey{upstream, worker}, func(l *slotLease) bool {
+		l.missed++
+		if l.missed != silentAfter {
+			return false
+		}
+		p.log.Warn("worker does not answer, no new work", "upstream", upstream, "worker", worker)
+		p.scope.Counter("workers_silent").Inc(1)
+		return true
+	})
+}
+
 // WorkerEjected implements core.HealthReports.
 func (p *Peer) WorkerEjected(upstream, worker string, ejected bool) {
 	p.health(workerKey{upstream, worker}, func(l *slotLease) bool {
--- a/plugins/peer/release.go
+++ b/plugins/peer/release.go
@@ -108,6 +108,9 @@
 	l := p.leases[workerKey{upstream, worker}]
 	pl := p.pools[upstream]
 	ready := l != nil && l.held && l.counted
+	if ready && costTokens > 0 {
+		l.missed = 0
+	}
 	p.leaseMu.Unlock()
 	if !ready || pl == nil {
 		return false
--- /dev/null
+++ b/plugins/peer/silent_test.go
@@ -0,0 +1,43 @@
+package peer
+
+import (
+	"context"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/auburnlead/auburnlead/internal/core"
+)
+
+// Guards against requests that are sent to a paused worker and wait for their
+// stall time-out, and against late reports that close a worker which serves.
+func TestSilentWorker(t *testing.T) {
+	Convey("A worker without reports and without requests that end gets no new work", t, func() {
+		f := newFleet(t, poolSet(2, 2))
+		r := f.start("a", "d1")
+		eventually(func() bool { return eachHeldOnce(2, r) })
+		ctx := context.Background()
+		miss := func(times int) {
+			for range times {
+				r.WorkerUnanswered("pool", "w0")
+			}
+		}
+		miss(silentAfter - 1)
+		slot, err := r.Acquire(ctx, request("one", 0, "w0"))
+		So(err, ShouldBeNil)
+		r.Release(slot, 10)
+		miss(silentAfter - 1)
+		slot, err = r.Acquire(ctx, request("two", 0, "w0"))
+		So(err, ShouldBeNil)
+		r.Release(slot, 0)
+		miss(1)
+		_, err = r.Acquire(ctx, request("three", 0, "w0"))
+		So(err, ShouldNotBeNil)
+		other, err := r.Acquire(ctx, request("four", 0, "w1"))
+		So(err, ShouldBeNil)
+		r.Release(other, 1)
+		r.WorkerLoad("pool", "w0", core.LoadReport{Limit: 2})
+		_, err = r.Acquire(ctx, request("five", 0, "w0"))
+		So(err, ShouldBeNil)
+	})
+}
--- a/plugins/upstream/load.go
+++ b/plugins/upstream/load.go
@@ -97,6 +97,7 @@
 				report, err := c.Load(ctx, name, w.ID)
 				if err != nil {
 					c.log.Debug("no load report", "upstream", name, "worker", w.ID, "error", err)
+					health.WorkerUnanswered(name, w.ID)
 					return
 				}
 				health.WorkerLoad(name, w.ID, report)
