Close workers that do not answer their polls

Cause: a worker that had died stayed open at its holder. The ejection limit of 30% allows none in a pool of three, and a worker on which nothing runs keeps the mean load, and with it the bound of the other workers, near zero.

Change: the poll reports a worker as leaving when it refuses connections, or does not answer twice in a row, until it answers again; workers that do not report load are checked for whether they accept connections.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -131,7 +131,8 @@
 // HealthReports lets plugins/upstream and plugins/dispatch tell the holder
 // loop what they learn about workers. Implemented by plugins/peer.
 type HealthReports interface {
-	// WorkerLoad passes on a worker's load report.
+	// WorkerLoad passes on a worker's load report. A worker that does not
+	// answer is reported as leaving until it does.
 	WorkerLoad(upstream, worker string, l LoadReport)
 	// WorkerEjected opens or closes a worker for new work.
 	WorkerEjected(upstream, worker string, ejected bool)
--- a/plugins/upstream/client_test.go
+++ b/plugins/upstream/client_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -287,7 +288,7 @@
 }
 
 func (l *loads) WorkerLoad(upstream, worker string, r core.LoadReport) {
-	l.got <- fmt.Sprintf("%s/%s %d %v", upstream, worker, r.Running, r.Leaving)
+	l.got <- fmt.Sprintf("%s/%s %d %d %v", upstream, worker, r.Running, r.Limit, r.Leaving)
 }
 
 type selective struct{ *loads }
@@ -295,23 +296,44 @@
 func (s selective) WantsLoad(_, worker string) bool { return worker == s.wanted }
 
 // Guards against polls of workers that another router polls, which would
-// multiply control traffic, and against reports that get lost.
-func TestPollLoads(t *testing.T) {
-	Convey("Load reports are read from wanted workers of upstreams that report", t, func() {
+// multiply control traffic, and against dead workers that count as open.
+func TestPolls(t *testing.T) {
+	Convey("Workers are polled", t, func() {
+		refuse := false
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			_, _ = io.WriteString(w, `{"running":3,"leaving":true}`)
+			if refuse {
+				w.WriteHeader(500)
+				return
+			}
+			_, _ = io.WriteString(w, `{"running":3,"limit":9}`)
 		}))
 		Reset(server.Close)
-		client := newClient(server.URL)
 		l := &loads{got: make(chan string, 9), wanted: "w2"}
+		s := &sights{client: newClient(server.URL), health: l, domain: "a", seen: map[[2]string]sight{}}
+		poll := func() (got []string) {
+			s.poll(context.Background(), published(server.URL))
+			for len(l.got) > 0 {
+				got = append(got, <-l.got)
+			}
+			slices.Sort(got)
+			return got
+		}
 		Convey("as the holder says", func() {
-			client.pollLoads(context.Background(), published(server.URL), "a", selective{l})
-			So(<-l.got, ShouldEqual, "pool/w2 3 true")
+			s.health = selective{l}
+			So(poll(), ShouldResemble, []string{"pool/w2 3 9 false", "quiet/w2 0 0 false"})
+		})
+		Convey("or in the own failure domain, and those that refuse connections are closed at once", func() {
+			So(poll(), ShouldResemble, []string{"pool/w1 3 9 false", "quiet/w1 0 0 false"})
+			server.Close()
+			So(poll(), ShouldResemble, []string{"pool/w1 3 9 true", "quiet/w1 0 0 true"})
 		})
-		Convey("or of the own failure domain", func() {
-			client.pollLoads(context.Background(), published(server.URL), "a", l)
-			So(<-l.got, ShouldEqual, "pool/w1 3 true")
+		Convey("and closed after two reports that failed, until the next good one", func() {
+			_ = poll()
+			refuse = true
+			So(poll(), ShouldResemble, []string{"quiet/w1 0 0 false"})
+			So(poll(), ShouldResemble, []string{"pool/w1 3 9 true", "quiet/w1 0 0 false"})
+			refuse = false
+			So(poll(), ShouldResemble, []string{"pool/w1 3 9 false", "quiet/w1 0 0 false"})
 		})
-		So(len(l.got), ShouldEqual, 0)
 	})
 }
