--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -134,8 +134,8 @@
 	// WorkerLoad passes on a worker's load report.
 	WorkerLoad(upstream, worker string, l LoadReport)
 	// WorkerUnanswered says that a worker did not answer when asked for its
-	// load report.
-	WorkerUnanswered(upstream, worker string)
+	// load report. refused says that nothing listens at its address.
+	WorkerUnanswered(upstream, worker string, refused bool)
 	// WorkerEjected opens or closes a worker for new work.
 	WorkerEjected(upstream, worker string, ejected bool)
 }
--- a/plugins/peer/query.go
+++ b/plugins/peer/query.go
@@ -104,11 +104,16 @@
 	})
 }
 
-// WorkerUnanswered implements core.HealthReports.
-func (p *Peer) WorkerUnanswered(upstream, worker string) {
+// WorkerUnanswered implements core.HealthReports. A worker whose address
+// refuses connections is closed at once.
+func (p *Peer) WorkerUnanswered(upstream, worker string, refused bool) {
 	p.health(workerKey{upstream, worker}, func(l *slotLease) bool {
+		before := l.silent()
 		l.missed++
-		if l.missed != silentAfter {
+		if refused {
+			l.missed = max(l.missed, silentAfter)
+		}
+		if before || !l.silent() {
 			return false
 		}
 		p.log.Warn("worker does not answer, no new work", "upstream", upstream, "worker", worker)
--- a/plugins/peer/silent_test.go
+++ b/plugins/peer/silent_test.go
@@ -19,7 +19,7 @@
 		ctx := context.Background()
 		miss := func(times int) {
 			for range times {
-				r.WorkerUnanswered("pool", "w0")
+				r.WorkerUnanswered("pool", "w0", false)
 			}
 		}
 		miss(silentAfter - 1)
@@ -37,7 +37,11 @@
 		So(err, ShouldBeNil)
 		r.Release(other, 1)
 		r.WorkerLoad("pool", "w0", core.LoadReport{Limit: 2})
-		_, err = r.Acquire(ctx, request("five", 0, "w0"))
+		slot, err = r.Acquire(ctx, request("five", 0, "w0"))
 		So(err, ShouldBeNil)
+		r.Release(slot, 10)
+		r.WorkerUnanswered("pool", "w0", true)
+		_, err = r.Acquire(ctx, request("six", 0, "w0"))
+		So(err, ShouldNotBeNil)
 	})
 }
