--- /dev/null
+++ b/objects/check.go
@@ -0,0 +1,264 @@
+package objects
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+)
+
+// Check verifies the ranges of all values and the references between objects.
+// Errors: *Error with every problem.
+func Check(s *Set) error {
+	return newError("", check(s))
+}
+
+// newError returns nil without problems, and leaves out those beyond the most.
+func newError(name string, problems []Problem) error {
+	if len(problems) == 0 {
+		return nil
+	}
+	if more := len(problems) - maxProblems; more > 0 {
+		problems = append(problems[:maxProblems:maxProblems], Problem{Detail: fmt.Sprintf("%d more problems", more), Remedy: "correct the ones above first"})
+	}
+	return &Error{Name: name, Problems: problems}
+}
+
+// maxProblems bounds the problems of a report, so that the report on a large
+// file of another kind stays readable.
+const maxProblems = 1000
+
+// checker collects the problems of one set. All checks take time in proportion
+// to the set's size, since its text has up to MaxBytes.
+type checker struct {
+	set      *Set
+	ranks    []string // names, sorted
+	models   []string
+	services []string
+	cyclic   map[string]bool // models whose fallbacks form a cycle
+	problems []Problem
+}
+
+func check(s *Set) []Problem {
+	missing := missingObjects(nil, KindRank, s.Ranks)
+	missing = missingObjects(missing, KindModel, s.Models)
+	missing = missingObjects(missing, KindCaller, s.Callers)
+	if missing = missingObjects(missing, KindUpstream, s.Upstreams); len(missing) > 0 {
+		return missing
+	}
+	c := &checker{set: s, ranks: slices.Sorted(maps.Keys(s.Ranks)), models: slices.Sorted(maps.Keys(s.Models)), cyclic: cyclic(s.Models)}
+	for _, name := range slices.Sorted(maps.Keys(s.Upstreams)) {
+		if s.Upstreams[name].Kind == UpstreamService {
+			c.services = append(c.services, name)
+		}
+	}
+	checkKind(c, KindRank, rankFields, s.Ranks, func(string, *Rank) {})
+	c.rankRules()
+	checkKind(c, KindModel, modelFields, s.Models, c.model)
+	checkKind(c, KindCaller, callerFields, s.Callers, c.caller)
+	c.keys()
+	checkKind(c, KindUpstream, upstreamFields, s.Upstreams, c.upstream)
+	return c.problems
+}
+
+// missingObjects reports names without an object, which a decoded set can have.
+func missingObjects[T any](problems []Problem, kind Kind, all map[string]*T) []Problem {
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		if all[name] == nil {
+			problems = append(problems, Problem{Section: string(kind) + "." + name, Detail: "the object is missing", Remedy: "remove the name or add the object"})
+		}
+	}
+	return problems
+}
+
+func (c *checker) report(section, key, detail, allowed, remedy string) {
+	c.problems = append(c.problems, Problem{section, key, detail, allowed, remedy})
+}
+
+// checkKind checks each object of a kind by its fields and by the function.
+func checkKind[T any](c *checker, kind Kind, fields []field[T], all map[string]*T, each func(section string, o *T)) {
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		section := string(kind) + "." + name
+		if !validName(name) {
+			c.report(section, "", fmt.Sprintf("%q is not a valid name", name), nameAllowed, "rename the object")
+		}
+		if named := nameOf(all[name]); named != name {
+			c.report(section, "", fmt.Sprintf("the object is named %q", named), "the name that it has in the set", "give it the same name")
+		}
+		for _, f := range fields {
+			if f.check == nil {
+				continue
+			}
+			if detail := f.check(all[name]); detail != "" {
+				c.report(section, f.key, detail, f.allowed, remedy(f))
+			}
+		}
+		each(section, all[name])
+	}
+}
+
+// rankRules checks the rules that concern all ranks together.
+func (c *checker) rankRules() {
+	if len(c.ranks) == 0 {
+		c.report("rank", "", "the set has no rank", "at least one", "add a section [rank.name]")
+	}
+	sum := 0.0
+	first := map[int]string{}
+	for _, name := range c.ranks {
+		r := c.set.Ranks[name]
+		sum += r.Floor
+		if other, taken := first[r.Priority]; taken {
+			c.report("rank."+name, "priority", fmt.Sprintf("rank %s has priority %d too", other, r.Priority), "0 to 9, each once", "give each rank its own priority")
+			continue
+		}
+		first[r.Priority] = name
+	}
+	// 1e-9 absorbs the rounding of decimal fractions such as 0.1.
+	if sum > 1+1e-9 {
+		c.report("rank", "floor", fmt.Sprintf("the floors add up to %.3g", sum), "a sum of at most 1", "lower the floor of one or more ranks")
+	}
+}
+
+// nameOf returns the name that an object carries itself.
+func nameOf(object any) string {
+	switch o := object.(type) {
+	case *Rank:
+		return o.Name
+	case *Model:
+		return o.Name
+	case *Caller:
+		return o.Name
+	case *Upstream:
+		return o.Name
+	}
+	return ""
+}
+
+func (c *checker) model(section string, m *Model) {
+	if m.Fallback != "" {
+		c.references(section, "fallback", "a model", c.models, m.Fallback)
+	}
+	if c.cyclic[m.Name] {
+		c.report(section, "fallback", "the fallbacks form a cycle", "the name of a model whose fallbacks end", "remove the fallback of one model of the cycle")
+	}
+}
+
+// cyclic returns the models that are part of a cycle of fallbacks; models that
+// only lead into one are not. Each model is visited at most three times.
+func cyclic(models map[string]*Model) map[string]bool {
+	inCycle := map[string]bool{}
+	walk := map[string]string{} // model to the start of the walk that reached it first
+	for start := range models {
+		m := models[start]
+		for m != nil {
+			if _, reached := walk[m.Name]; reached {
+				break
+			}
+			walk[m.Name] = start
+			m = models[m.Fallback]
+		}
+		// The walk ended in a model of its own: the rest of it is a cycle.
+		for m != nil && walk[m.Name] == start && !inCycle[m.Name] {
+			inCycle[m.Name] = true
+			m = models[m.Fallback]
+		}
+	}
+	return inCycle
+}
+
+func (c *checker) caller(section string, o *Caller) {
+	c.references(section, "ranks", "a rank", c.ranks, o.Ranks...)
+	if o.DefaultRank != "" && !slices.Contains(o.Ranks, o.DefaultRank) {
+		c.report(section, "default_rank", fmt.Sprintf("%q is not one of the caller's ranks", o.DefaultRank), strings.Join(o.Ranks, ", "), "name one of them or extend ranks")
+	}
+	c.references(section, "models", "a model", c.models, o.Models...)
+	c.references(section, "services", "an upstream of kind service", c.services, o.Services...)
+}
+
+// keys reports callers with the same key: a request could not be attributed.
+func (c *checker) keys() {
+	owner := map[string]string{}
+	for _, name := range slices.Sorted(maps.Keys(c.set.Callers)) {
+		key := c.set.Callers[name].KeySHA256
+		if first, taken := owner[key]; taken && key != "" {
+			c.report("caller."+name, "key_sha256", fmt.Sprintf("caller %s has the same key", first), "a digest that no other caller has", "issue a key of its own to each caller")
+			continue
+		}
+		owner[key] = name
+	}
+}
+
+func (c *checker) upstream(section string, u *Upstream) {
+	c.references(section, "models", "a model", c.models, u.Models...)
+	if u.Kind == UpstreamEngine && len(u.Models) == 0 {
+		c.report(section, "models", "an engine upstream serves at least one model", "names of models", "list the models")
+	}
+	if u.Kind == UpstreamService && len(u.Models) > 0 {
+		c.report(section, "models", "a service upstream serves no models", "no value", "remove the key or set kind = engine")
+	}
+	if u.Kind == UpstreamEngine && len(u.OnceMethods) > 0 {
+		c.report(section, "once_methods", "an engine upstream has no once_methods", "no value", "remove the key or set kind = service")
+	}
+	c.workers(section, u)
+}
+
+func (c *checker) workers(section string, u *Upstream) {
+	if len(u.Workers) == 0 {
+		c.report(section, "worker", "the upstream has no worker", "at least one", "add a line worker = ID domain URL")
+	}
+	ids := make([]string, 0, len(u.Workers))
+	known := map[string]bool{}
+	urls := map[string]string{}
+	for _, w := range u.Workers {
+		if !validName(w.ID) || !validName(w.FailureDomain) {
+			c.report(section, "worker", fmt.Sprintf("worker %q in failure domain %q has an invalid name", w.ID, w.FailureDomain), nameAllowed, "correct the ID or the failure domain")
+		}
+		if known[w.ID] {
+			c.report(section, "worker", fmt.Sprintf("worker %s appears twice", w.ID), "each ID once in an upstream", "remove or rename one of them")
+		}
+		if !validBaseURL(w.URL) {
+			c.report(section, "worker", fmt.Sprintf("%q of worker %s is not a base URL with an IP address", w.URL, w.ID), "http://IP:port or https://IP:port", "correct the URL")
+		}
+		if first, taken := urls[w.URL]; taken {
+			c.report(section, "worker", fmt.Sprintf("workers %s and %s have the same URL", first, w.ID), "each URL once in an upstream", "correct one of them")
+		}
+		ids = append(ids, w.ID)
+		known[w.ID] = true
+		urls[w.URL] = w.ID
+	}
+	c.references(section, "draining", "a worker of the upstream", slices.Sorted(slices.Values(ids)), u.Draining...)
+}
+
+// references reports names that are not among the existing ones, which are
+// sorted.
+func (c *checker) references(section, key, what string, existing []string, names ...string) {
+	for _, name := range names {
+		if _, found := slices.BinarySearch(existing, name); !found {
+			c.report(section, key, fmt.Sprintf("%q is not %s", name, what), shortList(existing), "correct the name or add the object")
+		}
+	}
+}
+
+// shortList joins names for a message; an upstream may have a thousand.
+func shortList(names []string) string {
+	const most = 20
+	if len(names) == 0 {
+		return "none exists"
+	}
+	if len(names) > most {
+		return strings.Join(names[:most], ", ") + fmt.Sprintf(" and %d more", len(names)-most)
+	}
+	return strings.Join(names, ", ")
+}
+
+func validBaseURL(text string) bool {
+	u, err := url.Parse(text)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" {
+		return false
+	}
+	a, err := netip.ParseAddrPort(u.Host)
+	plain := u.User == nil && u.RawQuery == "" && u.Fragment == "" && (u.Path == "" || u.Path == "/")
+	return err == nil && a.Port() != 0 && plain && !strings.ContainsAny(text, " #;")
+}
--- /dev/null
+++ b/publish/publish_test.go
@@ -0,0 +1,174 @@
+package publish
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/auburnlead/auburnlead/objects"
+	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/platform/platformtest"
+)
+
+// Guards against a submission that is published twice or taken for another
+// one after a lost reply, and against a lost update between two operators.
+func TestSubmit(t *testing.T) {
+	Convey("With an empty platform", t, func() {
+		f := newPlatform()
+		p := publisher(f)
+		Convey("Revisions follow one another and leave audit records", func() {
+			_, err := p.Submit(ctx, submission("a", 0))
+			So(err, ShouldBeNil)
+			r, err := p.Submit(ctx, submission("b", 1))
+			So(err, ShouldBeNil)
+			So(r.Revision, ShouldEqual, 2)
+			list, err := History(ctx, f, 10)
+			So(err, ShouldBeNil)
+			So(len(list), ShouldEqual, 2)
+			So(list[0].Author, ShouldEqual, "author-b")
+			So(list[0].Base, ShouldEqual, 1)
+			So(list[0].Changes, ShouldResemble, []objects.Change{{Op: objects.OpChanged, Section: "model.m", Key: "weights", Old: "a", New: "b"}})
+			list, err = History(ctx, f, 1)
+			So(err, ShouldBeNil)
+			So(list[0].Revision.Revision, ShouldEqual, 2)
+		})
+		Convey("The loser of a race learns the newer revision and its author", func() {
+			_, err := p.Submit(ctx, submission("a", 0))
+			So(err, ShouldBeNil)
+			_, err = p.Submit(ctx, submission("b", 0))
+			var conflict *ConflictError
+			So(errors.As(err, &conflict), ShouldBeTrue)
+			So(conflict.Newest.Revision, ShouldEqual, 1)
+			So(conflict.Newest.Author, ShouldEqual, "author-a")
+		})
+		Convey("A repeated submission is recognised, also below later revisions", func() {
+			first, err := p.Submit(ctx, submission("a", 0))
+			So(err, ShouldBeNil)
+			_, err = p.Submit(ctx, submission("b", 1))
+			So(err, ShouldBeNil)
+			again, err := p.Submit(ctx, submission("a", 0))
+			So(err, ShouldBeNil)
+			So(again, ShouldResemble, first)
+			newest, _ := Newest(ctx, f)
+			So(newest.Revision, ShouldEqual, 2)
+		})
+		Convey("An outage after a lost reply is reported as uncertain, with the token", func() {
+			p.Table = outageAfterCommit{f}
+			_, err := p.Submit(ctx, submission("a", 0))
+			var uncertain *UncertainError
+			So(errors.As(err, &uncertain), ShouldBeTrue)
+			So(uncertain.Token, ShouldEqual, "token-a")
+			f.SetFaults(platformtest.Faults{})
+			p.Table = f
+			r, err := p.Submit(ctx, submission("a", 0))
+			So(err, ShouldBeNil)
+			So(r.Revision, ShouldEqual, 1)
+		})
+		Convey("An invalid set changes nothing", func() {
+			s := submission("a", 0)
+			s.Set.Ranks["urgent"].Floor = 2
+			_, err := p.Submit(ctx, s)
+			var invalid *objects.Error
+			So(errors.As(err, &invalid), ShouldBeTrue)
+			So(f.Stats().Writes, ShouldEqual, 0)
+		})
+	})
+}
+
+// Guards against stores that go back, that take corrupt content, or that fetch
+// more than what changed.
+func TestStore(t *testing.T) {
+	Convey("With a large set published and in force", t, func() {
+		f := newPlatform()
+		p := publisher(f)
+		set := largeSet()
+		s := Submission{Set: set, Token: "1", Author: "a"}
+		first, err := p.Submit(ctx, s)
+		So(err, ShouldBeNil)
+		v := NewStore()
+		applied, err := v.Advance(ctx, first.Revision, first.Manifest, corrupt{}, f.Objects())
+		So(err, ShouldBeNil)
+		So(applied.Set, ShouldResemble, set)
+		Convey("A removed worker costs a store about 6 KB", func() {
+			next := *set
+			u := *set.Upstreams["pool"]
+			u.Workers = append(u.Workers[:500:500], u.Workers[501:]...)
+			next.Upstreams = map[string]*objects.Upstream{"pool": &u}
+			second, err := p.Submit(ctx, Submission{Set: &next, Base: 1, Token: "2", Author: "a"})
+			So(err, ShouldBeNil)
+			read := 0
+			applied, err := v.Advance(ctx, second.Revision, second.Manifest, counting{f.Objects(), &read})
+			So(err, ShouldBeNil)
+			So(applied.Set, ShouldResemble, &next)
+			So(read, ShouldBeLessThan, 6<<10+512)
+			Convey("An older revision does not come back", func() {
+				applied, err := v.Advance(ctx, first.Revision, first.Manifest, f.Objects())
+				So(err, ShouldBeNil)
+				So(applied, ShouldBeNil)
+				So(v.Current().Revision, ShouldEqual, 2)
+			})
+			Convey("A store serves what it has to another store", func() {
+				other := NewStore()
+				_, err := other.Advance(ctx, second.Revision, second.Manifest, v)
+				So(err, ShouldBeNil)
+				So(other.Current().Set, ShouldResemble, &next)
+			})
+		})
+		Convey("The audit row of a large set stays within its bound", func() {
+			list, err := History(ctx, f, 1)
+			So(err, ShouldBeNil)
+			So(list[0].Omitted, ShouldEqual, 0) // 202 objects
+			next := *set
+			u := *set.Upstreams["pool"]
+			u.Workers = nil
+			for _, w := range set.Upstreams["pool"].Workers {
+				w.FailureDomain = "west-b"
+				u.Workers = append(u.Workers, w)
+			}
+			next.Upstreams = map[string]*objects.Upstream{"pool": &u}
+			_, err = p.Submit(ctx, Submission{Set: &next, Base: 1, Token: "2", Author: "a"})
+			So(err, ShouldBeNil)
+			list, err = History(ctx, f, 1)
+			So(err, ShouldBeNil)
+			So(len(list[0].Changes)+list[0].Omitted, ShouldEqual, 1100)
+			rows, err := f.Get(ctx, auditKey(2))
+			So(err, ShouldBeNil)
+			So(len(rows[0].Value), ShouldBeLessThan, 3*maxAuditBytes)
+		})
+		Convey("Corrupt and missing content is not put in force", func() {
+			_, err := v.Advance(ctx, 2, first.Manifest, corrupt{}, f.Objects())
+			var bad *CorruptError
+			So(errors.As(err, &bad), ShouldBeTrue)
+			_, err = v.Advance(ctx, 2, Digest([]byte("x")), corrupt{}, f.Objects())
+			var missing *platform.NotFoundError
+			So(errors.As(err, &missing), ShouldBeTrue)
+			So(v.Current().Revision, ShouldEqual, 1)
+		})
+	})
+}
+
+// Guards against announced or stored content that crashes a router.
+func FuzzFetch(f *testing.F) {
+	f.Add([]byte(`{"ranks":[{"name":"a"},null],"workers":[{"upstream":"u","id":"w"}]}`), uint64(1))
+	f.Add([]byte(`{"upstreams":[{"name":"u"}],"workers":[{"upstream":"u","id":"w"}]}`), uint64(1))
+	f.Fuzz(func(t *testing.T, chunk []byte, revision uint64) {
+		body, _ := json.Marshal(manifest{revision, []string{Digest(chunk)}})
+		for _, top := range [][]byte{body, chunk} {
+			bodies := fixed{Digest(chunk): chunk, Digest(top): top}
+			set, _, err := Fetch(ctx, Revision{Revision: 1, Manifest: Digest(top)}, bodies)
+			if err != nil {
+				continue
+			}
+			_ = objects.Check(set) // the set need not be valid
+			objects.Format(set)
+		}
+	})
+}
+
+// fixed is a source with the given content.
+type fixed map[string][]byte
+
+func (f fixed) Get(_ context.Context, digest string) ([]byte, error) { return f[digest], nil }
