Make the engine stand-in's frames when they are sent

Keeping every frame of every attempt for a minute would take several hundred megabytes in a load test. An attempt now keeps a count and the fixed parts, and makes a frame when a connection sends it. A cancel also ends an attempt that waits for a slot, which it ignored before.

--- a/internal/standin/engine/attempt.go
+++ b/internal/standin/engine/attempt.go
@@ -70,32 +70,44 @@
 	CachedTokens int `json:"cached_tokens"`
 }
 
-// Token returns the text of one token, from 0, of the answer to a chat.
-func Token(messages []Message, i int) string {
+// tokenStem identifies a chat in the text of its answer.
+func tokenStem(messages []Message) string {
 	h := xxhash.New()
 	for _, m := range messages {
 		_, _ = h.WriteString(m.Role + "\x00" + m.Content + "\x00")
 	}
-	return strconv.FormatUint(h.Sum64(), 36) + "." + strconv.Itoa(i) + " "
+	return strconv.FormatUint(h.Sum64(), 36)
 }
 
-// Answer returns the whole answer to a chat.
+func token(stem string, i int) string { return stem + "." + strconv.Itoa(i) + " " }
+
+// Answer returns the whole answer to a chat, for clients that check theirs.
 func Answer(messages []Message, tokens int) string {
-	stem, _, _ := strings.Cut(Token(messages, 0), ".")
+	stem := tokenStem(messages)
 	var b strings.Builder
 	for i := range tokens {
-		b.WriteString(stem + "." + strconv.Itoa(i) + " ")
+		b.WriteString(token(stem, i))
 	}
 	return b.String()
 }
 
-// attempt is one run of a request. The engine's lock protects its fields.
+// attempt is one run of a request. The engine's lock protects the fields that
+// change. Frames are not kept: they are made from the fixed fields when they
+// are sent.
 type attempt struct {
-	id      string
-	chat    string
+	id     string
+	chat   string
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	// Fixed before the first frame.
+	model   string
+	stem    string // of the tokens' text
+	created int64
+	usage   Usage
+
 	ended   time.Time
-	cancel  context.CancelFunc
-	frames  []string // data of the frames; sequence is the index plus 1
+	frames  int // produced so far, the explicit end included
 	state   string
 	runs    int
 	streams int           // connections that asked for the attempt
@@ -109,41 +121,62 @@
 	a.changed = make(chan struct{})
 }
 
+// frame returns the data of a frame that has been produced.
+func (a *attempt) frame(seq int) string {
+	n := a.usage.CompletionTokens
+	if seq == n+1 {
+		return doneData
+	}
+	c := Chunk{ID: "chatcmpl-" + a.id, Object: "chat.completion.chunk", Created: a.created, Model: a.model}
+	c.Choices = []Choice{{Delta: Message{Role: "assistant", Content: token(a.stem, seq-1)}}}
+	if seq == n {
+		stop := "stop"
+		c.Choices[0].FinishReason = &stop
+		c.Usage = &a.usage
+	}
+	data, err := json.Marshal(c)
+	if err != nil {
+		panic(fmt.Sprintf("engine: encode a chunk: %v", err)) // a Chunk has only strings and numbers
+	}
+	return string(data)
+}
+
 // generate produces the frames of an attempt that has a slot, then gives the
 // slot back.
-func (e *Engine) generate(ctx context.Context, a *attempt, r Request) {
+func (e *Engine) generate(a *attempt, r Request) {
 	defer e.wg.Done()
 	defer a.cancel()
-	prompt, cached := e.usePrompt(a, r)
-	state := stateDone
-	if !e.produce(ctx, a, r, prompt, cached) {
-		state = stateCancelled
-	}
-	answer := Message{Role: "assistant", Content: Answer(r.Messages, r.tokens())}
+	e.prepare(a, r)
+	done := e.produce(a)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if state == stateDone {
+	if done {
 		// The slot is free when a client can see the end.
-		a.frames = append(a.frames, doneData)
+		a.frames++
+		a.state = stateDone
+		answer := Message{Role: "assistant", Content: Answer(r.Messages, r.tokens())}
 		e.cache.store(prefixes(r.Model, append(r.Messages[:len(r.Messages):len(r.Messages)], answer)))
 	} else {
+		a.state = stateCancelled
 		e.stats.Cancelled++
 	}
-	a.state = state
 	a.ended = time.Now()
 	a.notifyLocked()
 	e.releaseLocked()
 }
 
-// usePrompt looks the prompt up in the cache and stores it there.
-func (e *Engine) usePrompt(a *attempt, r Request) (prompt, cached int) {
+// prepare looks the prompt up in the cache, stores it there and fixes what the
+// frames are made from.
+func (e *Engine) prepare(a *attempt, r Request) {
 	chain := prefixes(r.Model, r.Messages)
+	prompt := 0
 	for _, p := range chain {
 		prompt += p.Tokens
 	}
+	stem := tokenStem(r.Messages)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	cached = e.cache.cached(chain)
+	cached := e.cache.cached(chain)
 	e.cache.store(chain)
 	c := e.chats[a.chat]
 	if c == nil {
@@ -153,40 +186,24 @@
 	c.Runs++
 	c.PromptTokens += prompt
 	c.CachedTokens += cached
-	return prompt, cached
+	a.model, a.stem, a.created = r.Model, stem, time.Now().Unix()
+	a.usage = Usage{prompt, r.tokens(), prompt + r.tokens(), PromptTokensDetails{cached}}
 }
 
-// produce appends the frames except the explicit end and reports false when it
-// was cancelled.
-func (e *Engine) produce(ctx context.Context, a *attempt, r Request, prompt, cached int) bool {
-	n := r.tokens()
-	stem, _, _ := strings.Cut(Token(r.Messages, 0), ".")
-	created := time.Now().Unix()
-	wait := e.s.FirstToken + time.Duration(prompt-cached)*e.s.Prefill
-	for i := range n {
-		if !standin.Sleep(ctx, wait) {
+// produce counts the frames up except the explicit end and reports false when
+// it was cancelled.
+func (e *Engine) produce(a *attempt) bool {
+	uncached := a.usage.PromptTokens - a.usage.PromptTokensDetails.CachedTokens
+	wait := e.s.FirstToken + time.Duration(uncached)*e.s.Prefill
+	for range a.usage.CompletionTokens {
+		if !standin.Sleep(a.ctx, wait) {
 			return false
 		}
 		wait = e.s.Token
-		c := Chunk{ID: "chatcmpl-" + a.id, Object: "chat.completion.chunk", Created: created, Model: r.Model}
-		c.Choices = []Choice{{Delta: Message{Role: "assistant", Content: stem + "." + strconv.Itoa(i) + " "}}}
-		if i == n-1 {
-			stop := "stop"
-			c.Choices[0].FinishReason = &stop
-			c.Usage = &Usage{prompt, n, prompt + n, PromptTokensDetails{cached}}
-		}
-		data, err := json.Marshal(c)
-		if err != nil {
-			panic(fmt.Sprintf("engine: encode a chunk: %v", err)) // a Chunk has only strings and numbers
-		}
-		e.append(a, string(data))
+		e.mu.Lock()
+		a.frames++
+		a.notifyLocked()
+		e.mu.Unlock()
 	}
 	return true
 }
-
-func (e *Engine) append(a *attempt, data string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	a.frames = append(a.frames, data)
-	a.notifyLocked()
-}
--- a/internal/standin/engine/control.go
+++ b/internal/standin/engine/control.go
@@ -59,9 +59,7 @@
 	if a == nil {
 		return false
 	}
-	if a.cancel != nil {
-		a.cancel()
-	}
+	a.cancel()
 	return true
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -98,7 +98,7 @@
 	st.InFlight = e.running + len(e.queue)
 	st.Attempts = make(map[string]AttemptStats, len(e.attempts))
 	for id, a := range e.attempts {
-		st.Attempts[id] = AttemptStats{a.runs, a.streams, a.chat, len(a.frames), a.state}
+		st.Attempts[id] = AttemptStats{a.runs, a.streams, a.chat, a.frames, a.state}
 	}
 	st.Chats = make(map[string]ChatStats, len(e.chats))
 	for id, c := range e.chats {
@@ -145,7 +145,7 @@
 
 // acquire waits for a slot. A refusal names its reason; the attempt has then
 // not been started.
-func (e *Engine) acquire(ctx context.Context, priority int, deadline <-chan time.Time) (refusal string) {
+func (e *Engine) acquire(ctx context.Context, cancelled <-chan struct{}, priority int, deadline <-chan time.Time) (refusal string) {
 	w, refusal := e.enqueue(priority)
 	if w == nil {
 		return refusal
@@ -155,6 +155,8 @@
 		return ""
 	case <-ctx.Done():
 		refusal = "the request was given up while it waited"
+	case <-cancelled:
+		refusal = "the request was cancelled while it waited"
 	case <-deadline:
 		refusal = "the deadline passed while the request waited"
 	}
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -133,13 +134,43 @@
 	})
 }
 
+// Guards against attempts that go on for ever without a client, or end before
+// the client had the time to resume.
+func TestResumeGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("An attempt without a connection goes on for the grace time", t, func() {
+			e := New(Settings{FirstToken: time.Second, Token: time.Second, ResumeGrace: 5 * time.Second, Retain: time.Minute})
+			defer e.Close()
+			r := httptest.NewRequest(http.MethodPost, "/", nil)
+			req := Request{Model: "rota-8b-v3", MaxTokens: 60}
+			a, isNew, refusal := e.attach("a", req, r, false)
+			So(isNew, ShouldBeTrue)
+			So(refusal+e.start(r, a, req), ShouldBeEmpty)
+			e.detach(a)
+			<-time.After(4 * time.Second)
+			_, isNew, _ = e.attach("a", req, r, true)
+			So(isNew, ShouldBeFalse)
+			<-time.After(10 * time.Second)
+			synctest.Wait()
+			So(e.Stats().Attempts["a"], ShouldResemble, AttemptStats{Runs: 1, Streams: 2, Chat: "", Frames: 14, State: stateRunning})
+			e.detach(a)
+			<-time.After(6 * time.Second)
+			So(e.Stats().Attempts["a"].State, ShouldEqual, stateCancelled)
+			So(e.Load().Running, ShouldEqual, 0)
+			<-time.After(2 * time.Minute)
+			gone, _, _ := e.attach("a", req, r, true)
+			So(gone, ShouldBeNil)
+		})
+	})
+}
+
 // Guards against a stand-in that ignores slots, priorities, cancels or old
 // fencing tokens.
 func TestControl(t *testing.T) {
 	Convey("The most urgent waiting request gets the slot; a cancel ends the stream without the end", t, func() {
 		e := New(Settings{Slots: 1, QueueLimit: 2})
 		defer e.Close()
-		So(e.acquire(t.Context(), 5, nil), ShouldBeEmpty)
+		So(e.acquire(t.Context(), nil, 5, nil), ShouldBeEmpty)
 		late, _ := e.enqueue(9)
 		urgent, _ := e.enqueue(0)
 		_, refusal := e.enqueue(0)
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -94,6 +94,7 @@
 		return nil, false, refusal
 	}
 	a = &attempt{id: id, chat: chatOf(req, r), state: stateQueued, readers: 1, streams: 1, changed: make(chan struct{})}
+	a.ctx, a.cancel = context.WithCancel(e.ctx)
 	e.attempts[id] = a
 	return a, true, ""
 }
@@ -128,23 +129,22 @@
 // start waits for a slot and starts the generation.
 func (e *Engine) start(r *http.Request, a *attempt, req Request) (refusal string) {
 	priority, _ := strconv.Atoi(r.Header.Get("X-Priority")) // 0 without the header
-	refusal = e.acquire(r.Context(), priority, deadlineOf(r))
+	refusal = e.acquire(r.Context(), a.ctx.Done(), priority, deadlineOf(r))
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if refusal != "" {
 		e.stats.Refused++
+		a.cancel()
 		a.state = stateCancelled
 		delete(e.attempts, a.id)
 		a.notifyLocked()
 		return refusal
 	}
-	var ctx context.Context
-	ctx, a.cancel = context.WithCancel(e.ctx)
 	a.state = stateRunning
 	a.runs++
 	e.stats.Runs++
 	e.wg.Add(1)
-	go e.generate(ctx, a, req)
+	go e.generate(a, req)
 	return ""
 }
 
@@ -193,14 +193,14 @@
 		return
 	}
 	for seq := after; ; {
-		frames, state, changed := e.snapshot(a, seq)
-		for _, data := range frames {
-			seq++
-			if !out.frame(seq, data) {
-				return
+		frames, state, changed := e.progress(a)
+		if seq < frames {
+			for seq < frames {
+				seq++
+				if !out.frame(seq, a.frame(seq)) {
+					return
+				}
 			}
-		}
-		if len(frames) > 0 {
 			if out.flush.Flush() != nil {
 				return
 			}
@@ -220,8 +220,8 @@
 	}
 }
 
-func (e *Engine) snapshot(a *attempt, after int) (frames []string, state string, changed <-chan struct{}) {
+func (e *Engine) progress(a *attempt) (frames int, state string, changed <-chan struct{}) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return a.frames[min(after, len(a.frames)):len(a.frames):len(a.frames)], a.state, a.changed
+	return a.frames, a.state, a.changed
 }
