Add the benchmark of the decisions and serve callers within their share first

Cause: by strict priority a caller with 50 times its share takes the slots of all others through its more urgent requests. The believed mean is late, so a worker could exceed the bound.

Change: internal/bench drives placement, admission and retry over seeded traces in virtual time. A caller that holds more than its fair share through a rank or more urgent ones is served after callers within their share. The mean is taken 4% lower for other holders' sums (Config.Margin).

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -53,6 +53,11 @@
 	Ranks []RankConfig
 	// LoadBound is the multiple of the mean load that no worker exceeds.
 	LoadBound float64
+	// Margin is the share by which the load of other holders' workers is
+	// taken to be lower than last told, in the multiple of the mean: their
+	// sums arrive late, and a mean that is believed too high would let a
+	// worker exceed the bound. Default 0.04; negative for none.
+	Margin float64
 	// UseBy is the time within which a grant must be used. Default 2 s.
 	UseBy time.Duration
 	// Reserve is the largest share of the slots that less urgent ranks leave
--- a/admission/grant.go
+++ b/admission/grant.go
@@ -50,8 +50,11 @@
 	if workers == 0 {
 		return 0
 	}
-	scaled := math.Floor(s.cfg.LoadBound * float64(load) / float64(workers))
-	least := (load + workers) / workers // the mean with one more, rounded up
+	sure := float64(load) - max(0, s.cfg.Margin)*float64(s.othersInFlight)
+	scaled := math.Floor(s.cfg.LoadBound * sure / float64(workers))
+	// The mean with one more, rounded up. A margin here could hold all workers
+	// below their capacity for good when every one carries the same load.
+	least := (load + workers) / workers
 	return max(int(scaled), least)
 }
 
@@ -76,7 +79,7 @@
 		if r < 0 {
 			break
 		}
-		e, w := s.pickFrom(s.ranks[r], bound)
+		e, w := s.pickFrom(s.ranks[r], bound, allCallers)
 		if e != nil {
 			return e, w
 		}
@@ -86,7 +89,23 @@
 	urgent := 0.0 // arrivals of the more urgent ranks
 	for i, r := range s.ranks {
 		if tried&(1<<i) == 0 && r.root.queued > 0 && free > s.reserve(urgent, total) {
-			e, w := s.pickFrom(r, bound)
+			e, w := s.pickFrom(r, bound, withinShare)
+			if e != nil {
+				return e, w
+			}
+		}
+		urgent += r.arrivals
+	}
+	return s.pickOver(bound, free, total)
+}
+
+// pickOver returns the next request of a caller above its share. These leave
+// slots free for the others and for more urgent ranks.
+func (s *Scheduler) pickOver(bound, free, total int) (*entry, *worker) {
+	urgent := 0.0
+	for _, r := range s.ranks {
+		if r.root.queued > 0 && free > s.reserve(max(urgent, s.modest), total) {
+			e, w := s.pickFrom(r, bound, aboveShare)
 			if e != nil {
 				return e, w
 			}
@@ -96,15 +115,27 @@
 	return nil, nil
 }
 
+// callerSet selects callers by their share of the slots.
+type callerSet int
+
+const (
+	allCallers callerSet = iota
+	withinShare
+	aboveShare
+)
+
 // pickFrom returns the first request of a rank, in fair order, that some worker
 // has room for.
-func (s *Scheduler) pickFrom(r *rank, bound int) (*entry, *worker) {
+func (s *Scheduler) pickFrom(r *rank, bound int, from callerSet) (*entry, *worker) {
 	var best *entry
 	var at *worker
 	for _, caller := range r.root.backlog {
 		if best != nil && !caller.before(best.leaf.parent) {
 			continue
 		}
+		if from != allCallers && s.over(caller, r) != (from == aboveShare) {
+			continue
+		}
 		e, w := s.pickCaller(caller, bound)
 		if e != nil {
 			best, at = e, w
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -10,6 +10,7 @@
 const (
 	defaultUseBy   = 2 * time.Second
 	defaultReserve = 0.05
+	defaultMargin  = 0.04
 	// sweepEvery is the interval at which idle callers are forgotten.
 	sweepEvery = 10 * time.Second
 )
@@ -22,7 +23,8 @@
 	workers []*worker
 	byID    map[string]*worker
 	entries map[string]*entry // waiting and granted requests
-	spare   *entry            // list of unused records
+	callers map[string]*account
+	spare   *entry // list of unused records
 
 	othersWorkers  int
 	othersInFlight int
@@ -34,6 +36,8 @@
 	deadline  time.Time // no waiting request expires before; zero for none
 	until     time.Time // no slot is reclaimed before; zero for none
 	recheck   bool      // workers were closed or removed since the last Advance
+	modest    float64   // requests per second of callers within their share
+	weights   float64   // sum over the callers with requests here
 	slotTime  float64   // mean seconds from grant to release, 0 when unknown
 	refusals  []Refusal // to be delivered by the next Advance
 	batch     []*entry  // scratch list of requests to refuse
@@ -58,6 +62,7 @@
 	request  Request
 	rank     *rank
 	leaf     *flow     // nil for a slot restored by Occupy
+	account  *account  // nil like leaf
 	targets  []*worker // the known ones of request.Workers
 	previous *entry    // in the leaf's queue
 	next     *entry    // in the leaf's queue, or in the list of spare records
@@ -69,7 +74,7 @@
 
 // New returns a scheduler without workers.
 func New(cfg Config) *Scheduler {
-	s := &Scheduler{byID: map[string]*worker{}, entries: map[string]*entry{}}
+	s := &Scheduler{byID: map[string]*worker{}, entries: map[string]*entry{}, callers: map[string]*account{}}
 	s.Configure(time.Time{}, cfg)
 	return s
 }
@@ -84,6 +89,9 @@
 	if cfg.Reserve == 0 {
 		cfg.Reserve = defaultReserve
 	}
+	if cfg.Margin == 0 {
+		cfg.Margin = defaultMargin
+	}
 	s.cfg = cfg
 	ranks := make([]*rank, 0, len(cfg.Ranks))
 	for _, rc := range cfg.Ranks {
@@ -180,6 +188,10 @@
 		return &refusal
 	}
 	e.leaf = r.leaf(q.Caller, q.Weight, q.Workspace)
+	s.join(e)
+	if !s.over(e.leaf.parent, r) {
+		s.modest += 1 / rateWindow.Seconds()
+	}
 	e.leaf.push(e)
 	e.leaf.join()
 	e.leaf.parent.join()
@@ -345,6 +357,7 @@
 	delete(s.entries, e.request.ID)
 	if e.leaf != nil {
 		e.rank.forget(e.leaf)
+		s.quit(e)
 	}
 	s.recycle(e)
 }
@@ -377,6 +390,7 @@
 	}
 	s.clock = now
 	decay := math.Exp(-elapsed / rateWindow.Seconds())
+	s.modest *= decay
 	for _, r := range s.ranks {
 		r.account(elapsed, decay, s.used)
 	}
@@ -384,6 +398,7 @@
 		return
 	}
 	s.nextSweep = now.Add(sweepEvery)
+	s.sweepAccounts()
 	for _, r := range s.ranks {
 		r.sweep()
 	}
--- /dev/null
+++ b/internal/bench/cmd/main.go
@@ -0,0 +1,36 @@
+// Command cmd runs the benchmark of the decision packages and prints one table.
+// It exits with 1 when a target is missed.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/auburnlead/auburnlead/internal/bench"
+)
+
+func main() {
+	output := flag.String("output", "text", "text or json")
+	short := flag.Bool("short", false, "shorter spans, no comparison of ways")
+	seed := flag.Uint64("seed", 1, "seed of the traces")
+	flag.Parse()
+	report := bench.Run(bench.Options{Short: *short, Seed: *seed})
+	var err error
+	switch *output {
+	case "text":
+		err = report.WriteText(os.Stdout)
+	case "json":
+		err = report.WriteJSON(os.Stdout)
+	default:
+		fmt.Fprintf(os.Stderr, "bench: -output %q is not known; use text or json\n", *output)
+		os.Exit(2)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	if report.Failed > 0 {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/bench/queue.go
@@ -0,0 +1,271 @@
+package bench
+
+import (
+	"math"
+	"time"
+
+	"github.com/auburnlead/auburnlead/admission"
+)
+
+// queue is what a holder asks of a scheduler; *admission.Scheduler has it.
+type queue interface {
+	SetWorker(now time.Time, w admission.Worker)
+	RemoveWorker(now time.Time, id string)
+	SetOthers(now time.Time, workers, inFlight int)
+	Offer(now time.Time, q admission.Request) *admission.Refusal
+	Advance(now time.Time, grant func(admission.Grant), refuse func(admission.Refusal))
+	Release(now time.Time, requestID string, costTokens int64) bool
+	NextWake(now time.Time) time.Time
+}
+
+// discipline is the order of a baseline queue.
+type discipline int
+
+const (
+	fifo discipline = iota
+	strictPriority
+	// windowFloors is strict priority with floors by the share of slot time
+	// over a sliding window, the rule first stated in design 7.2.
+	windowFloors
+)
+
+const floorWindow = 10 * time.Second
+
+// plainQueue is a baseline: the same load bound, a simple order, in order of
+// arrival within a rank.
+type plainQueue struct {
+	order   discipline
+	workers []*plainWorker
+	others  [2]int
+	waiting []admission.Request
+	held    map[string]plainSlot
+	usage   [][]float64 // slot-seconds by rank in each second of the window
+	clock   time.Time
+	used    []int
+	urgency []int // by rank, lower first
+}
+
+type plainWorker struct {
+	admission.Worker
+	load int
+}
+
+type plainSlot struct {
+	worker *plainWorker
+	rank   int
+}
+
+func newPlainQueue(order discipline) *plainQueue {
+	q := &plainQueue{order: order, held: map[string]plainSlot{}, used: make([]int, len(rankClasses)), urgency: make([]int, len(rankClasses))}
+	for range int(floorWindow / time.Second) {
+		q.usage = append(q.usage, make([]float64, len(rankClasses)))
+	}
+	return q
+}
+
+func rankIndex(name string) int {
+	for i, c := range rankClasses {
+		if c.Name == name {
+			return i
+		}
+	}
+	return len(rankClasses) - 1
+}
+
+func (q *plainQueue) SetWorker(now time.Time, w admission.Worker) {
+	for _, known := range q.workers {
+		if known.ID == w.ID {
+			known.Worker = w
+			return
+		}
+	}
+	q.workers = append(q.workers, &plainWorker{Worker: w})
+}
+
+func (q *plainQueue) RemoveWorker(now time.Time, id string) {
+	q.SetWorker(now, admission.Worker{ID: id})
+}
+
+func (q *plainQueue) SetOthers(now time.Time, workers, inFlight int) {
+	q.others = [2]int{workers, inFlight}
+}
+
+func (q *plainQueue) Offer(now time.Time, r admission.Request) *admission.Refusal {
+	count := 0
+	for _, w := range q.waiting {
+		if w.Rank == r.Rank {
+			count++
+		}
+	}
+	if count >= rankClasses[rankIndex(r.Rank)].QueueLimit {
+		return &admission.Refusal{RequestID: r.ID, Reason: admission.ReasonQueueFull, RetryAfter: time.Second}
+	}
+	q.waiting = append(q.waiting, r)
+	return nil
+}
+
+// account adds the slot time since the last event to the window.
+func (q *plainQueue) account(now time.Time) {
+	for q.clock.Before(now) {
+		end := q.clock.Truncate(time.Second).Add(time.Second)
+		slot := q.usage[q.clock.Unix()%int64(len(q.usage))]
+		if q.clock.Equal(q.clock.Truncate(time.Second)) {
+			clear(slot)
+		}
+		if end.After(now) {
+			end = now
+		}
+		for rank, used := range q.used {
+			slot[rank] += float64(used) * end.Sub(q.clock).Seconds()
+		}
+		q.clock = end
+	}
+}
+
+func (q *plainQueue) Advance(now time.Time, grant func(admission.Grant), refuse func(admission.Refusal)) {
+	if q.clock.IsZero() {
+		q.clock = now
+	}
+	q.account(now)
+	for rank := range q.urgency {
+		q.urgency[rank] = q.rankUrgency(rank)
+	}
+	for q.anyRoom() && q.grantOne(now, grant) {
+	}
+	rest := q.waiting[:0]
+	for _, r := range q.waiting {
+		if r.Deadline.After(now) {
+			rest = append(rest, r)
+			continue
+		}
+		refuse(admission.Refusal{RequestID: r.ID, Reason: admission.ReasonExpired, RetryAfter: time.Second})
+	}
+	q.waiting = rest
+}
+
+func (q *plainQueue) grantOne(now time.Time, grant func(admission.Grant)) bool {
+	best, at := -1, (*plainWorker)(nil)
+	for i, r := range q.waiting {
+		if best >= 0 && !q.before(r, q.waiting[best]) {
+			continue
+		}
+		if w := q.place(r); w != nil {
+			best, at = i, w
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	r := q.waiting[best]
+	q.waiting = append(q.waiting[:best], q.waiting[best+1:]...)
+	rank := rankIndex(r.Rank)
+	q.held[r.ID] = plainSlot{at, rank}
+	q.used[rank]++
+	at.load++
+	grant(admission.Grant{RequestID: r.ID, Worker: at.ID})
+	return true
+}
+
+// before reports whether a is served before b, which arrived earlier.
+func (q *plainQueue) before(a, b admission.Request) bool {
+	return q.order != fifo && q.urgency[rankIndex(a.Rank)] < q.urgency[rankIndex(b.Rank)]
+}
+
+func (q *plainQueue) rankUrgency(rank int) int {
+	if q.order == windowFloors && q.share(rank) < rankClasses[rank].Floor {
+		return rank - len(rankClasses)
+	}
+	return rank
+}
+
+func (q *plainQueue) share(rank int) float64 {
+	mine, all := 0.0, 0.0
+	for _, second := range q.usage {
+		for i, used := range second {
+			all += used
+			if i == rank {
+				mine += used
+			}
+		}
+	}
+	if all == 0 {
+		return 0
+	}
+	return mine / all
+}
+
+// limit is the load bound of design 7.1 by the sums known here.
+func (q *plainQueue) limit() int {
+	workers, load := q.others[0], q.others[1]
+	for _, w := range q.workers {
+		if w.Open {
+			workers++
+			load += w.load
+		}
+	}
+	return hardBound(workers, load)
+}
+
+func (q *plainQueue) anyRoom() bool {
+	limit := q.limit()
+	for _, w := range q.workers {
+		if w.Open && w.load < min(limit, w.MaxInFlight) {
+			return true
+		}
+	}
+	return false
+}
+
+func (q *plainQueue) place(r admission.Request) *plainWorker {
+	limit := q.limit()
+	for _, id := range r.Workers {
+		for _, w := range q.workers {
+			if w.ID == id && w.Open && w.load < min(limit, w.MaxInFlight) {
+				return w
+			}
+		}
+	}
+	for _, w := range q.workers {
+		if r.AnyWorker && w.Open && w.load < min(limit, w.MaxInFlight) {
+			return w
+		}
+	}
+	return nil
+}
+
+// hardBound is the bound of design 7.1 before the new request is counted.
+func hardBound(workers, load int) int {
+	if workers == 0 {
+		return 0
+	}
+	mean := float64(load) / float64(workers)
+	next := float64(load+1) / float64(workers)
+	return int(max(math.Floor(loadBound*mean), math.Ceil(next)))
+}
+
+func (q *plainQueue) Release(now time.Time, id string, costTokens int64) bool {
+	q.account(now)
+	slot, found := q.held[id]
+	if !found {
+		return false
+	}
+	delete(q.held, id)
+	slot.worker.load--
+	q.used[slot.rank]--
+	return true
+}
+
+func (q *plainQueue) NextWake(now time.Time) time.Time {
+	first := time.Time{}
+	for _, r := range q.waiting {
+		if first.IsZero() || r.Deadline.Before(first) {
+			first = r.Deadline
+		}
+	}
+	return first
+}
+
+var (
+	_ queue = (*plainQueue)(nil)
+	_ queue = (*admission.Scheduler)(nil)
+)
--- /dev/null
+++ b/internal/bench/trace.go
@@ -0,0 +1,240 @@
+// Package bench drives the decision packages (placement, admission, retry) over
+// seeded traces in virtual time and compares them with stated targets and with
+// simpler ways over the same trace. Routers, holders and engines are values in
+// one process; the fakes cover what a decision can see: message delay, prefix
+// caches with limited memory, and service time by tokens. One failure domain is
+// simulated at a time, since placement and the load bound act within a domain;
+// overflow between domains is left out.
+//
+// Runs are deterministic for a seed, except the printed decision times, which
+// never decide.
+package bench
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/auburnlead/auburnlead/admission"
+)
+
+// Domain is one failure domain of a deployment.
+type Domain struct {
+	Routers int
+	Workers int
+}
+
+// Size is a deployment.
+type Size struct {
+	Name    string
+	Domains []Domain
+	// Latency is one message between two VMs of a domain.
+	Latency time.Duration
+}
+
+// Sizes are the three deployments of the design. Of the two-year size one of
+// 18 equal domains is simulated.
+func Sizes() []Size {
+	return []Size{
+		{"kup-seva", []Domain{{3, 4}, {3, 3}, {2, 3}}, 250 * time.Microsecond},
+		{"board", []Domain{{3, 3}, {2, 3}, {2, 2}, {2, 2}}, 750 * time.Microsecond},
+		{"two-year", []Domain{{22, 61}}, 500 * time.Microsecond},
+	}
+}
+
+// Workload figures. The mean request has about 440 output tokens, as in the
+// design; 27 ms a token make it hold a slot for about 12 s.
+const (
+	tokenTime     = 27 * time.Millisecond
+	prefillPerSec = 8000
+	slotsPerWork  = 16
+	loadBound     = 1.25
+	meanInFlight  = 10.4 // for each worker: 950 requests/s for 12 s on 1,100 workers
+	meanTurns     = 5
+	contextTokens = 8192
+	cacheTokens   = 400_000 // prefix cache of one engine
+	callers       = 10
+	warmup        = 300 * time.Second
+)
+
+// rankClass is a rank with its part of the requests and the way its requests
+// look for a slot: at the first choice for homeWait, then at the holders of the
+// next choices without waiting, then in the first holder's queue.
+type rankClass struct {
+	admission.RankConfig
+	share   float64
+	output  float64       // mean output tokens
+	target  time.Duration // target wait
+	patient time.Duration // longest wait for a slot
+	hops    int           // workers asked, the first included
+}
+
+// homeWait is the time a request waits for the worker that has its cache. Most
+// of the target wait is used: a hit saves the engine the whole prompt.
+func (c rankClass) homeWait() time.Duration { return c.target * 9 / 10 }
+
+var rankClasses = []rankClass{
+	{
+		RankConfig: admission.RankConfig{Name: "urgent", Priority: 0, Floor: 0.3, QueueLimit: 200, MaxDuration: 120 * time.Second},
+		share:      0.3, output: 150, target: 500 * time.Millisecond, patient: 5 * time.Second, hops: 5,
+	},
+	{
+		RankConfig: admission.RankConfig{Name: "normal", Priority: 1, Floor: 0.2, QueueLimit: 200, MaxDuration: 120 * time.Second},
+		share:      0.4, output: 400, target: 2 * time.Second, patient: 10 * time.Second, hops: 4,
+	},
+	{
+		RankConfig: admission.RankConfig{Name: "overnight", Priority: 2, Floor: 0.1, QueueLimit: 200, MaxDuration: 180 * time.Second},
+		share:      0.3, output: 780, target: 30 * time.Second, patient: 45 * time.Second, hops: 2,
+	},
+}
+
+// arrival is one request of a trace.
+type arrival struct {
+	at        time.Duration
+	chat      string
+	turn      int
+	rank      int
+	caller    int
+	router    int
+	prompt    int64
+	output    int64
+	reusable  int64 // prompt tokens of earlier turns
+	surplus   bool  // part of a flood or of the large caller
+	workspace string
+}
+
+// surge adds single requests to a trace.
+type surge struct {
+	rank     int // -1 for the usual mixture
+	caller   int // -1 for all callers
+	times    float64
+	from, to time.Duration
+}
+
+// traceConfig describes a trace of one domain.
+type traceConfig struct {
+	domain Domain
+	seed   uint64
+	length time.Duration
+	load   float64 // multiple of the usual load
+	onlyBy int     // rank of all requests, -1 for the mixture
+	surges []surge
+}
+
+// serviceTime is the time in a slot without the prompt.
+func serviceTime(output int64) time.Duration { return time.Duration(output) * tokenTime }
+
+// usualRate is the number of requests a second at the usual load.
+func usualRate(d Domain) float64 {
+	perRequest := 0.0
+	for _, c := range rankClasses {
+		perRequest += c.share * c.output
+	}
+	return meanInFlight * float64(d.Workers) / (perRequest * tokenTime.Seconds())
+}
+
+// generator makes a trace.
+type generator struct {
+	cfg   traceConfig
+	rng   *rand.Rand
+	chats int
+	out   []arrival
+}
+
+// generate returns the arrivals of a trace in order of time.
+func generate(cfg traceConfig) []arrival {
+	g := &generator{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.seed, 0xA0B1))}
+	rate := usualRate(cfg.domain) * cfg.load
+	// Chats that began before the run give the usual mixture of turns at once.
+	const before = 1500 * time.Second
+	for at := -before; at < cfg.length; at += g.pause(meanTurns / rate) {
+		g.chat(at)
+	}
+	for _, s := range cfg.surges {
+		extra := usualRate(cfg.domain) * (s.times - 1)
+		if s.rank >= 0 {
+			extra *= rankClasses[s.rank].share
+		}
+		for at := s.from + g.pause(1/extra); at < s.to; at += g.pause(1 / extra) {
+			g.single(at, s)
+		}
+	}
+	slices.SortStableFunc(g.out, func(a, b arrival) int { return int(a.at - b.at) })
+	return g.out
+}
+
+func (g *generator) pause(mean float64) time.Duration {
+	return time.Duration(g.rng.ExpFloat64() * mean * float64(time.Second))
+}
+
+func (g *generator) pickRank() int {
+	if g.cfg.onlyBy >= 0 {
+		return g.cfg.onlyBy
+	}
+	x := g.rng.Float64()
+	for i, c := range rankClasses {
+		x -= c.share
+		if x < 0 {
+			return i
+		}
+	}
+	return len(rankClasses) - 1
+}
+
+func (g *generator) tokens(mean float64) int64 {
+	// A log-normal with a spread of 0.5 around the mean, as answer lengths have.
+	const spread = 0.5
+	return max(8, int64(mean*math.Exp(g.rng.NormFloat64()*spread-spread*spread/2)))
+}
+
+func (g *generator) next(at time.Duration, rank int) arrival {
+	g.chats++
+	caller := g.rng.IntN(callers)
+	return arrival{
+		at: at, rank: rank, caller: caller,
+		chat:      fmt.Sprintf("chat-%d", g.chats),
+		workspace: fmt.Sprintf("w%d-%d", caller, g.rng.IntN(40)),
+		router:    g.rng.IntN(g.cfg.domain.Routers),
+		prompt:    g.tokens(800),
+		output:    g.tokens(rankClasses[rank].output),
+	}
+}
+
+// chat adds the turns of one chat. Most return within minutes, some later.
+func (g *generator) chat(at time.Duration) {
+	a := g.next(at, g.pickRank())
+	for a.turn = 1; a.at < g.cfg.length; a.turn++ {
+		if a.at >= 0 {
+			g.out = append(g.out, a)
+		}
+		if g.rng.Float64() < 1.0/meanTurns || a.prompt+a.output > contextTokens {
+			return
+		}
+		rest := 80.0
+		if g.rng.Float64() < 0.1 {
+			rest = 1800
+		}
+		a.at += serviceTime(a.output) + g.pause(rest)
+		a.reusable = a.prompt + a.output
+		a.prompt = a.reusable + g.tokens(150)
+		a.output = g.tokens(rankClasses[a.rank].output)
+		a.router = g.rng.IntN(g.cfg.domain.Routers)
+	}
+}
+
+// single adds one request of a surge.
+func (g *generator) single(at time.Duration, s surge) {
+	rank := s.rank
+	if rank < 0 {
+		rank = g.pickRank()
+	}
+	a := g.next(at, rank)
+	a.surplus = true
+	a.turn = 1
+	if s.caller >= 0 {
+		a.caller = s.caller
+	}
+	g.out = append(g.out, a)
+}
