--- a/admission/rules.go
+++ b/admission/rules.go
@@ -17,6 +17,11 @@
 	// rarest is the average rate of arrivals, per second, below which no slot
 	// is kept free: one request has this average a minute later.
 	rarest = 0.00025
+	// leastReserve slots may be kept free on leastShared slots and more: with
+	// one, every fifth urgent request finds none when urgent work makes up a
+	// fifth of the arrivals.
+	leastReserve = 2
+	leastShared  = 16
 	// slotTimeWeight is the weight of one request in the mean slot time.
 	slotTimeWeight = 1.0 / 16
 	shortestRetry  = 100 * time.Millisecond
@@ -85,6 +90,9 @@
 		return 0
 	}
 	most := math.Round(s.cfg.Reserve * float64(total))
+	if total >= leastShared {
+		most = max(most, leastReserve)
+	}
 	ratio := arrivals * s.slotTime / float64(total)
 	if s.slotTime <= 0 || ratio >= 1 {
 		return int(most)
--- a/internal/bench/holders.go
+++ b/internal/bench/holders.go
@@ -66,6 +66,7 @@
 	r.worker = s.engines[g.Worker]
 	r.granted = s.now
 	s.occupied(r.worker)
+	s.changed(h)
 	view := s.viewOf(h)
 	s.after(s.latency, func() { s.carry(s.holders[r.router], view); s.start(r) })
 }
