Go on to the next choice when a holder is paused or the domain is full

Cause: a request for a worker of a paused router waited for the router's answer, and one whose first and second choice were full waited in the own domain's queue while other domains had room. The old sums of a paused router also held the bound of its neighbours down.

Change: a request that does not queue waits 250 ms for an answer, and a router that left a call without answer is left out for 2 s; a queued request asks the other domains once its rank's target_wait has passed and then comes back; the workers of a suspect router count as closed.

--- a/plugins/dispatch/chat_test.go
+++ b/plugins/dispatch/chat_test.go
@@ -37,6 +37,7 @@
 		{"the second choice when the first has no room", func(n int, _ bool) reason { return map[int]reason{1: core.SlotExpired}[n] }, 0, "", 1, "second"},
 		{"the first choice when both had no room and it comes first", func(n int, _ bool) reason { return map[bool]reason{true: core.SlotExpired}[n < 3] }, 0, "", 1, "first"},
 		{"another domain when the queue is full", func(n int, _ bool) reason { return map[bool]reason{true: core.SlotQueueFull}[n < 4] }, 0, "", 1, "other domain"},
+		{"the first choice after the rank's target has passed in every domain", func(n int, _ bool) reason { return map[bool]reason{true: core.SlotExpired}[n < 9] }, 0, "", 1, ""},
 		{"nothing when all queues are full", func(int, bool) reason { return core.SlotQueueFull }, 0, "overloaded not_run", 0, ""},
 		{"nothing when the wait is over", func(int, bool) reason { return core.SlotExpired }, 0, "overloaded not_run", 0, ""},
 		{"a worker whose holder is replaced meanwhile", func(n int, _ bool) reason { return map[bool]reason{true: core.SlotNoHolder}[n < 200] }, 0, "", 1, ""},
--- a/plugins/dispatch/dispatch.go
+++ b/plugins/dispatch/dispatch.go
@@ -51,6 +51,8 @@
 	plan     *plan
 
 	waitUntil time.Time // end of the wait for slots
+	// overflowed says that the own domain was waited for in vain.
+	overflowed bool
 	failed    []string  // workers of failed attempts
 	outcome   core.Outcome
 	last      error // of the last attempt or slot request
@@ -180,6 +182,12 @@
 	var first error
 	for {
 		from, workers := j.plan.next(time.Now())
+		if from == nil && !j.overflowed && isOverload(first) && time.Now().Before(j.waitUntil) {
+			// No domain had room: queue in the own one for the rest of the wait.
+			j.overflowed = true
+			j.plan.restart(j.failed)
+			continue
+		}
 		if from == nil {
 			if first == nil {
 				first = errNoWorker
@@ -231,6 +239,11 @@
 	// of it would choose it again.
 	r.AnyWorker = len(j.failed) == 0
 	r.Wait = max(time.Until(j.waitUntil), 0)
+	if !j.overflowed && j.plan.overflows() {
+		// The other domains are asked once the rank's target has passed, for
+		// example when the holder is paused or the own domain is flooded.
+		r.Wait = min(r.Wait, j.rank.TargetWait)
+	}
 	return j.d.slots.Acquire(ctx, r)
 }
 
--- a/plugins/dispatch/plan.go
+++ b/plugins/dispatch/plan.go
@@ -137,6 +137,16 @@
 	return workers
 }
 
+// overflows reports whether the plan has workers in the own and other domains.
+func (p *plan) overflows() bool {
+	own, others := false, false
+	for _, from := range p.pools {
+		own = own || len(from.own.ids) > 0
+		others = others || len(from.others.ids) > 0
+	}
+	return own && others
+}
+
 // leave goes on to the next stage.
 func (p *plan) leave() { p.stage++ }
 
--- a/plugins/peer/acquire.go
+++ b/plugins/peer/acquire.go
@@ -27,6 +27,13 @@
 	noHolderRetry = time.Second
 	// answerGrace is how long an answer may take beyond the wait in the queue.
 	answerGrace = 2 * time.Second
+	// promptShare of the call timeout is how long a request that does not wait
+	// in the queue may take: 250 ms by default, against one-way latencies of
+	// 1.5 ms. A holder that is slower costs the request its first choice.
+	promptShare = 4
+	// quietTimes call timeouts is how long a router is left out that left a
+	// call without answer.
+	quietTimes = 2
 )
 
 // Acquire implements core.Slots. It asks the holder of each acceptable worker
@@ -159,11 +166,18 @@
 	if !ok || m.Address == "" {
 		return nil, status.Error(codes.Unavailable, "peer: the holder's address is not known")
 	}
+	if p.quiet.is(p.now(), router, quietTimes*p.s.CallTimeout) {
+		return nil, status.Error(codes.Unavailable, "peer: the holder has just left a call without answer")
+	}
 	client, err := p.conns.client(m.Address)
 	if err != nil {
 		return nil, err
 	}
-	call, cancel := context.WithTimeout(ctx, time.Duration(r.GetWaitMs())*time.Millisecond+answerGrace)
+	grace := answerGrace
+	if r.GetWaitMs() == 0 {
+		grace = p.s.CallTimeout / promptShare
+	}
+	call, cancel := context.WithTimeout(ctx, time.Duration(r.GetWaitMs())*time.Millisecond+grace)
 	defer cancel()
 	r.Sums = p.ownSums(r.GetUpstream())
 	reply, err := client.Acquire(call, r)
@@ -171,6 +185,9 @@
 		p.observeSums(router, r.GetUpstream(), reply.GetSums())
 	}
 	if err != nil {
+		if ctx.Err() == nil {
+			p.quiet.set(p.now(), router)
+		}
 		p.log.Debug("no answer to a slot request", "holder", router, "upstream", r.GetUpstream(), "err", err)
 		p.giveBack(router, core.Slot{Attempt: r.GetAttempt(), Upstream: r.GetUpstream(), Worker: firstOf(r.GetWorkers()), Until: p.now().Add(answerGrace)}, -1)
 		return nil, err
--- a/plugins/peer/fresh.go
+++ b/plugins/peer/fresh.go
@@ -102,3 +102,31 @@
 		pl.advance()
 	}
 }
+
+// quietRouters are the routers that left a call without answer. They are not
+// asked again for a while, so that only the first of the requests for a
+// paused holder waits for it and the others go on to their next choice.
+type quietRouters struct {
+	mu    sync.Mutex // level 90
+	since map[string]time.Time
+}
+
+func (q *quietRouters) init() { q.since = map[string]time.Time{} }
+
+func (q *quietRouters) set(now time.Time, router string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.since[router] = now
+}
+
+// is reports whether the router left a call without answer within the time.
+func (q *quietRouters) is(now time.Time, router string, within time.Duration) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	since, ok := q.since[router]
+	if ok && now.Sub(since) > within {
+		delete(q.since, router)
+		return false
+	}
+	return ok
+}
--- a/plugins/peer/fresh_test.go
+++ b/plugins/peer/fresh_test.go
@@ -26,3 +26,16 @@
 		So(f.sums, ShouldBeEmpty)
 	})
 }
+
+// Guards against a wait for a paused holder by every request for its workers.
+func TestQuietRouters(t *testing.T) {
+	Convey("A router that left a call without answer is left out for a while", t, func() {
+		var q quietRouters
+		q.init()
+		start := time.Unix(1000, 0)
+		q.set(start, "r1")
+		So(q.is(start.Add(time.Second), "r1", time.Second), ShouldBeTrue)
+		So(q.is(start, "r2", time.Second), ShouldBeFalse)
+		So(q.is(start.Add(time.Second+1), "r1", time.Second), ShouldBeFalse)
+	})
+}
--- a/plugins/peer/peer.go
+++ b/plugins/peer/peer.go
@@ -53,6 +53,7 @@
 	releases releases
 	using    using
 	fresh    freshSums
+	quiet    quietRouters
 }
 
 // workerKey names a worker of an upstream.
@@ -74,6 +75,7 @@
 	peer.releases.init()
 	peer.using.init()
 	peer.fresh.init()
+	peer.quiet.init()
 	return peer
 }
 
--- a/plugins/peer/pool.go
+++ b/plugins/peer/pool.go
@@ -222,14 +222,16 @@
 }
 
 // otherLoads sums up what the other routers of the domain hold. Sums that came
-// with a call count while they are fresher than the exchange of views.
+// with a call count while they are fresher than the exchange of views. The
+// workers of a suspect router count as closed: it may be paused and grant
+// nothing, and its old sums would hold the bound of the others down.
 func (p *Peer) otherLoads() map[string]sums {
 	p.viewMu.Lock()
 	defer p.viewMu.Unlock()
 	now := p.now()
 	out := map[string]sums{}
 	for _, m := range p.view.Members(now) {
-		if m.Router == p.id.Router || m.Domain != p.id.FailureDomain || m.State == membership.Gone {
+		if m.Router == p.id.Router || m.Domain != p.id.FailureDomain || m.State == membership.Gone || m.State == membership.Suspect {
 			continue
 		}
 		for _, l := range m.Pools {
