--- a/plugins/dispatch/dispatch.go
+++ b/plugins/dispatch/dispatch.go
@@ -53,9 +53,9 @@
 	waitUntil time.Time // end of the wait for slots
 	// overflowed says that the own domain was waited for in vain.
 	overflowed bool
-	failed    []string  // workers of failed attempts
-	outcome   core.Outcome
-	last      error // of the last attempt or slot request
+	failed     []string // workers of failed attempts
+	outcome    core.Outcome
+	last       error // of the last attempt or slot request
 }
 
 // result says how an attempt ended.
