--- a/admission/grant.go
+++ b/admission/grant.go
@@ -86,9 +86,10 @@
 		tried |= 1 << r
 	}
 	free, total := s.slots()
+	most := s.mostFree(total)
 	urgent := 0.0 // arrivals of the more urgent ranks
 	for i, r := range s.ranks {
-		if tried&(1<<i) == 0 && r.root.queued > 0 && free > s.reserve(urgent, total) {
+		if tried&(1<<i) == 0 && r.root.queued > 0 && free > s.reserve(urgent, total, most) {
 			e, w := s.pickFrom(r, bound, withinShare)
 			if e != nil {
 				return e, w
@@ -100,11 +101,14 @@
 }
 
 // pickOver returns the next request of a caller above its share. These leave
-// slots free for the others and for more urgent ranks.
+// slots free for the others and for more urgent ranks, twice as many as ranks
+// leave: callers within their share make up more of the arrivals than the
+// urgent ones do.
 func (s *Scheduler) pickOver(bound, free, total int) (*entry, *worker) {
+	most := 2 * s.mostFree(total)
 	urgent := 0.0
 	for _, r := range s.ranks {
-		if r.root.queued > 0 && free > s.reserve(max(urgent, s.modest), total) {
+		if r.root.queued > 0 && free > s.reserve(max(urgent, s.modest), total, most) {
 			e, w := s.pickFrom(r, bound, aboveShare)
 			if e != nil {
 				return e, w
--- a/admission/rules.go
+++ b/admission/rules.go
@@ -81,18 +81,26 @@
 	return free, total
 }
 
-// reserve returns the number of slots that are kept free for ranks whose
-// requests arrive at the given rate. A slot taken from the reserve is replaced
-// by the next one that ends, so k reserved slots are all in use with
-// probability (arrivals/endings)^k.
-func (s *Scheduler) reserve(arrivals float64, total int) int {
-	if arrivals < rarest || s.cfg.Reserve <= 0 {
+// mostFree is the largest number of slots that are kept free.
+func (s *Scheduler) mostFree(total int) float64 {
+	if s.cfg.Reserve <= 0 {
 		return 0
 	}
 	most := math.Round(s.cfg.Reserve * float64(total))
 	if total >= leastShared {
 		most = max(most, leastReserve)
 	}
+	return most
+}
+
+// reserve returns the number of slots, up to most, that are kept free for
+// requests that arrive at the given rate. A slot taken from the reserve is
+// replaced by the next one that ends, so k reserved slots are all in use with
+// probability (arrivals/endings)^k.
+func (s *Scheduler) reserve(arrivals float64, total int, most float64) int {
+	if arrivals < rarest || most == 0 {
+		return 0
+	}
 	ratio := arrivals * s.slotTime / float64(total)
 	if s.slotTime <= 0 || ratio >= 1 {
 		return int(most)
--- a/internal/bench/cmd/main.go
+++ b/internal/bench/cmd/main.go
@@ -12,7 +12,7 @@
 
 func main() {
 	output := flag.String("output", "text", "text or json")
-	short := flag.Bool("short", false, "shorter spans, no comparison of ways")
+	short := flag.Bool("short", false, "shorter floods, no comparison of ways, no two-year size")
 	seed := flag.Uint64("seed", 1, "seed of the traces")
 	flag.Parse()
 	report := bench.Run(bench.Options{Short: *short, Seed: *seed})
--- a/internal/bench/holders.go
+++ b/internal/bench/holders.go
@@ -37,13 +37,21 @@
 
 // offer is the arrival of a request at a holder.
 func (s *sim) offer(h *holder, r *request, q admission.Request) {
-	h.waiting[r.rank]++
+	h.note(r, 1)
 	if refusal := h.queue.Offer(s.wall(), q); refusal != nil {
 		s.turnedAway(h, *refusal)
 	}
 	s.advance(h)
 }
 
+// note counts waiting work. A request that still waits for the one worker with
+// its cache does not count: it would not take another slot.
+func (h *holder) note(r *request, change int) {
+	if r.hop >= len(r.choices) {
+		h.waiting[r.rank] += change
+	}
+}
+
 // advance lets a holder decide and schedules its next wake-up.
 func (s *sim) advance(h *holder) {
 	h.queue.Advance(s.wall(), func(g admission.Grant) { s.grant(h, g) }, func(r admission.Refusal) { s.turnedAway(h, r) })
@@ -62,7 +70,7 @@
 func (s *sim) grant(h *holder, g admission.Grant) {
 	r := s.pending[g.RequestID]
 	delete(s.pending, g.RequestID)
-	h.waiting[r.rank]--
+	h.note(r, -1)
 	r.worker = s.engines[g.Worker]
 	r.granted = s.now
 	s.occupied(r.worker)
@@ -104,7 +112,7 @@
 func (s *sim) turnedAway(h *holder, refusal admission.Refusal) {
 	r := s.pending[refusal.RequestID]
 	delete(s.pending, refusal.RequestID)
-	h.waiting[r.rank]--
+	h.note(r, -1)
 	view := s.viewOf(h)
 	s.after(s.latency, func() {
 		s.carry(s.holders[r.router], view)
