--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
-# Targets: build, test, lint, demo, latency, proto.
+# Targets: build, test, lint, demo, latency, bench, proto.
 GO ?= go
 BIN := bin/auburnlead
 
-.PHONY: build test lint demo latency proto
+.PHONY: build test lint demo latency bench proto
 
 build:
 	$(GO) build -o $(BIN) ./cmd/auburnlead
@@ -24,6 +24,11 @@
 latency: build
 	./scripts/latency
 
+# Measures the decisions against their targets and simpler ways; a few minutes.
+# BENCH takes flags: -short, -seed N, -output json.
+bench:
+	$(GO) run ./internal/bench/cmd $(BENCH)
+
 # Regenerates the committed gRPC code; needs protoc. The build does not.
 proto:
 	mkdir -p bin
--- a/admission/admission.go
+++ b/admission/admission.go
@@ -11,12 +11,17 @@
 //  1. to ranks with waiting work that hold less than their floor of the slots
 //     in use, rounded up to whole slots, plus what they have been short of
 //     since their work began to wait;
-//  2. then by priority, where a rank leaves a few slots free for the ranks
-//     above it, as many as their arrivals in the last seconds need (Config.
-//     Reserve bounds them);
-//  3. within a rank to the caller, and within the caller to the workspace, with
+//  2. then by priority to callers within their fair share of the slots, where
+//     a rank leaves a few slots free for the ranks above it, as many as their
+//     arrivals in the last seconds need (Config.Reserve bounds them);
+//  3. then by priority to callers that hold more than their share, which leave
+//     up to twice as many slots free;
+//  4. within a rank to the caller, and within the caller to the workspace, with
 //     the lowest start tag (start-time fair queueing over tokens).
 //
+// The mean is only as exact as the sums given to SetOthers; Config.Margin allows
+// for their age.
+//
 // Every request that Offer accepts ends in exactly one of: a Grant, a Refusal
 // or Cancel. When the queue of a rank is full, a request of the caller with
 // the longest queue for its weight is refused to make room, so one caller
--- a/admission/machine_test.go
+++ b/admission/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -220,6 +221,15 @@
 	if m.s.InFlight() != used || m.s.Queued() != len(m.waiting) {
 		t.Fatalf("in flight %d, queued %d, want %d and %d", m.s.InFlight(), m.s.Queued(), used, len(m.waiting))
 	}
+	weights := 0.0
+	for _, a := range m.s.callers {
+		if a.requests > 0 {
+			weights += a.weight
+		}
+	}
+	if math.Abs(weights-m.s.weights) > 1e-6 {
+		t.Fatalf("weights of active callers are %v, counted as %v", weights, m.s.weights)
+	}
 	held := 0
 	for _, r := range m.s.ranks {
 		held += r.held
--- a/admission/rules_test.go
+++ b/admission/rules_test.go
@@ -146,6 +146,29 @@
 	})
 }
 
+// Guards small callers against a large one that sends its work as urgent.
+func TestUrgentWorkOfALargeCaller(t *testing.T) {
+	Convey("Nine callers get all their normal work served beside one that floods with urgent work", t, func() {
+		p := newPool(testConfig(), 40, 11)
+		offered := 0
+		for tick := range 3000 {
+			p.offer("urgent", "large", 1)
+			if tick%10 == 0 {
+				offered++
+				p.offer("normal", fmt.Sprint("small", tick/10%9), 1)
+			}
+			p.step()
+		}
+		served := 0
+		for caller, count := range p.costs {
+			if caller != "large" {
+				served += int(count)
+			}
+		}
+		So(offered-served, ShouldBeLessThanOrEqualTo, 3)
+	})
+}
+
 // Guards the correction of costs: a caller that understates its costs gets no
 // more tokens than an honest one.
 func TestCostsAreCorrectedOnRelease(t *testing.T) {
--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -135,10 +135,12 @@
 		known = &worker{}
 		s.byID[w.ID] = known
 		s.workers = append(s.workers, known)
+		known.Worker = w
+		s.resolve()
+		return
 	}
 	s.recheck = s.recheck || known.Open && !w.Open
 	known.Worker = w
-	s.resolve()
 }
 
 // RemoveWorker forgets a worker and its slots, for example after a hand-over.
