Close the gaps of adopting a lease whose routers are silent

Change: Evidence names the silence of the other listed routers; a row must be unchanged for as long as the silence; an adopter grants only a lease time after its write; a holder that lapsed or was isolated for 30 s acts only for a lease time after each read and writes the row to end the doubt (Rewrite).

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -40,6 +40,12 @@
 	fresh    time.Time // holder: when the row was last known to be its own
 	promised time.Time // successor: the last promise
 	isolated bool
+	// doubtful says that others may have counted this holder as gone (rule
+	// 4). It then acts only for a lease time after each read of the row, and
+	// writes the row to end the doubt.
+	doubtful  bool
+	adopting  bool      // the open write is an adoption
+	notBefore time.Time // after an adoption: when the old holder has read the row
 }
 
 // New returns the part of the router self in a lease whose row it has not read.
@@ -65,7 +71,7 @@
 	if l.row.needsRead() {
 		return true
 	}
-	if !l.Holds() || !(l.isolated || l.row.value.Successor == "") {
+	if !l.Holds() || !(l.doubtful || l.row.value.Successor == "") {
 		return false
 	}
 	return age(now, l.fresh) >= l.cfg.usable()/2
@@ -82,12 +88,20 @@
 	if changed {
 		l.renewed, l.fresh = time.Time{}, time.Time{}
 		l.promised = now
+		l.doubtful = l.isolated
 	}
 	if l.Holds() && version == l.row.version {
+		l.doubtful = l.doubtful || !changed && l.lapsed(sent)
 		l.fresh = later(l.fresh, sent)
 	}
 }
 
+// lapsed reports whether the holder had no right to act for so long before the
+// given time that others may be about to adopt the lease.
+func (l *Lease) lapsed(at time.Time) bool {
+	return age(at, later(l.renewed, l.fresh)) >= OrphanSilence/2
+}
+
 // Written takes the result of a write and the row's new version if applied.
 // After Conflict the row has to be read.
 func (l *Lease) Written(now time.Time, w Write[Record], outcome Outcome, version int64) {
@@ -102,8 +116,12 @@
 func (l *Lease) took(now, sent time.Time) {
 	l.renewed, l.fresh = time.Time{}, time.Time{}
 	l.promised = now
+	l.doubtful = l.isolated
 	if l.Holds() {
 		l.renewed, l.fresh = sent, sent
+		if l.adopting {
+			l.notBefore = now.Add(l.cfg.Time)
+		}
 	}
 }
 
@@ -115,14 +133,14 @@
 
 // MayGrant reports whether this router may grant the worker's slots now.
 func (l *Lease) MayGrant(now time.Time) bool {
-	if !l.Holds() || l.handingOver() {
+	if !l.Holds() || l.handingOver() || now.Before(l.notBefore) {
 		return false
 	}
 	usable := l.cfg.usable()
 	if l.row.value.Successor == "" {
 		return age(now, l.fresh) < usable
 	}
-	if l.isolated && age(now, l.fresh) >= usable {
+	if l.doubtful && age(now, l.fresh) >= usable {
 		return false
 	}
 	return age(now, l.renewed) < usable
@@ -131,7 +149,7 @@
 // GrantUntil returns the time at which MayGrant ends unless it is extended.
 func (l *Lease) GrantUntil() time.Time {
 	last := l.renewed
-	if l.row.value.Successor == "" || l.isolated && l.fresh.Before(last) {
+	if l.row.value.Successor == "" || l.doubtful && l.fresh.Before(last) {
 		last = l.fresh
 	}
 	return last.Add(l.cfg.usable())
@@ -146,7 +164,7 @@
 // time the row has to be read first. While a write is open, it may already have
 // named a successor who counts down to a take-over, so the right runs out.
 func (l *Lease) Beat(now time.Time) {
-	alone := l.Holds() && l.row.value.Successor == "" && !l.isolated && l.row.write == nil
+	alone := l.Holds() && l.row.value.Successor == "" && !l.doubtful && l.row.write == nil
 	if alone && age(now, l.fresh) < l.cfg.usable() {
 		l.fresh = now
 	}
@@ -154,8 +172,22 @@
 
 // SetIsolated records whether the holder has heard from no router of its
 // domain except its successor for a while although others are listed as live.
-// While isolated it grants only for a lease time after each read of the row.
-func (l *Lease) SetIsolated(isolated bool) { l.isolated = isolated }
+// While isolated, and until it has written the row after that, it grants only
+// for a lease time after each read of the row.
+func (l *Lease) SetIsolated(isolated bool) {
+	l.isolated = isolated
+	l.doubtful = l.doubtful || isolated
+}
+
+// Rewrite returns the write with which a holder ends the doubt whether its
+// lease was adopted while it was paused or cut off. If it is applied, nobody
+// has adopted the lease, and an adoption that is still under way will fail.
+func (l *Lease) Rewrite(now time.Time) (Write[Record], bool) {
+	if !l.Holds() || !l.doubtful || l.isolated || l.row.write != nil {
+		return Write[Record]{}, false
+	}
+	return l.begin(now, l.self, l.incarnation, l.row.value.Successor), true
+}
 
 // Renewal returns the renewal to send to the successor now.
 func (l *Lease) Renewal(now time.Time) (Renewal, bool) {
@@ -176,6 +208,7 @@
 	if l.row.write != nil && r.Sent.After(l.row.write.Sent) {
 		return
 	}
+	l.doubtful = l.doubtful || l.lapsed(r.Sent)
 	l.renewed = later(l.renewed, r.Sent)
 }
 
@@ -230,12 +263,22 @@
 }
 
 // Adopt returns the write that makes this router the holder of a row whose
-// holder and successor are both gone, as shown by the evidence.
+// holder and successor are both gone, as shown by the evidence. It grants only
+// a lease time after the write, in case they are not: a holder that is back may
+// have read the row just before. The row must have been the same for as long as
+// the silence, because a new row shows that its writer was alive.
 func (l *Lease) Adopt(now time.Time, successor string, e Evidence) (Write[Record], bool) {
-	if !l.row.known || l.row.write != nil || l.Holds() || !Orphaned(e) {
+	if !l.row.known || l.row.write != nil || l.Holds() {
 		return Write[Record]{}, false
 	}
-	return l.begin(now, l.self, l.incarnation, successor), true
+	same := now.Sub(l.promised)
+	e.HolderSilent, e.SuccessorSilent = min(e.HolderSilent, same), min(e.SuccessorSilent, same)
+	if !Orphaned(e) {
+		return Write[Record]{}, false
+	}
+	w := l.begin(now, l.self, l.incarnation, successor)
+	l.adopting = true
+	return w, true
 }
 
 // NameSuccessor returns the write with which the holder names another
@@ -259,6 +302,7 @@
 
 func (l *Lease) begin(now time.Time, holder string, incarnation uint64, successor string) Write[Record] {
 	next := Record{Holder: holder, Incarnation: incarnation, Successor: successor, Epoch: l.row.value.Epoch + 1}
+	l.adopting = false
 	next.By = l.self + "/" + strconv.FormatUint(l.incarnation, 36)
 	return l.row.begin(now, next)
 }
--- a/lease/orphan.go
+++ b/lease/orphan.go
@@ -17,6 +17,10 @@
 	// without a successor has SuccessorSilent = HolderSilent.
 	HolderSilent    time.Duration
 	SuccessorSilent time.Duration
+	// OthersSilent is the longest time without news among the other routers
+	// that the list names as live, 0 when there are none. A router that is
+	// cut off itself proves nothing: the others may still hear the holder.
+	OthersSilent time.Duration
 	// Unlisted is how long the platform's VM list has named neither of them.
 	Unlisted time.Duration
 }
@@ -24,6 +28,9 @@
 // Orphaned reports whether the evidence permits a router that is not named in
 // the row to take over.
 func Orphaned(e Evidence) bool {
+	if e.OthersSilent >= OrphanSilence/2 {
+		return false
+	}
 	silent := min(e.HolderSilent, e.SuccessorSilent)
 	if silent >= OrphanSilenceListed {
 		return true
--- a/plugins/peer/leases.go
+++ b/plugins/peer/leases.go
@@ -315,7 +315,7 @@
 // names none, so that a lone router goes on granting.
 func (p *Peer) nameSuccessor(now time.Time, l *slotLease, r ranking, other string) (lease.Write[lease.Record], bool) {
 	record, _ := l.lease.Record()
-	if record.Successor == "" || !r.live(record.Successor) {
+	if record.Successor != other && (record.Successor == "" || !r.live(record.Successor)) {
 		return l.lease.NameSuccessor(now, other)
 	}
 	if p.renewalFails(now, l) {
@@ -323,7 +323,7 @@
 			return l.lease.NameSuccessor(now, third)
 		}
 	}
-	return lease.Write[lease.Record]{}, false
+	return l.lease.Rewrite(now)
 }
 
 // renewalFails reports whether the successor has not promised for half a lease
--- a/plugins/peer/silence.go
+++ b/plugins/peer/silence.go
@@ -74,6 +74,11 @@
 	if !s.listRead {
 		e.Unlisted = 0
 	}
+	for id, one := range s.routers {
+		if id != record.Holder && id != record.Successor && one.listed && !one.leaving {
+			e.OthersSilent = max(e.OthersSilent, one.silent)
+		}
+	}
 	return e
 }
 
