--- a/plugins/peer/change.go
+++ b/plugins/peer/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/auburnlead/auburnlead/admission"
@@ -78,6 +79,12 @@
 	defer pl.mu.Unlock()
 	slots := pl.s.Held(l.key.worker)
 	pl.s.RemoveWorker(p.now(), l.key.worker)
+	for i := range l.unknown {
+		if l.unknownUntil.After(p.now()) {
+			slots = append(slots, admission.Grant{RequestID: fmt.Sprintf("unknown/%s/%d", l.key.worker, i), Until: l.unknownUntil})
+		}
+	}
+	l.unknown = 0
 	return slots
 }
 
--- a/plugins/peer/count.go
+++ b/plugins/peer/count.go
@@ -43,6 +43,7 @@
 		pl.s.OccupyUnknown(now, k.worker, unknown, until)
 		pl.mu.Unlock()
 	}
+	l.unknown, l.unknownUntil = max(0, unknown), until
 	l.counted = true
 	again := reported && unknown > 0
 	p.leaseMu.Unlock()
@@ -84,6 +85,7 @@
 		unknown = p.maxInFlight(l) - len(pl.s.Held(k.worker))
 	}
 	pl.s.OccupyUnknown(now, k.worker, unknown, now.Add(recount))
+	l.unknown, l.unknownUntil = max(0, unknown), now.Add(recount)
 	return unknown > 0
 }
 
--- a/plugins/peer/leases.go
+++ b/plugins/peer/leases.go
@@ -43,6 +43,9 @@
 	// A report from the worker or its users.
 	leaving, ejected bool
 	limit            int // of the last load report, 0 when none
+	// Slots in use that are known only in number, until the given time.
+	unknown      int
+	unknownUntil time.Time
 
 	better      string // a better holder and since when it is known
 	betterSince time.Time
@@ -284,7 +287,8 @@
 	if l.better != best {
 		l.better, l.betterSince = best, now
 	}
-	return now.Sub(l.betterSince) >= p.s.Stable && l.counted && l.lease.MayGrant(now)
+	known := l.counted && (l.unknown == 0 || now.After(l.unknownUntil))
+	return now.Sub(l.betterSince) >= p.s.Stable && known && l.lease.MayGrant(now)
 }
 
 // handOver passes the lease on. The old holder stays as successor unless it
