--- a/plugins/peer/fleet_test.go
+++ b/plugins/peer/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,6 +48,7 @@
 	f     *fleet
 	app   *fx.App
 	table *tableSwitch
+	skew  atomic.Int64 // added to the router's clock, in nanoseconds
 	stop  func()
 }
 
@@ -78,6 +80,10 @@
 		fx.Invoke(Attach),
 		fx.Populate(&r.Peer),
 	)
+	if err := r.app.Err(); err != nil {
+		f.t.Fatal(err)
+	}
+	r.now = func() time.Time { return time.Now().Add(time.Duration(r.skew.Load())) }
 	if err := r.app.Start(context.Background()); err != nil {
 		f.t.Fatal(err)
 	}
