Send the statuses of the domain in summaries for other domains

Cause: at target size a router hears of one router in another domain about every 150 s, so that many would count as gone.

Change: a summary carries the statuses of the sender's whole domain, and the times after which routers of other domains are suspect or gone grow with the number of other domains (8 s and 40 s for each).

--- a/membership/doc.go
+++ b/membership/doc.go
@@ -10,7 +10,7 @@
 //
 // Failure behaviour: a router not heard from for Config.Suspect is suspect and
 // gets no new role, for Config.Gone it is gone. Entries of other failure
-// domains arrive seldom and have longer times. Routers that are gone are still
+// domains arrive in turn and have times that grow with the number of domains. Routers that are gone are still
 // contacted now and then, so that two parts that were cut off from each other
 // merge again without the platform.
 //
--- a/membership/message.go
+++ b/membership/message.go
@@ -105,18 +105,20 @@
 // Introduction returns the own full entry, for the first contact with a router.
 func (v *View) Introduction(now time.Time) []Entry { return v.urgent(now, v.self.entry) }
 
-// Summary returns entries for a router of another domain: the own entry, then
-// those of the own domain in turn.
+// Summary returns entries for a router of another domain: the own entry, the
+// statuses of the own domain, which show that its routers are alive, and full
+// entries in turn.
 func (v *View) Summary(now time.Time) []Entry {
 	p := packer{v: v, left: int(summaryShare * float64(v.cfg.Budget))}
 	p.add(v.self.entry)
 	list := v.domain(v.self.entry.Domain)
 	v.cfg.Rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	for _, m := range list {
-		if m.entry.Full() {
-			p.add(m.entry)
+		if v.state(now, m) != Gone {
+			p.add(m.entry.Status())
 		}
 	}
+	v.fill(&p, list, map[*member]bool{v.self: true})
 	return p.entries
 }
 
--- a/membership/view.go
+++ b/membership/view.go
@@ -23,8 +23,9 @@
 	// Suspect and Gone are the silences after which a router of the own
 	// domain is suspect or gone. Default 5 s and 30 s.
 	Suspect, Gone time.Duration
-	// RemoteSuspect and RemoteGone apply to other domains, whose entries
-	// arrive in turn. Default 60 s and 5 min.
+	// RemoteSuspect and RemoteGone apply to other domains. Their entries
+	// arrive in turn, so the times are multiplied by the number of other
+	// domains. Default 8 s and 40 s.
 	RemoteSuspect, RemoteGone time.Duration
 	// Forget is the silence after which an unlisted router is dropped.
 	// Default 1 h.
@@ -41,8 +42,8 @@
 func (c *Config) setDefaults() {
 	c.Suspect = cmp.Or(c.Suspect, 5*time.Second)
 	c.Gone = cmp.Or(c.Gone, 30*time.Second)
-	c.RemoteSuspect = cmp.Or(c.RemoteSuspect, time.Minute)
-	c.RemoteGone = cmp.Or(c.RemoteGone, 5*time.Minute)
+	c.RemoteSuspect = cmp.Or(c.RemoteSuspect, 8*time.Second)
+	c.RemoteGone = cmp.Or(c.RemoteGone, 40*time.Second)
 	c.Forget = cmp.Or(c.Forget, time.Hour)
 	c.Budget = cmp.Or(c.Budget, 1500)
 }
@@ -92,6 +93,7 @@
 	self    *member
 	members map[string]*member
 	keys    map[uint64]*member // by KeyOf the present incarnation
+	remote  map[string]bool    // other domains known
 	created time.Time
 	bucket  bucket
 }
@@ -101,7 +103,7 @@
 func New(cfg Config, self Entry, now time.Time) *View {
 	cfg.setDefaults()
 	self.Heartbeat, self.Content, self.LoadsOf = 1, 1, 1
-	v := &View{cfg: cfg, members: map[string]*member{}, keys: map[uint64]*member{}, created: now, bucket: newBucket(cfg.Budget, now)}
+	v := &View{cfg: cfg, members: map[string]*member{}, keys: map[uint64]*member{}, remote: map[string]bool{}, created: now, bucket: newBucket(cfg.Budget, now)}
 	v.self = &member{entry: self, heard: now}
 	v.members[self.Router] = v.self
 	v.keys[KeyOf(self.Router, self.Incarnation)] = v.self
@@ -211,6 +213,7 @@
 		delete(v.keys, KeyOf(before.Router, before.Incarnation))
 		v.keys[KeyOf(m.entry.Router, m.entry.Incarnation)] = m
 	}
+	v.noteDomain(m)
 	m.heard = now
 	m.order = v.cfg.Rand.Uint32()
 	if status {
@@ -247,6 +250,7 @@
 		}
 		m.setListed(now, true)
 		m.listLeaving, m.listAddress, m.listDomain = vm.Leaving, vm.Address, vm.Domain
+		v.noteDomain(m)
 	}
 	for id, m := range v.members {
 		if !named[id] {
@@ -259,6 +263,13 @@
 	}
 }
 
+// noteDomain counts the other domains.
+func (v *View) noteDomain(m *member) {
+	if d := m.domain(); d != "" && d != v.self.entry.Domain {
+		v.remote[d] = true
+	}
+}
+
 func (m *member) setListed(now time.Time, listed bool) {
 	if m.listed != listed || m.listChanged.IsZero() {
 		m.listed, m.listChanged = listed, now
@@ -277,7 +288,8 @@
 func (v *View) state(now time.Time, m *member) State {
 	suspect, gone := v.cfg.Suspect, v.cfg.Gone
 	if m.domain() != v.self.entry.Domain {
-		suspect, gone = v.cfg.RemoteSuspect, v.cfg.RemoteGone
+		others := time.Duration(max(1, len(v.remote)))
+		suspect, gone = others*v.cfg.RemoteSuspect, others*v.cfg.RemoteGone
 	}
 	silent := now.Sub(m.heard)
 	if m == v.self {
