Wait out the order lease of a restarted router's predecessor

Change: a lease held under another incarnation of the own ID is waited out like any other; Release requires that no order is under way.

--- a/lease/fenced.go
+++ b/lease/fenced.go
@@ -105,12 +105,13 @@
 	}), true
 }
 
-// free reports whether nobody can act under the row as last seen. A router
-// whose ID is in the row may acquire at once: its own lease is checked by
-// MayAct, and a predecessor under its ID can no longer act.
+// free reports whether no order under the row as last seen can still take
+// effect. This process knows that from its own clock. A predecessor under its
+// ID may have left an order on the way, so its lease is waited out like that of
+// any other router.
 func (l *FencedLease) free(now time.Time) bool {
 	r := l.row.value
-	if r.Holder == "" || r.Holder == l.self {
+	if r.Holder == "" || l.holds() {
 		return true
 	}
 	return now.Sub(l.seen) >= time.Duration(r.ExpiresInMS)*time.Millisecond
@@ -127,7 +128,8 @@
 	return l.row.begin(now, next), true
 }
 
-// Release returns the write that frees the lease. From now on MayAct is false
+// Release returns the write that frees the lease. The caller has no order under
+// way: the next holder need not wait for one. From now on MayAct is false
 // unless the write turns out not to have been applied.
 func (l *FencedLease) Release(now time.Time) (Write[FencedRecord], bool) {
 	if l.row.write != nil || !l.holds() {
