--- a/plugins/peer/leases.go
+++ b/plugins/peer/leases.go
@@ -43,6 +43,9 @@
 	// A report from the worker or its users.
 	leaving, ejected bool
 	limit            int // of the last load report, 0 when none
+	// Slots in use that are known only in number, until the given time.
+	unknown      int
+	unknownUntil time.Time
 	// missed counts the load reports in a row that did not come, without a
 	// request that ended on the worker in between.
 	missed int
@@ -297,7 +300,8 @@
 	if l.better != best {
 		l.better, l.betterSince = best, now
 	}
-	return now.Sub(l.betterSince) >= p.s.Stable && l.counted && l.lease.MayGrant(now)
+	known := l.counted && (l.unknown == 0 || now.After(l.unknownUntil))
+	return now.Sub(l.betterSince) >= p.s.Stable && known && l.lease.MayGrant(now)
 }
 
 // handOver passes the lease on. The old holder stays as successor unless it
@@ -328,7 +332,7 @@
 // names none, so that a lone router goes on granting.
 func (p *Peer) nameSuccessor(now time.Time, l *slotLease, r ranking, other string) (lease.Write[lease.Record], bool) {
 	record, _ := l.lease.Record()
-	if record.Successor == "" || !r.live(record.Successor) {
+	if record.Successor != other && (record.Successor == "" || !r.live(record.Successor)) {
 		return l.lease.NameSuccessor(now, other)
 	}
 	if p.renewalFails(now, l) {
@@ -336,7 +340,7 @@
 			return l.lease.NameSuccessor(now, third)
 		}
 	}
-	return lease.Write[lease.Record]{}, false
+	return l.lease.Rewrite(now)
 }
 
 // renewalFails reports whether the successor has not promised for half a lease
