--- a/plugins/upstream/client.go
+++ b/plugins/upstream/client.go
@@ -33,9 +33,16 @@
 	transport *http.Transport
 	targets   atomic.Pointer[targets]
 	submit    func(func(context.Context)) bool
+	newTimer  func(time.Duration, func()) stallTimer
 	log       *log.Logger
 }
 
+// stallTimer is the part of time.Timer that streams use.
+type stallTimer interface {
+	Reset(time.Duration) bool
+	Stop() bool
+}
+
 // targets maps upstream and worker to the worker's base URL for one revision.
 type targets map[[2]string]*url.URL
 
@@ -44,6 +51,7 @@
 func New(s *Settings, config core.Config, logger *log.Logger) *Client {
 	c := &Client{settings: s, log: logger.WithPrefix("upstream")}
 	c.submit = func(job func(context.Context)) bool { go job(context.Background()); return true }
+	c.newTimer = func(d time.Duration, fn func()) stallTimer { return time.AfterFunc(d, fn) }
 	dialer := &net.Dialer{Timeout: s.ConnectTimeout}
 	c.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/plugins/upstream/client_test.go
+++ b/plugins/upstream/client_test.go
@@ -198,6 +198,21 @@
 	})
 }
 
+// handTimer fires only when the test says so.
+type handTimer struct{}
+
+func (handTimer) Reset(time.Duration) bool { return true }
+func (handTimer) Stop() bool               { return true }
+
+// stallByHand returns a function that lets the client's last stall time-out
+// pass. With a short real time-out the verdict would depend on whether the
+// request was sent within it.
+func stallByHand(c *Client) func() {
+	var fire func()
+	c.newTimer = func(_ time.Duration, fn func()) stallTimer { fire = fn; return handTimer{} }
+	return func() { fire() }
+}
+
 // Guards against wrong headers towards engines, and against streams that are
 // taken for answers although they are not.
 func TestStream(t *testing.T) {
@@ -253,13 +268,14 @@
 			So([]any{failed.Outcome, failed.Status, failed.RetryAfter}, ShouldResemble, []any{core.OutcomeUnknown, 429, 7 * time.Second})
 		})
 		Convey("a stream that stalls is cut", func() {
-			client.settings.StallTimeout = time.Millisecond
+			stall := stallByHand(client)
 			answerWith = func(w http.ResponseWriter) {
 				_ = http.NewResponseController(w).Flush()
 				<-cancelled
 			}
 			frames, err := client.Stream(context.Background(), a, nil)
 			So(err, ShouldBeNil)
+			stall()
 			_, err = frames.Next()
 			So(err, ShouldNotBeNil)
 			So(err, ShouldNotEqual, io.EOF)
@@ -267,8 +283,8 @@
 			cancelled <- ""
 		})
 		Convey("a worker that does not answer is given up", func() {
-			client.settings.StallTimeout = time.Millisecond
-			answerWith = func(http.ResponseWriter) { <-cancelled }
+			stall := stallByHand(client)
+			answerWith = func(http.ResponseWriter) { stall(); <-cancelled }
 			_, err := client.Stream(context.Background(), a, nil)
 			So(outcomeOf(err), ShouldEqual, core.OutcomeUnknown)
 			cancelled <- ""
--- a/plugins/upstream/engines.go
+++ b/plugins/upstream/engines.go
@@ -27,7 +27,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	// A paused worker accepts connections and never answers.
-	timer := time.AfterFunc(c.settings.StallTimeout, func() { cancel(errStalled) })
+	timer := c.newTimer(c.settings.StallTimeout, func() { cancel(errStalled) })
 	r := request(ctx, http.MethodPost, u, body)
 	setAttempt(r.Header, a)
 	r.Header.Set("Content-Type", "application/json")
@@ -66,7 +66,7 @@
 	reader *answer.Reader
 	cancel context.CancelCauseFunc
 	stall  time.Duration
-	timer  *time.Timer
+	timer  stallTimer
 }
 
 // errStalled ends a stream that sends nothing any more.
