Add a TCP relay, bookings with known keys and a check against the journals

Cause: the promises towards callers are to be checked on the real binary under partitions and faults, which needs connections that can be cut, held or delayed, a record of what each caller was told, and the times of the effects.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/auburnlead/auburnlead/internal/load"
 )
@@ -13,6 +14,8 @@
 	Run     loadRunCmd     `cmd:"" help:"Send chats at a fixed rate and print latencies."`
 	Chat    loadChatCmd    `cmd:"" help:"Send one chat completion."`
 	Service loadServiceCmd `cmd:"" help:"Send one call to a plain service."`
+	Book    loadBookCmd    `cmd:"" help:"Send bookings with a known set of keys, each several times."`
+	Check   loadCheckCmd   `cmd:"" help:"Compare the answers to bookings with the journals of service stand-ins."`
 }
 
 // Help is the text below the usage of the command.
@@ -38,11 +41,17 @@
 	MaxTokens int      `help:"Tokens an answer." default:"16"`
 	Seed      uint64   `help:"Seed of the choice of chats." default:"1"`
 	NoStream  bool     `help:"Ask for whole answers instead of streams."`
+
+	Verify  bool          `help:"Compare the content of each complete answer with what the engine stand-in produces; a difference is an error."`
+	Timeout time.Duration `help:"Time after which a request is given up; 0s for none." default:"0s"`
 }
 
 // Run sends the load and prints the report.
-func (c *loadRunCmd) Run(ctx context.Context, s *Streams) error {
-	plan := load.Plan{Model: c.Model, Rank: c.Rank, Requests: c.Requests, Rate: c.Rate, MaxInFlight: c.InFlight, Chats: c.Chats, MaxTokens: c.MaxTokens, Stream: !c.NoStream, Seed: c.Seed}
+func (c *loadRunCmd) Run(ctx context.Context, s *Streams) (err error) {
+	plan := load.Plan{Model: c.Model, Rank: c.Rank, Requests: c.Requests, Rate: c.Rate, MaxInFlight: c.InFlight, Chats: c.Chats, MaxTokens: c.MaxTokens, Stream: !c.NoStream, Seed: c.Seed, Timeout: c.Timeout}
+	if c.Verify {
+		plan.Expect = expected
+	}
 	for _, url := range c.URL {
 		plan.Clients = append(plan.Clients, load.NewClient(url, c.Key, c.Direct, c.InFlight))
 	}
@@ -50,6 +59,11 @@
 	if err != nil {
 		return err
 	}
+	if report.Wrong > 0 {
+		defer func() {
+			err = &ExitError{ExitFailed, fmt.Errorf("%d complete answers have other content than their engine produced, for example %q", report.Wrong, report.WrongContent)}
+		}()
+	}
 	if s.Output == "json" {
 		return json.NewEncoder(s.Out).Encode(report)
 	}
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -6,6 +6,7 @@
 
 	"github.com/auburnlead/auburnlead/internal/standin/engine"
 	"github.com/auburnlead/auburnlead/internal/standin/platform"
+	"github.com/auburnlead/auburnlead/internal/standin/relay"
 	"github.com/auburnlead/auburnlead/internal/standin/service"
 )
 
@@ -15,6 +16,7 @@
 	Engine   standinEngineCmd   `cmd:"" help:"Run a stand-in for a model engine."`
 	Service  standinServiceCmd  `cmd:"" help:"Run a stand-in for a plain service with a journal."`
 	Platform standinPlatformCmd `cmd:"" help:"Run a stand-in for the platform, in memory and with faults on request."`
+	Relay    standinRelayCmd    `cmd:"" help:"Run a TCP relay that cuts, holds or delays connections on request."`
 }
 
 // Help is the text below the usage of the command.
@@ -77,3 +79,19 @@
 func (c *standinPlatformCmd) Run(ctx context.Context, s *Streams) error {
 	return platform.Run(ctx, platform.Settings(*c), s.Out)
 }
+
+type standinRelayCmd struct {
+	Listen  string `help:"IP address and port of the relayed connections; port 0 lets the system choose." default:"127.0.0.1:0" placeholder:"IP:PORT"`
+	Control string `help:"IP address and port of POST /relay." default:"127.0.0.1:0" placeholder:"IP:PORT"`
+	Target  string `help:"IP address and port that connections are forwarded to; POST /relay can change it." placeholder:"IP:PORT"`
+}
+
+// Help is the text below the usage of the command.
+func (standinRelayCmd) Help() string {
+	return "Prints one line {\"listen\":\"ip:port\",\"control\":\"ip:port\"}.\n\nExample:\n\n  auburnlead standin relay --listen 127.0.0.1:9301 --target 127.0.0.1:9201\n\nPOST /relay on the control address sets mode (pass, cut, hold, delay), delay_ms and target."
+}
+
+// Run runs the relay until SIGTERM.
+func (c *standinRelayCmd) Run(ctx context.Context, s *Streams) error {
+	return relay.Run(ctx, relay.Settings(*c), s.Out)
+}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -24,6 +24,10 @@
 	MaxTokens   int
 	Stream      bool
 	Seed        uint64
+	Timeout     time.Duration // of one request; 0 for none
+	// Expect returns the content that a complete answer must have; nil leaves
+	// the content unchecked.
+	Expect func(messages []Message, maxTokens int) string
 }
 
 // Report is the result of a run. Durations in microseconds.
@@ -33,6 +37,8 @@
 	NotSent       int            `json:"not_sent"`
 	Complete      int            `json:"complete"`
 	Failed        int            `json:"failed"`
+	Wrong         int            `json:"wrong"` // complete with other content than expected
+	WrongContent  string         `json:"wrong_content,omitempty"`
 	Problems      map[string]int `json:"problems,omitempty"`
 	Seconds       float64        `json:"seconds"`
 	RequestsPerS  float64        `json:"requests_per_second"`
@@ -130,6 +136,11 @@
 func (r *runner) one(ctx context.Context, c *Client, chat, n int) {
 	messages := r.begin(chat, n)
 	chatID := fmt.Sprintf("load-%d-%d", r.plan.Seed, chat)
+	if r.plan.Timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, r.plan.Timeout)
+		defer cancel()
+	}
 	result, err := c.Chat(ctx, Chat{Model: r.plan.Model, Messages: messages, Stream: r.plan.Stream, MaxTokens: r.plan.MaxTokens, Rank: r.plan.Rank, ChatID: chatID})
 	r.end(chat, messages, result, err)
 }
@@ -170,6 +181,7 @@
 		r.report.Problems[kind]++
 	default:
 		r.report.Complete++
+		r.compareLocked(messages, result)
 		r.report.PromptTokens += int64(result.PromptTokens)
 		r.report.CachedTokens += int64(result.CachedTokens)
 		_ = r.total.RecordValue(result.Total.Microseconds()) // out of range is left out
@@ -179,6 +191,16 @@
 	}
 }
 
+// compareLocked counts a complete answer with foreign, missing or doubled
+// content.
+func (r *runner) compareLocked(messages []Message, result *ChatResult) {
+	if r.plan.Expect == nil || result.Content == r.plan.Expect(messages, r.plan.MaxTokens) {
+		return
+	}
+	r.report.Wrong++
+	r.report.WrongContent = result.Content
+}
+
 func (r *runner) finish(took time.Duration) {
 	r.report.Seconds = took.Seconds()
 	r.report.RequestsPerS = float64(r.report.Complete) / took.Seconds()
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -45,7 +45,8 @@
 	Body     string   `json:"body_sha256"`
 	Runs     int      `json:"runs"`
 	Attempts []string `json:"attempts"`
-	ID       int      `json:"id"` // of the first effect
+	TimesNS  []int64  `json:"times_ns"` // wall clock of each run
+	ID       int      `json:"id"`       // of the first effect
 }
 
 // Journal is the answer to GET /standin/journal.
@@ -169,6 +170,7 @@
 	}
 	e.Runs++
 	e.Attempts = append(e.Attempts, r.Header.Get("X-Attempt-Id"))
+	e.TimesNS = append(e.TimesNS, time.Now().UnixNano())
 	s.journal.Total++
 	a := Answer{Worker: s.s.ID, ID: id, Key: key.key}
 	if json.Valid(body) {
@@ -240,6 +242,7 @@
 	for i, e := range s.journal.Effects {
 		c := *e
 		c.Attempts = slices.Clone(e.Attempts)
+		c.TimesNS = slices.Clone(e.TimesNS)
 		j.Effects[i] = &c
 	}
 	return j
