Add scripts/verify: kills, pauses and platform faults on real processes

Cause: the promises were proved in-process only; nothing ran the binary under faults and compared what callers were told with what happened.

Change: scripts/verify starts a fleet behind relays, sends chats and bookings from five processes, injects two faults at a time in an order chosen by a seed, and checks invariants only.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -48,10 +48,22 @@
 
 # start NAME ARGUMENT...: starts a process and waits for its line of addresses.
 start() {
+  launch "$@"
+  await "$1"
+}
+
+# launch NAME ARGUMENT...: starts a process.
+launch() {
   local name=$1
   shift
-  "$BIN" "$@" >"$WORK_DIR/$name.out" 2>"$WORK_DIR/$name.log" &
+  : >"$WORK_DIR/$name.out"
+  "$BIN" "$@" >"$WORK_DIR/$name.out" 2>>"$WORK_DIR/$name.log" &
   PID[$name]=$!
+}
+
+# await NAME: waits for a process's line of addresses.
+await() {
+  local name=$1
   eventually test -s "$WORK_DIR/$name.out" || { echo "$name did not start"; cat "$WORK_DIR/$name.log"; exit 1; }
   ADDRESS[$name]=$(sed -n 's/.*"listen":"\([^"]*\)".*/\1/p' "$WORK_DIR/$name.out")
 }
--- /dev/null
+++ b/scripts/verify_lib.sh
@@ -0,0 +1,345 @@
+# Functions of scripts/verify: a fleet behind relays, faults, load and checks.
+# Sourced after scripts/lib.sh.
+readonly ROUTERS=(r1 r2 r3 r4) ENGINES=(e1 e2 e3 e4) SERVICES=(s1 s2)
+readonly MAX_IN_FLIGHT=8 # of the set that write_set writes
+declare -A DOMAIN=([r1]=a [r2]=a [r3]=b [r4]=b)
+declare -A STARTS WATCHER
+PLATFORM_FAULTS=()
+LOADS=()
+
+# Short lease times give several take-overs in one run.
+readonly FAST=(--set peer.lease_time=2s --set peer.renew=500ms --set peer.use_by=1s --set peer.suspect=2s
+  --set peer.gone=5s --set peer.stable=1s --set peer.list_poll=1s --set config.poll_period=1s)
+
+# pause BASE: waits BASE to BASE+1 seconds, by the seed. Only the history of a
+# run depends on it, no verdict.
+pause() { sleep "$1.$((RANDOM % 10))"; }
+
+# pick NAME...: sets PICKED to one of the names, by the seed.
+pick() {
+  local list=("$@")
+  PICKED=${list[RANDOM % ${#list[@]}]}
+}
+
+# post ADDRESS PATH BODY: one POST request, whose failure is ignored.
+post() { http POST "$@" >/dev/null 2>&1; }
+
+launch_engine() { launch "$1" standin engine --id "$1" --first-token 20ms --token 10ms --checks-fencing; }
+
+# relay NAME MODE [DELAY_MS]: sets the mode of a relay.
+relay() { post "$(bound "$1" control)" /relay "{\"mode\":\"$2\",\"delay_ms\":${3:-0}}"; }
+
+# point RELAY TARGET: makes a relay pass connections on to an address.
+point() { post "$(bound "$1" control)" /relay "{\"mode\":\"pass\",\"target\":\"$2\"}"; }
+
+# run_router NAME: starts a router whose platform, peers and callers reach it
+# through relays.
+run_router() {
+  local r=$1
+  STARTS[$r]=$((${STARTS[$r]:-0} + 1))
+  start "$r" router --set "node.id=$r" --set "node.failure_domain=${DOMAIN[$r]}" "${FAST[@]}" \
+    --set caller.listen=127.0.0.1:0 --set admin.listen=127.0.0.1:0 --set "admin.key=$ADMIN_KEY" \
+    --set peer.listen=127.0.0.1:0 --set "peer.advertise=${ADDRESS[peer-$r]}" --set "peer.key=$PEER_KEY" \
+    --set "platform.url=http://${ADDRESS[platform-$r]}" --set caller.drain_delay=200ms
+  point "peer-$r" "$(bound "$r" peer)"
+  point "caller-$r" "$(bound "$r" caller)"
+  watch "$r" &
+  WATCHER[$r]=$!
+}
+
+# list_vm ROUTER: puts the router on the platform's VM list.
+list_vm() {
+  http PUT "${ADDRESS[platform]}" "/vms/$1" "{\"id\":\"$1\",\"address\":\"${ADDRESS[peer-$1]}\",\"failure_domain\":\"${DOMAIN[$1]}\",\"state\":\"live\"}" >/dev/null
+}
+
+# watch ROUTER: records the revision that the router's process reports until
+# the process is gone.
+watch() {
+  local r=$1 process="$1/${STARTS[$1]}" pid=${PID[$1]} revision
+  while kill -0 "$pid" 2>/dev/null; do
+    revision=$("$BIN" --output json status --admin "$(admin "$r")" 2>/dev/null | grep -o '"revision":[0-9]*' | head -n 1)
+    [ -n "$revision" ] && echo "$process ${revision#*:}" >>"$WORK_DIR/revisions-$r"
+    sleep 0.2
+  done
+}
+
+# start_fleet: starts everything and publishes revision 1.
+start_fleet() {
+  local name
+  launch platform standin platform --seed "$SEED"
+  for name in "${ENGINES[@]}"; do launch_engine "$name"; done
+  for name in "${SERVICES[@]}"; do launch "$name" standin service --id "$name"; done
+  for name in "${ROUTERS[@]}"; do
+    launch "platform-$name" standin relay
+    launch "peer-$name" standin relay
+    launch "caller-$name" standin relay
+  done
+  for name in "${ENGINES[@]}" "${SERVICES[@]}"; do launch "worker-$name" standin relay; done
+  for name in "${!PID[@]}"; do await "$name"; done
+  write_relayed_set
+  for name in "${ROUTERS[@]}"; do
+    point "platform-$name" "${ADDRESS[platform]}"
+    run_router "$name"
+    list_vm "$name"
+  done
+  eventually "$BIN" apply --admin "$(admin r1)" --author verify --base 0 "$WORK_DIR/set.ini" >/dev/null 2>&1
+  check "revision 1 is in force on four routers" eventually all_in_force
+  check "the fleet answers chats" eventually chat first r1 --message "Is the well free?"
+  check "the fleet answers chats of the other domain" eventually chat second r3 --message "Is the well free?"
+}
+
+# write_relayed_set: writes the set with the relays as the workers' addresses.
+write_relayed_set() {
+  local name
+  declare -A real
+  for name in "${ENGINES[@]}" "${SERVICES[@]}"; do
+    point "worker-$name" "${ADDRESS[$name]}"
+    real[$name]=${ADDRESS[$name]}
+    ADDRESS[$name]=${ADDRESS[worker-$name]}
+  done
+  write_set "$WORK_DIR/set.ini"
+  for name in "${!real[@]}"; do ADDRESS[$name]=${real[$name]}; done
+}
+
+# own_revision ROUTER: the revision in force in a router.
+own_revision() { "$BIN" --output json status --admin "$(admin "$1")" 2>/dev/null | grep -o '"revision":[0-9]*' | head -n 1 | cut -d: -f2; }
+
+# newest: the newest published revision.
+newest() { "$BIN" --output json audit --admin "$(admin "$1")" 2>/dev/null | grep -o '"revision":[0-9]*' | head -n 1 | cut -d: -f2; }
+
+# all_in_force: every running router has the newest revision in force.
+all_in_force() {
+  local r n
+  for r in "${ROUTERS[@]}"; do
+    [ -n "${PID[$r]:-}" ] || continue
+    n=${n:-$(newest "$r")}
+    [ -n "$n" ] && [ "$(own_revision "$r")" = "$n" ] || return 1
+  done
+}
+
+# caller_urls: the flags for load on all routers.
+caller_urls() {
+  local r
+  for r in "${ROUTERS[@]}"; do echo "--url=http://${ADDRESS[caller-$r]}"; done
+}
+
+# start_load: chats and bookings for about 16 s from five processes. Two of the
+# booking processes share their keys.
+start_load() {
+  local urls
+  mapfile -t urls < <(caller_urls)
+  "$BIN" --output json load run "${urls[@]}" --model rota-8b-v3 --rate 50 --requests 800 --max-tokens 24 --verify --timeout 30s --seed "$SEED" >"$WORK_DIR/run1.json" 2>"$WORK_DIR/run1.err" &
+  LOADS+=($!)
+  "$BIN" --output json load run "${urls[@]}" --model rota-8b-v3 --rate 20 --requests 320 --max-tokens 12 --verify --timeout 30s --rank urgent --no-stream --seed "$((SEED + 1000))" >"$WORK_DIR/run2.json" 2>"$WORK_DIR/run2.err" &
+  LOADS+=($!)
+  start_booking 1 shared- "${urls[@]}"
+  start_booking 2 shared- "${urls[@]}"
+  start_booking 3 own- "${urls[@]}"
+}
+
+start_booking() {
+  local n=$1 prefix=$2
+  shift 2
+  "$BIN" load book "$@" --path /v1/services/rota-desk/bookings --prefix "$prefix" --keys 64 --rounds 5 --rate 20 --seed "$((SEED * 10 + n))" >"$WORK_DIR/book$n.jsonl" 2>"$WORK_DIR/book$n.err" &
+  LOADS+=($!)
+}
+
+# wait_load: waits for the load and checks the answers to chats.
+wait_load() {
+  local pid failed=0
+  for pid in "${LOADS[@]}"; do wait "$pid" || failed=1; done
+  LOADS=()
+  check "the load processes ended without an error" test "$failed" = 0
+  check "no chat answer is complete with foreign, missing or doubled content" grep -q '"wrong":0' "$WORK_DIR/run1.json"
+  check "no whole answer has foreign, missing or doubled content" grep -q '"wrong":0' "$WORK_DIR/run2.json"
+}
+
+# fault NAME: switches a fault on; heal NAME TARGET: switches it off again. A
+# fault sets TARGET.
+kill_router_on() { pick "${ROUTERS[@]}"; TARGET=$PICKED; [ -z "${PID[$TARGET]:-}" ] || kill_now "$TARGET"; }
+kill_router_off() { [ -n "${PID[$1]:-}" ] || run_router "$1"; }
+kill_engine_on() {
+  pick "${ENGINES[@]}"
+  TARGET=$PICKED
+  [ -n "${PID[$TARGET]:-}" ] || return
+  engine_bound "$TARGET"
+  kill_now "$TARGET"
+}
+kill_engine_off() {
+  [ -z "${PID[$1]:-}" ] || return
+  launch_engine "$1"
+  await "$1"
+  point "worker-$1" "${ADDRESS[$1]}"
+}
+pause_on() { pick "$@"; TARGET=$PICKED; kill -STOP "${PID[$TARGET]}"; }
+pause_router_on() { pause_on "${ROUTERS[@]}"; }
+pause_engine_on() { pause_on "${ENGINES[@]}"; }
+pause_service_on() { pause_on "${SERVICES[@]}"; }
+pause_platform_on() { pause_on platform; }
+pause_router_off() { kill -CONT "${PID[$1]}"; }
+pause_engine_off() { pause_router_off "$1"; }
+pause_service_off() { pause_router_off "$1"; }
+pause_platform_off() { pause_router_off "$1"; }
+
+# Faults of the platform add up.
+platform_faults() {
+  local body
+  body=$(IFS=,; echo "${PLATFORM_FAULTS[*]}")
+  post "${ADDRESS[platform]}" /faults "{$body}"
+}
+platform_on() { PLATFORM_FAULTS+=("$1"); platform_faults; }
+platform_off() {
+  local f kept=()
+  for f in "${PLATFORM_FAULTS[@]}"; do [ "$f" = "$1" ] || kept+=("$f"); done
+  PLATFORM_FAULTS=("${kept[@]}")
+  platform_faults
+}
+readonly LOST='"lost_replies":0.3,"dropped_requests":0.1' LATE='"late_writes":0.3,"duplicate_writes":0.3,"late_by_ms":700'
+outage_on() { TARGET=platform; platform_on '"outage":true'; }
+outage_off() { platform_off '"outage":true'; }
+slow_on() { TARGET=platform; platform_on '"delay_ms":400'; }
+slow_off() { platform_off '"delay_ms":400'; }
+lost_on() { TARGET=platform; platform_on "$LOST"; }
+lost_off() { platform_off "$LOST"; }
+late_on() { TARGET=platform; platform_on "$LATE"; }
+late_off() { platform_off "$LATE"; }
+lag_on() { TARGET=platform; platform_on '"vm_lag_ms":10000'; }
+lag_off() { platform_off '"vm_lag_ms":10000'; }
+
+# Faults of engines' frames and of services.
+frames_on() { pick "${ENGINES[@]}"; TARGET=$PICKED; post "${ADDRESS[$TARGET]}" /standin/behavior "{$1}"; }
+frames_off() { post "${ADDRESS[$1]}" /standin/behavior '{}'; }
+cut_frames_on() { frames_on "\"cut_after\":$((RANDOM % 12 + 1))"; }
+hang_frames_on() { frames_on "\"hang_after\":$((RANDOM % 12 + 1)),\"streams\":4"; }
+foreign_frames_on() { frames_on "\"foreign_at\":$((RANDOM % 12 + 1)),\"double_at\":$((RANDOM % 12 + 1))"; }
+reorder_frames_on() { frames_on "\"reorder_at\":$((RANDOM % 12 + 1)),\"double_at\":$((RANDOM % 12 + 1))"; }
+refuse_frames_on() { frames_on '"refuse":true'; }
+cut_frames_off() { frames_off "$1"; }
+hang_frames_off() { frames_off "$1"; }
+foreign_frames_off() { frames_off "$1"; }
+reorder_frames_off() { frames_off "$1"; }
+refuse_frames_off() { frames_off "$1"; }
+services_on() { pick "${SERVICES[@]}"; TARGET=$PICKED; post "${ADDRESS[$TARGET]}" /faults "{$1}"; }
+services_off() { post "${ADDRESS[$1]}" /faults '{}'; }
+break_service_on() { services_on '"refuse":4,"die_before":4,"die_after":4'; }
+break_service_off() { services_off "$1"; }
+slow_service_on() { services_on '"slow_ms":900'; }
+slow_service_off() { services_off "$1"; }
+
+# Faults of connections.
+link_on() {
+  local mode=$1
+  shift
+  pick "$@"
+  TARGET=$PICKED
+  relay "$TARGET" "$mode" 300
+}
+links() { LINKS=("${ROUTERS[@]/#/$1-}"); }
+link_off() { relay "$1" pass; }
+cut_peer_on() { links peer; link_on cut "${LINKS[@]}"; }
+hold_peer_on() { links peer; link_on hold "${LINKS[@]}"; }
+delay_peer_on() { links peer; link_on delay "${LINKS[@]}"; }
+cut_platform_on() { links platform; link_on cut "${LINKS[@]}"; }
+hold_platform_on() { links platform; link_on hold "${LINKS[@]}"; }
+cut_worker_on() { link_on cut worker-e1 worker-e2 worker-e3 worker-e4 worker-s1 worker-s2; }
+hold_worker_on() { link_on hold worker-e1 worker-e2 worker-e3 worker-e4 worker-s1 worker-s2; }
+cut_caller_on() { links caller; link_on cut "${LINKS[@]}"; }
+cut_peer_off() { link_off "$1"; }
+hold_peer_off() { link_off "$1"; }
+delay_peer_off() { link_off "$1"; }
+cut_platform_off() { link_off "$1"; }
+hold_platform_off() { link_off "$1"; }
+cut_worker_off() { link_off "$1"; }
+hold_worker_off() { link_off "$1"; }
+cut_caller_off() { link_off "$1"; }
+
+# inject FAULT...: in three rounds, two faults at a time in an order chosen by
+# the seed; the second round repeats a fault of the first. The last fault to
+# come is the first to go.
+inject() {
+  local round first second a b
+  pause 1
+  for round in 1 2 3; do
+    pick "$@"
+    [ "$round" = 2 ] || first=$PICKED
+    pick "$@"
+    second=$PICKED
+    "${first}_on"
+    a=$TARGET
+    pause 0
+    "${second}_on"
+    b=$TARGET
+    echo "      fault: $first $a, $second $b"
+    pause 2
+    "${second}_off" "$b"
+    pause 0
+    "${first}_off" "$a"
+    FAULTS=$((FAULTS + 2))
+    pause 0
+  done
+}
+
+# engine_bound ENGINE: keeps the engine's largest number of requests in flight.
+engine_bound() {
+  local stats n
+  stats=$(http GET "${ADDRESS[$1]}" /standin/stats)
+  n=$(grep -o '"max_in_flight":[0-9]*' <<<"$stats" | head -n 1)
+  RUNS=$((RUNS + $(grep -o '^{"id":"[^"]*","runs":[0-9]*' <<<"$stats" | grep -o '[0-9]*$')))
+  echo "$1 ${n#*:}" >>"$WORK_DIR/bounds"
+}
+
+# engines_within_bound: no engine had more than max_in_flight requests.
+engines_within_bound() {
+  cat "$WORK_DIR/bounds"
+  awk -v max="$MAX_IN_FLIGHT" '$2 > max || $2 == "" { bad = 1 } END { exit bad }' "$WORK_DIR/bounds"
+}
+
+# revisions_rise: no router process reported an older revision after a newer.
+revisions_rise() {
+  cat "$WORK_DIR"/revisions-* | awk '$2 < last[$1] { print $1 " went from " last[$1] " to " $2; bad = 1 } { last[$1] = $2 } END { exit bad }'
+}
+
+# bookings_true: every answer to a booking agrees with the services' journals.
+bookings_true() {
+  local f files=()
+  for f in "$WORK_DIR"/book*.jsonl; do files+=("--bookings=$f"); done
+  "$BIN" load check "${files[@]}" --journal "s1=${ADDRESS[s1]}" --journal "s2=${ADDRESS[s2]}" | tee "$WORK_DIR/checked.json"
+  return "${PIPESTATUS[0]}"
+}
+
+# publish_newer: publishes one more revision through some router.
+publish_newer() {
+  local r
+  for r in "${ROUTERS[@]}"; do
+    [ -n "${PID[$r]:-}" ] || continue
+    "$BIN" apply --admin "$(admin "$r")" --author verify "$WORK_DIR/set.ini" >/dev/null 2>&1 && return
+  done
+  return 1
+}
+
+# finish: heals what is left, lets the load end and checks the invariants.
+finish() {
+  local e urls
+  wait_load
+  check "a revision is published after healing" eventually publish_newer
+  check "every router reaches the newest revision" eventually all_in_force
+  mapfile -t urls < <(caller_urls)
+  check "every key is asked for again" "$BIN" load book "${urls[@]}" --path /v1/services/rota-desk/bookings --prefix shared- --keys 64 --rounds 1 --rate 200
+  cp "$WORK_DIR/last.log" "$WORK_DIR/book4.jsonl"
+  check "every answer to a booking agrees with the journals" bookings_true
+  for e in "${ENGINES[@]}"; do [ -z "${PID[$e]:-}" ] || engine_bound "$e"; done
+  check "no engine had more than $MAX_IN_FLIGHT requests in flight" engines_within_bound
+  check "no router process went back to an older revision" revisions_rise
+  for e in "${ROUTERS[@]}"; do
+    [ -n "${PID[$e]:-}" ] || continue
+    stop_gracefully "$e"
+    check "router $e exits with 0 on SIGTERM" test "$(exit_code "$e")" = 0
+  done
+}
+
+# count FIELD FILE...: the sum of a number in JSON files.
+count() {
+  local field=$1
+  shift
+  grep -ho "\"$field\":[0-9]*" "$@" | cut -d: -f2 | awk '{ n += $1 } END { print n + 0 }'
+}
