--- a/scripts/verify_lib.sh
+++ b/scripts/verify_lib.sh
@@ -279,6 +279,102 @@
   done
 }
 
+# race N: two operators publish on the same base through two routers at once.
+# At most one may be told that it won, and each that won has its own revision.
+race() {
+  local base a b won
+  eventually know_newest
+  base=$NEWEST
+  "$BIN" --output json apply --admin "$(admin r1)" --author "asha-$1" --base "$base" "$WORK_DIR/set.ini" >"$WORK_DIR/race-a" 2>&1 &
+  a=$!
+  "$BIN" --output json apply --admin "$(admin r3)" --author "vikram-$1" --base "$base" "$WORK_DIR/set.ini" >"$WORK_DIR/race-b" 2>&1 &
+  b=$!
+  wait "$a"
+  a=$?
+  wait "$b"
+  b=$?
+  won=$(((a == 0) + (b == 0)))
+  echo "      race $1 on revision $base: exit codes $a and $b"
+  check "at most one of two operators wins on base $base" test "$won" -le 1
+  check "revisions have no gap and one author each" eventually audit_dense
+  [ "$a" != 0 ] || check "the first operator's revision is in the audit trail" eventually audited "$((base + 1))" "asha-$1"
+  [ "$b" != 0 ] || check "the second operator's revision is in the audit trail" eventually audited "$((base + 1))" "vikram-$1"
+  [ "$a" != 3 ] || check "the first operator was refused and published nothing" eventually not_audited "asha-$1"
+  [ "$b" != 3 ] || check "the second operator was refused and published nothing" eventually not_audited "vikram-$1"
+}
+
+# know_newest: sets NEWEST to the newest published revision.
+know_newest() {
+  NEWEST=$(newest r1)
+  [ -n "$NEWEST" ]
+}
+
+# audit: the audit trail, one line REVISION AUTHOR for each record.
+audit() {
+  "$BIN" --output json audit --admin "$(admin r1)" 2>/dev/null >"$WORK_DIR/audit.json" || return 1
+  grep -o '"revision":[0-9]*\|"author":"[^"]*"' "$WORK_DIR/audit.json" | paste -d' ' - - | sed 's/"[a-z]*"://g; s/"//g'
+}
+audit_dense() {
+  local list
+  list=$(audit) || return 1
+  [ -n "$list" ] && awk 'NR > 1 && $1 != last - 1 { exit 1 } { last = $1 }' <<<"$list"
+}
+audited() { audit | grep -q "^$1 $2$"; }
+not_audited() {
+  local list
+  list=$(audit) && [ -n "$list" ] && ! grep -q " $1$" <<<"$list"
+}
+
+# engine_number ENGINE FIELD: a number of the engine's statistics.
+engine_number() { http GET "${ADDRESS[$1]}" /standin/stats | grep -o "\"$2\":[0-9]*" | head -n 1 | cut -d: -f2; }
+
+# started_more ENGINE N: the engine has started more than N requests.
+started_more() { [ "$(engine_number "$1" runs)" -gt "$2" ]; }
+
+# leave_engine ENGINE OTHER: the engine reports that it leaves. By its own
+# clock, the last new request comes within LEAVING_MS: 1 s until the next load
+# report, 1 s for which a grant may be used (FAST), 1 s for the report and the
+# request. The other engine of the domain goes on.
+readonly LEAVING_MS=3000
+leave_engine() {
+  local last
+  post "${ADDRESS[$1]}" /standin/behavior '{"leaving":true}'
+  pause 4
+  check "engine $2 goes on while $1 leaves" eventually started_more "$2" "$(($(engine_number "$2" runs) + 5))"
+  last=$(engine_number "$1" last_new_while_leaving_ms)
+  echo "      $1 got $(engine_number "$1" new_while_leaving) new requests, the last $last ms after it began to leave"
+  check "leaving engine $1 got no new request after $LEAVING_MS ms" test "$last" -le "$LEAVING_MS"
+  post "${ADDRESS[$1]}" /standin/behavior '{}'
+}
+
+# drain_engine ENGINE OTHER: once a draining revision is in force everywhere
+# and the grants given before are void, the engine starts nothing more while
+# the other one does.
+drain_engine() {
+  local before
+  check "engine $1 is drained" eventually "$BIN" drain --admin "$(admin r2)" --author verify auburnlead-pool "$1"
+  check "the draining revision is in force everywhere" eventually all_in_force
+  sleep 1.5 # the time for which a grant may be used, and a half second
+  before=$(engine_number "$1" runs)
+  check "engine $2 goes on while $1 is drained" eventually started_more "$2" "$(($(engine_number "$2" runs) + 20))"
+  check "drained engine $1 starts nothing" test "$(engine_number "$1" runs)" = "$before"
+}
+
+# stop_router_in_flight ROUTER: SIGTERM while four long streams run through it.
+stop_router_in_flight() {
+  local i pids=()
+  for i in 1 2 3 4; do
+    chat "long$i" "$1" --message "Draft notice $i." --max-tokens 200 2>/dev/null &
+    pids+=($!)
+  done
+  sleep 0.5
+  stop_gracefully "$1"
+  check "router $1 exits with 0 on SIGTERM under load" test "$(exit_code "$1")" = 0
+  for i in 1 2 3 4; do
+    check "stream $i in flight through $1 ends completely" wait "${pids[i - 1]}"
+  done
+}
+
 # engine_bound ENGINE: keeps the engine's largest number of requests in flight.
 engine_bound() {
   local stats n
