Keep the slot of a cancelled attempt until the engine has ended it

When many callers go away at once, their attempts were cancelled in the background while their slots were given to others, so that the engine ran both.

Change: core.Engines.Cancel reports the end; dispatch releases the slot then. The engine stand-in answers DELETE when the attempt has given its slot back. The test of the whole path waits for the release before it counts slots.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -279,8 +279,10 @@
 type Engines interface {
 	// Stream starts or resumes an attempt. Errors: *AttemptError.
 	Stream(ctx context.Context, a Attempt, body []byte) (FrameReader, error)
-	// Cancel asks the worker to end an attempt. It does not block.
-	Cancel(a Attempt)
+	// Cancel asks the worker to end an attempt. It does not block. It calls
+	// ended once, when the worker has confirmed that the attempt runs no more
+	// or when a confirmation is not to be had.
+	Cancel(a Attempt, ended func())
 }
 
 // Services sends calls to workers of plain services. Implemented by
--- a/internal/standin/engine/control.go
+++ b/internal/standin/engine/control.go
@@ -44,23 +44,31 @@
 	Prefixes []Prefix `json:"prefixes"`
 }
 
+// cancelAttempt answers when the attempt has given its slot back.
 func (e *Engine) cancelAttempt(w http.ResponseWriter, r *http.Request) {
-	if !e.cancelByID(mux.Vars(r)["id"]) {
+	a := e.cancelByID(mux.Vars(r)["id"])
+	if a == nil {
 		http.Error(w, "no such attempt", http.StatusNotFound)
 		return
 	}
+	for _, state, changed := e.progress(a); state == stateQueued || state == stateRunning; _, state, changed = e.progress(a) {
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (e *Engine) cancelByID(id string) bool {
+func (e *Engine) cancelByID(id string) *attempt {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	a := e.attempts[id]
-	if a == nil {
-		return false
+	if a != nil {
+		a.cancel()
 	}
-	a.cancel()
-	return true
+	return a
 }
 
 func (e *Engine) listModels(w http.ResponseWriter, _ *http.Request) {
--- a/plugins/caller/path_test.go
+++ b/plugins/caller/path_test.go
@@ -29,12 +29,14 @@
 type openSlots struct {
 	mu   sync.Mutex
 	held map[string]int
+	open sync.WaitGroup // the slot of a cancelled attempt is released later
 }
 
 func (s *openSlots) Acquire(_ context.Context, r core.SlotRequest) (core.Slot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.held[r.Attempt]++
+	s.open.Add(1)
 	now := time.Now()
 	return core.Slot{Attempt: r.Attempt, Upstream: r.Upstream, Worker: r.Workers[0], UseBy: now.Add(time.Minute), Until: now.Add(time.Hour)}, nil
 }
@@ -43,6 +45,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.held[slot.Attempt]--
+	s.open.Done()
 }
 
 // newPath is a bench with the plug-ins dispatch and upstream in front of a
@@ -136,6 +139,7 @@
 			So(body, ShouldContainSubstring, `"outcome":"not_run"`)
 		})
 		Reset(func() {
+			slots.open.Wait()
 			for _, n := range slots.held {
 				So(n, ShouldEqual, 0)
 			}
--- a/plugins/dispatch/chat.go
+++ b/plugins/dispatch/chat.go
@@ -190,7 +190,7 @@
 		r.faulty = r.retry && failed.Outcome != core.OutcomeNotRun
 	}
 	if sent != core.OutcomeNotRun {
-		c.d.engines.Cancel(a)
+		r.cancel = true
 		r.cost = c.request.PromptTokens
 	}
 	if ctx.Err() != nil {
@@ -220,11 +220,10 @@
 // cut ends an answer that has started and cannot be completed by this attempt.
 // It starts anew on another worker when the caller has received nothing yet.
 func (c *chat) cut(ctx context.Context, a core.Attempt, err error) result {
-	c.d.engines.Cancel(a)
 	sink, anew := c.sink.(core.ChatRestarter)
 	var tooLong *answer.LimitError
 	if anew && ctx.Err() == nil && !errors.As(err, &tooLong) {
-		r := result{err: err, sent: core.OutcomeUnknown, retry: true, faulty: true, cost: c.actualCost()}
+		r := result{err: err, sent: core.OutcomeUnknown, retry: true, faulty: true, cancel: true, cost: c.actualCost()}
 		sink.Restart()
 		c.started, c.chunks, c.usage = false, 0, nil
 		return r
@@ -242,7 +241,7 @@
 		p.Detail = "the connection to the worker was lost and the answer could not be resumed"
 	}
 	faulty := gone == nil && ctx.Err() == nil
-	return result{err: p, sent: core.OutcomeRan, faulty: faulty, cost: c.actualCost()}
+	return result{err: p, sent: core.OutcomeRan, faulty: faulty, cancel: true, cost: c.actualCost()}
 }
 
 // drainTime bounds the wait for the end of a connection after the explicit end
--- a/plugins/dispatch/chat_test.go
+++ b/plugins/dispatch/chat_test.go
@@ -137,6 +137,25 @@
 		So(b.slots.balanced(), ShouldBeTrue)
 		So(b.attempts.HeldSlots("pool", b.engines.connections[0].Worker), ShouldBeEmpty)
 	})
+	// Guards against max_in_flight being exceeded by attempts that the worker
+	// runs on while their slots are given to others.
+	inBubble(t, "A cancelled attempt keeps its slot until the engine has ended it", func(t *testing.T) {
+		b := newBench()
+		b.engines.ending = make(chan struct{})
+		b.engines.fault = func(int, core.Attempt) streamFault { return streamFault{hangAt: 3} }
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = b.chat(ctx, &textSink{}) }()
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		So(len(b.engines.cancelled), ShouldEqual, 1)
+		So(b.slots.balanced(), ShouldBeFalse)
+		So(len(b.attempts.HeldSlots("pool", b.engines.connections[0].Worker)), ShouldEqual, 1)
+		close(b.engines.ending)
+		synctest.Wait()
+		So(b.slots.balanced(), ShouldBeTrue)
+		So(b.attempts.HeldSlots("pool", b.engines.connections[0].Worker), ShouldBeEmpty)
+	})
 	inBubble(t, "A chat ends when its caller does not take the answer", func(t *testing.T) {
 		b := newBench()
 		So(problemOf(b.chat(t.Context(), &textSink{onChunk: func() error { return errors.New("closed") }})), ShouldEqual, "answer_incomplete ran")
--- a/plugins/dispatch/dispatch.go
+++ b/plugins/dispatch/dispatch.go
@@ -62,6 +62,7 @@
 	sent   core.Outcome
 	retry  bool // another worker may run the request
 	faulty bool // the worker is to blame
+	cancel bool // the worker may still run the attempt
 	cost   int64
 }
 
@@ -99,13 +100,14 @@
 // says that another attempt may follow; err is the problem if none does.
 func (j *job) attempt(ctx context.Context, try func(context.Context, core.Attempt) result) (again bool, err error) {
 	id := j.d.attempts.begin()
-	defer j.d.attempts.forget(id)
 	slot, err := j.patientAcquire(ctx, id)
 	if err != nil {
+		j.d.attempts.forget(id)
 		return false, j.problem(ctx, err)
 	}
 	var r result
-	defer func() { j.d.slots.Release(slot, r.cost) }()
+	var a core.Attempt
+	defer func() { j.release(a, slot, r) }()
 	j.d.attempts.use(slot)
 	until := slot.Until
 	if until.IsZero() {
@@ -116,7 +118,7 @@
 	}
 	attemptCtx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	a := core.Attempt{ID: id, Upstream: slot.Upstream, Worker: slot.Worker, Priority: j.rank.Priority, Deadline: until, SendBy: slot.UseBy}
+	a = core.Attempt{ID: id, Upstream: slot.Upstream, Worker: slot.Worker, Priority: j.rank.Priority, Deadline: until, SendBy: slot.UseBy}
 	if !slot.UseBy.IsZero() && time.Now().After(slot.UseBy) {
 		r = result{err: errLateSlot, sent: core.OutcomeNotRun, retry: true}
 	} else {
@@ -130,6 +132,21 @@
 	return r.retry && attemptCtx.Err() == nil, j.problem(attemptCtx, r.err)
 }
 
+// release gives a slot back. While the worker may still run the attempt, the
+// slot is kept until the attempt is cancelled: given to another request
+// earlier, the worker would run both and exceed max_in_flight.
+func (j *job) release(a core.Attempt, slot core.Slot, r result) {
+	if !r.cancel {
+		j.d.attempts.forget(a.ID)
+		j.d.slots.Release(slot, r.cost)
+		return
+	}
+	j.d.engines.Cancel(a, func() {
+		j.d.attempts.forget(a.ID)
+		j.d.slots.Release(slot, r.cost)
+	})
+}
+
 // patientAcquire asks for a slot until HolderWait is over: while a holder is
 // being replaced no slot of its workers is granted.
 func (j *job) patientAcquire(ctx context.Context, id string) (core.Slot, error) {
--- a/plugins/dispatch/fakes_test.go
+++ b/plugins/dispatch/fakes_test.go
@@ -74,6 +74,7 @@
 	mu          sync.Mutex
 	connections []core.Attempt
 	cancelled   []string
+	ending      chan struct{} // delays the end of cancelled attempts
 	runs        int
 }
 
@@ -120,10 +121,14 @@
 	return list
 }
 
-func (e *fakeEngines) Cancel(a core.Attempt) {
+func (e *fakeEngines) Cancel(a core.Attempt, ended func()) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.cancelled = append(e.cancelled, a.ID)
+	e.mu.Unlock()
+	if e.ending != nil {
+		<-e.ending
+	}
+	ended()
 }
 
 type fakeStream struct {
--- a/plugins/upstream/client_test.go
+++ b/plugins/upstream/client_test.go
@@ -274,8 +274,14 @@
 			cancelled <- ""
 		})
 		Convey("an attempt is cancelled by its ID", func() {
-			client.Cancel(a)
+			ended := make(chan struct{})
+			client.Cancel(a, func() { close(ended) })
 			So(<-cancelled, ShouldEqual, "/v1/attempts/a1")
+			<-ended
+			client.submit = func(func(context.Context)) bool { return false }
+			ended = make(chan struct{})
+			client.Cancel(a, func() { close(ended) })
+			<-ended // without the request
 		})
 	})
 }
--- a/plugins/upstream/engines.go
+++ b/plugins/upstream/engines.go
@@ -91,10 +91,11 @@
 	return err
 }
 
-// Cancel asks the worker to end an attempt. A request that is lost does no
-// harm: the worker also sees the closed connection and the attempt's deadline.
-func (c *Client) Cancel(a core.Attempt) {
-	c.submit(func(ctx context.Context) {
+// Cancel asks the worker to end an attempt. After a request that is lost, the
+// worker still sees the closed connection and the attempt's deadline.
+func (c *Client) Cancel(a core.Attempt, ended func()) {
+	submitted := c.submit(func(ctx context.Context) {
+		defer ended()
 		u, err := c.target(a.Upstream, a.Worker, "/v1/attempts/"+url.PathEscape(a.ID))
 		if err != nil {
 			return
@@ -108,6 +109,9 @@
 		}
 		discard(response.Body)
 	})
+	if !submitted {
+		ended()
+	}
 }
 
 // Guard the interfaces that other plug-ins use.
