--- a/admission/rules_test.go
+++ b/admission/rules_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
+
+	_ "github.com/auburnlead/auburnlead/internal/proof" // sets the seed
 )
 
 // pool runs a scheduler with requests that hold their slots for a random time
--- a/answer/answer_test.go
+++ b/answer/answer_test.go
@@ -11,6 +11,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
+
+	"github.com/auburnlead/auburnlead/internal/proof"
 )
 
 // Guards against frames of other requests, repeated frames and lost frames in
@@ -73,13 +75,16 @@
 // Guards against any mix of faults that makes an answer wrong: whatever frames
 // arrive, what is delivered is a prefix of the attempt's own numbering.
 func TestCheckerProperty(t *testing.T) {
+	p := proof.Begin(t, proof.Claim{Promise: "R2", Kind: "property (rapid)", Faults: "foreign, missing, doubled, reordered and forged frames, cut connections"})
 	rapid.Check(t, func(t *rapid.T) {
+		p.History(0)
 		checker := NewChecker("a")
 		next, ended := uint64(1), false
 		for range rapid.IntRange(0, 60).Draw(t, "frames") {
 			attempt := rapid.SampledFrom([]string{"a", "a", "a", "b", "a/a", ""}).Draw(t, "attempt")
 			sequence := uint64(max(int64(next)+rapid.Int64Range(-3, 2).Draw(t, "offset"), 0))
 			data := rapid.SampledFrom([]string{"x", "x", "x", "x", "[DONE]"}).Draw(t, "data")
+			p.Operations++
 			verdict, err := checker.Check([]byte(attempt+"/"+strconv.FormatUint(sequence, 10)), []byte(data))
 			expected := attempt == "a" && !ended && sequence == next
 			if (verdict != Drop) != expected || (verdict == End) != (expected && data == "[DONE]") {
--- a/lease/fenced_test.go
+++ b/lease/fenced_test.go
@@ -8,6 +8,7 @@
 	"github.com/anishathalye/porcupine"
 	"pgregory.net/rapid"
 
+	"github.com/auburnlead/auburnlead/internal/proof"
 	"github.com/auburnlead/auburnlead/platform"
 	"github.com/auburnlead/auburnlead/platform/platformtest"
 )
@@ -125,6 +126,7 @@
 // Guards against an order under an old fencing token that takes effect after
 // one under a newer token, as engines that do not check tokens would accept.
 func TestTokensNeverGoBack(t *testing.T) {
+	p := proof.Begin(t, proof.Claim{Promise: "orders", Kind: "history (porcupine, rapid)", Faults: "restarts, pauses, cut-off, lost replies, late and doubled writes, outages, clock rates"})
 	tokens, orders := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64Range(1, 1<<32).Draw(t, "seed")
@@ -144,6 +146,7 @@
 			}
 			seen[o.Input.(uint64)] = o.ClientId
 		}
+		p.History(len(history))
 		tokens += len(seen)
 		orders += len(history)
 	})
--- a/ledger/state_test.go
+++ b/ledger/state_test.go
@@ -11,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/auburnlead/auburnlead/internal/proof"
 	"github.com/auburnlead/auburnlead/platform/platformtest"
 )
 
@@ -165,12 +166,15 @@
 // Guards against a sequence of claims, results, faults and pauses after which
 // a request may run again, gets another's answer or accepts another body.
 func TestStateMachine(t *testing.T) {
+	p := proof.Begin(t, proof.Claim{Promise: "R3 R4", Kind: "state machine (rapid)", Faults: "lost replies, dropped and late writes, outages, abandoned claims, take-overs"})
 	synctest.Test(t, func(t *testing.T) {
 		rapid.Check(tbOnly{t}, func(t *rapid.T) {
+			p.History(0)
 			seed := rapid.Uint64().Draw(t, "seed")
 			m := &machine{world: newWorld(seed, 2), digests: map[string]string{}}
 			defer m.stop()
 			t.Repeat(map[string]func(*rapid.T){
+				"":        func(*rapid.T) { p.Operations++ },
 				"claim":   m.claim,
 				"finish":  m.finish,
 				"abandon": m.abandon,
--- a/objects/objects_test.go
+++ b/objects/objects_test.go
@@ -10,6 +10,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
+
+	_ "github.com/auburnlead/auburnlead/internal/proof" // sets the seed
 )
 
 const valid = `
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
+
+	_ "github.com/auburnlead/auburnlead/internal/proof" // sets the seed
 )
 
 // drawIDs draws distinct node IDs.
