Send new keys during the whole run of scripts/verify, and meet every fault

Change: load book works on groups of 8 keys; each scenario meets every fault at least once, two at a time, in an order chosen by the seed.

--- a/internal/load/book.go
+++ b/internal/load/book.go
@@ -61,31 +61,46 @@
 	var mu sync.Mutex // leaf lock over out
 	var failed error
 	var wg sync.WaitGroup
-	for range p.Rounds {
-		for _, k := range rnd.Perm(p.Keys) {
-			client := p.Clients[rnd.IntN(len(p.Clients))]
-			select {
-			case <-ctx.Done():
-				wg.Wait()
-				return ctx.Err()
-			case <-tick.C:
-			}
-			slots <- struct{}{}
-			wg.Go(func() {
-				defer func() { <-slots }()
-				b := p.book(ctx, client, fmt.Sprintf("%s%d", p.Prefix, k))
-				mu.Lock()
-				defer mu.Unlock()
-				if err := json.NewEncoder(out).Encode(b); err != nil {
-					failed = err
-				}
-			})
+	for _, k := range p.order(rnd) {
+		client := p.Clients[rnd.IntN(len(p.Clients))]
+		select {
+		case <-ctx.Done():
+			wg.Wait()
+			return ctx.Err()
+		case <-tick.C:
 		}
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			b := p.book(ctx, client, fmt.Sprintf("%s%d", p.Prefix, k))
+			mu.Lock()
+			defer mu.Unlock()
+			if err := json.NewEncoder(out).Encode(b); err != nil {
+				failed = err
+			}
+		})
 	}
 	wg.Wait()
 	return failed
 }
 
+// groupKeys is the number of keys that are in use at one time, so that new
+// keys come during the whole run.
+const groupKeys = 8
+
+// order returns the key of each request: every group of keys in turn, each of
+// its keys Rounds times in a random order.
+func (p *BookPlan) order(rnd *rand.Rand) (keys []int) {
+	for first := 0; first < p.Keys; first += groupKeys {
+		for range p.Rounds {
+			for _, k := range rnd.Perm(min(groupKeys, p.Keys-first)) {
+				keys = append(keys, first+k)
+			}
+		}
+	}
+	return keys
+}
+
 func (p *BookPlan) book(ctx context.Context, c *Client, key string) Booking {
 	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
 	defer cancel()
--- a/scripts/verify_lib.sh
+++ b/scripts/verify_lib.sh
@@ -278,17 +278,27 @@
 hold_worker_off() { link_off "$1"; }
 cut_caller_off() { link_off "$1"; }
 
-# inject FAULT...: in three rounds, two faults at a time in an order chosen by
-# the seed; the second round repeats a fault of the first. The last fault to
-# come is the first to go.
+# shuffle NAME...: appends the names to ORDER in an order chosen by the seed.
+shuffle() {
+  local list=("$@") i
+  while [ ${#list[@]} -gt 0 ]; do
+    i=$((RANDOM % ${#list[@]}))
+    ORDER+=("${list[i]}")
+    list=("${list[@]:0:i}" "${list[@]:i+1}")
+  done
+}
+
+# inject FAULT...: every fault at least once, two at a time, in an order chosen
+# by the seed; with few faults each comes more than once. The second fault of a
+# pair is the first to go.
+readonly PAIRS=4
 inject() {
-  local round first second a b
-  pause 1
-  for round in 1 2 3; do
-    pick "$@"
-    [ "$round" = 2 ] || first=$PICKED
-    pick "$@"
-    second=$PICKED
+  local i first second a b
+  ORDER=()
+  while [ ${#ORDER[@]} -lt $((2 * PAIRS)) ]; do shuffle "$@"; done
+  pause 0
+  for ((i = 0; i < 2 * PAIRS; i += 2)); do
+    first=${ORDER[i]} second=${ORDER[i + 1]}
     "${first}_on"
     a=$TARGET
     pause 0
@@ -300,7 +310,6 @@
     pause 0
     "${first}_off" "$a"
     FAULTS=$((FAULTS + 2))
-    pause 0
   done
 }
 
