--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
-# Targets: build, test, lint, demo, latency, bench, proto.
+# Targets: build, test, lint, demo, verify, latency, bench, proto.
 GO ?= go
 BIN := bin/auburnlead
 
-.PHONY: build test lint demo latency bench proto
+.PHONY: build test lint demo verify latency bench proto
 
 build:
 	$(GO) build -o $(BIN) ./cmd/auburnlead
@@ -21,6 +21,11 @@
 demo: build
 	./scripts/demo
 
+# Proves the promises R1 to R7 in-process and with real processes under faults.
+# make verify SEEDS=1000 is the long form.
+verify: build
+	./scripts/verify full $(SEEDS)
+
 # Measures what one router adds to latency, and its memory with open streams.
 latency: build
 	./scripts/latency
