Push load sums to two holders on each grant and release

The router only attached the sums to slot requests and releases.

Change: after a grant or release a holder pushes its sums to two random holders of the upstream in its domain and takes theirs from the answer; changes within 20 ms share a push.

--- a/plugins/peer/pool.go
+++ b/plugins/peer/pool.go
@@ -22,6 +22,8 @@
 	timer   *time.Timer
 	others  sums
 	closed  bool
+	pushed  int  // requests in flight when the sums were last pushed
+	pushing bool // a push is queued or runs
 }
 
 // sums is the load on the open workers that other routers hold.
@@ -83,6 +85,10 @@
 		func(g admission.Grant) { pl.decide(g.RequestID, decision{grant: g, sendBy: sendBy[g.Worker]}) },
 		func(r admission.Refusal) { pl.decide(r.RequestID, decision{refusal: &r}) })
 	pl.schedule(now)
+	if pl.s.InFlight() != pl.pushed && !pl.pushing && !pl.closed {
+		pl.pushing = true
+		pl.p.submit(pl.push)
+	}
 }
 
 // decide wakes a waiter. The caller holds mu.
--- a/plugins/peer/service.go
+++ b/plugins/peer/service.go
@@ -54,6 +54,12 @@
 	return &peerpb.ReleaseReply{NotHolder: true, Holder: hint}, nil
 }
 
+// PushSums takes the sender's load sums and answers with the own ones.
+func (s *service) PushSums(_ context.Context, r *peerpb.SumsUpdate) (*peerpb.SumsUpdate, error) {
+	s.p.observeSums(r.GetRouter(), r.GetUpstream(), r.GetSums())
+	return &peerpb.SumsUpdate{Router: s.p.id.Router, Upstream: r.GetUpstream(), Sums: s.p.ownSums(r.GetUpstream())}, nil
+}
+
 // Renew promises as a successor.
 func (s *service) Renew(ctx context.Context, r *peerpb.RenewRequest) (*peerpb.RenewReply, error) {
 	promised := s.p.promise(ctx, r)
