Measure control traffic over counting relays

Whole routers run in one process behind TCP relays that count bytes in each direction; slopes come from a least-squares fit.

--- /dev/null
+++ b/internal/capacity/cmd/main.go
@@ -0,0 +1,34 @@
+// Command capacity measures slopes and checks the limits at the target size.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/auburnlead/auburnlead/internal/capacity"
+)
+
+func main() {
+	output := flag.String("output", "text", "text or json")
+	processes := flag.String("processes", "", "file with the measurements of processes by scripts/capacity")
+	settle := flag.Duration("settle", 12*time.Second, "time from the start of a fleet to its first count")
+	window := flag.Duration("window", 10*time.Second, "time of each count")
+	only := flag.String("only", "", "run only one part: idle, requests, changes, operations or memory")
+	flag.Parse()
+	report, err := capacity.Run(context.Background(), capacity.Plan{
+		Windows: capacity.Windows{Settle: *settle, Measure: *window}, Processes: *processes, Only: *only, Progress: os.Stderr,
+	})
+	if err == nil {
+		err = report.Write(os.Stdout, *output)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "capacity:", err)
+		os.Exit(2)
+	}
+	if report.Failed > 0 {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/capacity/fleet.go
@@ -0,0 +1,211 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/auburnlead/auburnlead/internal/core"
+	platformstandin "github.com/auburnlead/auburnlead/internal/standin/platform"
+	"github.com/auburnlead/auburnlead/kernel"
+	"github.com/auburnlead/auburnlead/objects"
+	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/publish"
+	"github.com/auburnlead/auburnlead/settings"
+
+	_ "github.com/auburnlead/auburnlead/plugins/standard" // the router's plug-ins
+)
+
+// FleetSize is the size of a fleet that runs in this process.
+type FleetSize struct {
+	Domains int // failure domains
+	Routers int // routers in each
+	Workers int // workers in each
+	Set     SetSize
+}
+
+// Fleet is whole routers with default settings on loopback, with counted
+// connections to one another, to the platform and to the workers.
+type Fleet struct {
+	Size     FleetSize
+	Platform *platformtest.Platform
+	Routers  []*Router
+	Peers    Traffic // between routers
+	Table    Traffic // to the platform
+	Reports  Traffic // load reports of workers
+
+	set     *objects.Set
+	current publish.Revision
+	closers []func() error
+}
+
+// Router is one router of a fleet.
+type Router struct {
+	ID, Domain string
+	Slots      core.Slots
+	Config     core.Config
+	addresses  *core.Addresses
+	app        *fx.App
+	peer       *Relay
+}
+
+const (
+	adminKey   = "capacity-admin-key"
+	peerKey    = "capacity-peer-key-of-32-characters"
+	callerKey  = "capacity-caller-key"
+	startLimit = 30 * time.Second
+)
+
+// StartFleet starts the stand-ins and the routers and publishes the first
+// revision. Errors: an address cannot be bound, or a router does not start.
+func StartFleet(ctx context.Context, size FleetSize) (*Fleet, error) {
+	f := &Fleet{Size: size, Platform: platformstandin.New(platformstandin.Settings{Seed: 1})}
+	table, err := f.serve(platformstandin.Handler(f.Platform), &f.Table)
+	if err != nil {
+		return f, err
+	}
+	urls, err := f.serveWorkers(size.Domains * size.Workers)
+	if err != nil {
+		return f, err
+	}
+	f.set = NewSet(size.Set, size, urls)
+	if err := f.Publish(ctx); err != nil {
+		return f, err
+	}
+	for d := range size.Domains {
+		for i := range size.Routers {
+			if err := f.startRouter(ctx, RouterName(d, i), DomainName(d), "http://"+table); err != nil {
+				return f, err
+			}
+		}
+	}
+	return f, nil
+}
+
+// idleWorker answers load reports of a worker without work.
+func idleWorker(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(core.LoadReport{Limit: 16, Models: []string{"rota-8b-v3"}, Role: "mixed"})
+}
+
+// serveWorkers serves that many workers, each at its own address.
+func (f *Fleet) serveWorkers(n int) ([]string, error) {
+	urls := make([]string, n)
+	for i := range urls {
+		address, err := f.serve(http.HandlerFunc(idleWorker), &f.Reports)
+		if err != nil {
+			return nil, err
+		}
+		urls[i] = "http://" + address
+	}
+	return urls, nil
+}
+
+// serve serves a handler behind a counting relay and returns the address.
+func (f *Fleet) serve(h http.Handler, t *Traffic) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: startLimit}
+	go func() { _ = server.Serve(l) }() // ends with Close
+	relay, err := NewRelay(t)
+	if err != nil {
+		return "", err
+	}
+	relay.SetTarget(l.Addr().String())
+	f.closers = append(f.closers, relay.Close, server.Close)
+	return relay.Address(), nil
+}
+
+func (f *Fleet) startRouter(ctx context.Context, id, domain, platformURL string) error {
+	relay, err := NewRelay(&f.Peers)
+	if err != nil {
+		return err
+	}
+	f.closers = append(f.closers, relay.Close)
+	source, err := settings.Open("", []string{
+		"node.id=" + id, "node.failure_domain=" + domain, "node.log_level=error",
+		"caller.listen=127.0.0.1:0", "admin.listen=127.0.0.1:0", "admin.key=" + adminKey,
+		"peer.listen=127.0.0.1:0", "peer.advertise=" + relay.Address(), "peer.key=" + peerKey,
+		"platform.url=" + platformURL,
+	})
+	if err != nil {
+		return err
+	}
+	r := &Router{ID: id, Domain: domain, peer: relay}
+	r.app, err = kernel.New("router", source, fx.Populate(&r.Slots, &r.Config, &r.addresses))
+	if err != nil {
+		return err
+	}
+	start, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	if err := r.app.Start(start); err != nil {
+		return fmt.Errorf("start %s: %w", id, err)
+	}
+	relay.SetTarget(r.addresses.Get("peer"))
+	f.Platform.PutVM(platform.VM{ID: id, Address: relay.Address(), FailureDomain: domain, State: platform.VMLive})
+	f.Routers = append(f.Routers, r)
+	return nil
+}
+
+// CallerURL is the base URL of the router's caller API.
+func (r *Router) CallerURL() string { return "http://" + r.addresses.Get("caller") }
+
+// Publish publishes the set as the next revision. Errors: those of publish.
+func (f *Fleet) Publish(ctx context.Context) error {
+	p := publish.Publisher{Table: f.Platform, Objects: f.Platform.Objects()}
+	next, err := p.Submit(ctx, publish.Submission{
+		Set: f.set, Base: f.current.Revision, Token: fmt.Sprint("token-", f.current.Revision), Author: "capacity", Now: time.Now(),
+	})
+	if err == nil {
+		f.current = next
+	}
+	return err
+}
+
+// ChangeOneCaller publishes a set that differs in one caller. Errors: those of
+// publish.
+func (f *Fleet) ChangeOneCaller(ctx context.Context) error {
+	next := *f.set
+	next.Callers = make(map[string]*objects.Caller, len(f.set.Callers))
+	for name, c := range f.set.Callers {
+		next.Callers[name] = c
+	}
+	name := CallerName(int(f.current.Revision) % max(1, len(f.set.Callers)))
+	changed := *f.set.Callers[name]
+	changed.Weight++
+	next.Callers[name] = &changed
+	f.set = &next
+	return f.Publish(ctx)
+}
+
+// InForce counts the routers that have the newest revision.
+func (f *Fleet) InForce() int {
+	n := 0
+	for _, r := range f.Routers {
+		if p := r.Config.Current(); p != nil && p.Revision >= f.current.Revision {
+			n++
+		}
+	}
+	return n
+}
+
+// Close ends the fleet. Routers are given a moment only: what they hold
+// belongs to this process.
+func (f *Fleet) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	for _, c := range f.closers {
+		_ = c() // the listeners end anyway
+	}
+	for _, r := range f.Routers {
+		go func() { _ = r.app.Stop(ctx) }()
+	}
+}
--- /dev/null
+++ b/internal/capacity/report.go
@@ -0,0 +1,47 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+)
+
+// Check is one comparison of an extrapolated figure with a limit.
+type Check struct {
+	Name    string  `json:"name"`
+	Value   float64 `json:"value"`
+	Limit   float64 `json:"limit"`
+	Unit    string  `json:"unit"`
+	Formula string  `json:"formula"`
+	Passed  bool    `json:"passed"`
+}
+
+// Report is the result of a run.
+type Report struct {
+	Lines  []Line  `json:"lines"`
+	Checks []Check `json:"checks"`
+	Passed int     `json:"passed"`
+	Failed int     `json:"failed"`
+}
+
+// Write prints the report as text or json.
+func (r *Report) Write(w io.Writer, output string) error {
+	if output == "json" {
+		return json.NewEncoder(w).Encode(r)
+	}
+	for _, l := range r.Lines {
+		fmt.Fprintf(w, "%-42s %10.4g + %10.4g %s a %s, residual %.3g\n", l.Name, l.Fit.Base, l.Fit.Slope, l.Unit, l.Per, l.Fit.Residual)
+		for _, p := range l.Fit.Points {
+			fmt.Fprintf(w, "    %10.5g %12.5g\n", p.X, p.Y)
+		}
+	}
+	for _, c := range r.Checks {
+		verdict := "ok  "
+		if !c.Passed {
+			verdict = "FAIL"
+		}
+		fmt.Fprintf(w, "%s %-44s %12.5g of %8.5g %-4s = %s\n", verdict, c.Name, c.Value, c.Limit, c.Unit, c.Formula)
+	}
+	_, err := fmt.Fprintf(w, "capacity: %d passed, %d failed\n", r.Passed, r.Failed)
+	return err
+}
