--- a/plugins/upstream/load.go
+++ b/plugins/upstream/load.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/fx"
@@ -47,6 +49,21 @@
 	return report, nil
 }
 
+// reach checks that a worker without load reports accepts connections.
+func (c *Client) reach(ctx context.Context, upstream, worker string) error {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.LoadTimeout)
+	defer cancel()
+	u, err := c.target(upstream, worker, "")
+	if err != nil {
+		return notRun(err)
+	}
+	conn, err := c.transport.DialContext(ctx, "tcp", u.Host)
+	if err != nil {
+		return notRun(err)
+	}
+	return conn.Close()
+}
+
 // pollParams are the parts that the polls use. Without HealthReports nobody
 // wants the reports and nothing is polled.
 type pollParams struct {
@@ -65,50 +82,67 @@
 	if p.Health == nil {
 		return
 	}
-	poll := func(ctx context.Context) {
-		p.Client.pollLoads(ctx, p.Config.Current(), p.Identity.FailureDomain, p.Health)
-	}
+	s := &poller{client: p.Client, health: p.Health, domain: p.Identity.FailureDomain}
+	poll := func(ctx context.Context) { s.poll(ctx, p.Config.Current()) }
 	p.Lifecycle.Append(fx.Hook{OnStart: func(context.Context) error {
 		p.Background.Every(p.Settings.LoadPoll, 0.1, poll)
 		return nil
 	}})
 }
 
-// pollLoads reads the load of the workers that health wants, or of all
-// reporting workers of the failure domain when it does not say.
-func (c *Client) pollLoads(ctx context.Context, revision *core.Published, domain string, health core.HealthReports) {
+// poller reads the load of workers and tells health which of them answer.
+type poller struct {
+	client *Client
+	health core.HealthReports
+	domain string
+}
+
+// poll reads the load of the workers that health wants, or of all workers of
+// the failure domain when it does not say. Workers that do not report load are
+// only checked for whether they accept connections.
+func (s *poller) poll(ctx context.Context, revision *core.Published) {
 	if revision == nil {
 		return
 	}
-	interest, selective := health.(core.LoadInterest)
 	slots := make(chan struct{}, pollConcurrency)
 	var wg sync.WaitGroup
-	for name, u := range revision.Set.Upstreams {
-		if !u.ReportsLoad {
-			continue
-		}
+	for _, u := range revision.Set.Upstreams {
 		for _, w := range u.Workers {
-			if !wanted(w, name, domain, interest, selective) {
+			if !s.wanted(u.Name, w) {
 				continue
 			}
 			slots <- struct{}{}
 			wg.Go(func() {
 				defer func() { <-slots }()
-				report, err := c.Load(ctx, name, w.ID)
-				if err != nil {
-					c.log.Debug("no load report", "upstream", name, "worker", w.ID, "error", err)
-					return
-				}
-				health.WorkerLoad(name, w.ID, report)
+				s.look(ctx, u, w.ID)
 			})
 		}
 	}
 	wg.Wait()
 }
 
-func wanted(w objects.Worker, upstream, domain string, interest core.LoadInterest, selective bool) bool {
-	if selective {
+func (s *poller) wanted(upstream string, w objects.Worker) bool {
+	if interest, ok := s.health.(core.LoadInterest); ok {
 		return interest.WantsLoad(upstream, w.ID)
 	}
-	return w.FailureDomain == domain
+	return w.FailureDomain == s.domain
+}
+
+// look polls one worker and passes on what it shows.
+func (s *poller) look(ctx context.Context, u *objects.Upstream, worker string) {
+	var report core.LoadReport
+	var err error
+	if u.ReportsLoad {
+		report, err = s.client.Load(ctx, u.Name, worker)
+	} else {
+		err = s.client.reach(ctx, u.Name, worker)
+	}
+	if ctx.Err() != nil {
+		return // the router stops
+	}
+	if err != nil {
+		s.health.WorkerUnanswered(u.Name, worker, errors.Is(err, syscall.ECONNREFUSED))
+		return
+	}
+	s.health.WorkerLoad(u.Name, worker, report)
 }
