--- /dev/null
+++ b/internal/capacity/calls.go
@@ -0,0 +1,120 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+
+	"github.com/auburnlead/auburnlead/peerpb"
+)
+
+// callLimit bounds one call.
+const callLimit = 5 * time.Second
+
+// call is one kind of call between routers.
+type call struct {
+	name string
+	make func(ctx context.Context, c peerpb.PeerClient, i int) error
+}
+
+// Calls measures single calls to a real router over loopback: bytes in both
+// directions with all framing, and processor time of both sides together.
+func (s *Slopes) Calls(ctx context.Context, w Windows) error {
+	f, err := StartFleet(ctx, FleetSize{Domains: 1, Routers: 2, Workers: 6, Set: SetSize{Workers: targetWorkers, Callers: targetCallers}})
+	defer f.Close()
+	if err != nil {
+		return err
+	}
+	wait(ctx, w.Settle)
+	for _, c := range f.calls() {
+		if err := s.measureCall(ctx, f, c); err != nil {
+			return fmt.Errorf("%s: %w", c.name, err)
+		}
+	}
+	return nil
+}
+
+// calls are the kinds of calls with the sizes of the target.
+func (f *Fleet) calls() []call {
+	me := RouterName(0, 21)
+	push := &peerpb.View{From: me}
+	for i := range 21 {
+		push.Entries = append(push.Entries, message(entry(0, i).Status()))
+	}
+	renew := &peerpb.RenewRequest{Holder: me, Incarnation: 1}
+	for i := range 3 {
+		renew.Items = append(renew.Items, &peerpb.RenewItem{Upstream: PoolName(i), Worker: WorkerName(0, i), Epoch: 1})
+	}
+	sums := &peerpb.PoolSums{Workers: 3, InFlight: 30}
+	return []call{
+		{"exchange", func(ctx context.Context, c peerpb.PeerClient, _ int) error { _, err := c.Exchange(ctx, push); return err }},
+		{"renewal of 3 leases", func(ctx context.Context, c peerpb.PeerClient, _ int) error { _, err := c.Renew(ctx, renew); return err }},
+		{"slot request", func(ctx context.Context, c peerpb.PeerClient, i int) error {
+			_, err := c.Acquire(ctx, &peerpb.AcquireRequest{
+				Attempt: fmt.Sprintf("%s-18a1b2c3d4e5f607-%d", me, i), Router: me, Incarnation: 1, Upstream: PoolName(0),
+				Workers: []string{WorkerName(0, 0)}, AnyWorker: true, Caller: CallerName(1), Weight: 1,
+				Workspace: "workspace-00001", Rank: "normal", CostTokens: 900, WaitMs: 20, Sums: sums,
+			})
+			return err
+		}},
+		{"slot release", func(ctx context.Context, c peerpb.PeerClient, i int) error {
+			_, err := c.Release(ctx, &peerpb.ReleaseRequest{
+				Attempt: fmt.Sprintf("%s-18a1b2c3d4e5f607-%d", me, i), Upstream: PoolName(0), Worker: WorkerName(0, 0), CostTokens: 880, Router: me, Sums: sums,
+			})
+			return err
+		}},
+		{"fetch of a manifest", func(ctx context.Context, c peerpb.PeerClient, _ int) error {
+			_, err := c.FetchObject(ctx, &peerpb.FetchObjectRequest{Digest: f.current.Manifest})
+			return err
+		}},
+	}
+}
+
+// measureCall fits bytes and processor time over the number of calls on one
+// connection; the base is the connection's set-up.
+func (s *Slopes) measureCall(ctx context.Context, f *Fleet, c call) error {
+	var up, down, micros []Point
+	for _, n := range []int{100, 300, 900} {
+		relay, traffic, err := f.Routers[0].tap()
+		if err != nil {
+			return err
+		}
+		conn, err := grpc.NewClient("passthrough:///"+relay.Address(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+		if err != nil {
+			return err
+		}
+		keyed := metadata.AppendToOutgoingContext(ctx, "x-peer-key", peerKey)
+		client := peerpb.NewPeerClient(conn)
+		start := processorTime()
+		for i := range n {
+			limited, cancel := context.WithTimeout(keyed, callLimit)
+			err := c.make(limited, client, i)
+			cancel()
+			if err != nil {
+				return err
+			}
+		}
+		micros = append(micros, Point{float64(n), float64((processorTime() - start).Microseconds())})
+		_, _ = conn.Close(), relay.Close() // nothing is in flight
+		v := traffic.Read()
+		up, down = append(up, Point{float64(n), float64(v.Up)}), append(down, Point{float64(n), float64(v.Down)})
+	}
+	s.add("bytes of a call, request: "+c.name, "B", "call", up)
+	s.add("bytes of a call, reply: "+c.name, "B", "call", down)
+	s.add("processor time, both sides: "+c.name, "us", "call", micros)
+	return nil
+}
+
+// tap is a second relay to the router, for calls of the measurement alone.
+func (r *Router) tap() (*Relay, *Traffic, error) {
+	traffic := &Traffic{}
+	relay, err := NewRelay(traffic)
+	if err == nil {
+		relay.SetTarget(r.addresses.Get("peer"))
+	}
+	return relay, traffic, err
+}
--- a/internal/capacity/cmd/main.go
+++ b/internal/capacity/cmd/main.go
@@ -16,7 +16,7 @@
 	processes := flag.String("processes", "", "file with the measurements of processes by scripts/capacity")
 	settle := flag.Duration("settle", 12*time.Second, "time from the start of a fleet to its first count")
 	window := flag.Duration("window", 10*time.Second, "time of each count")
-	only := flag.String("only", "", "run only one part: idle, requests, changes, operations or memory")
+	only := flag.String("only", "", "run only one part: operations, calls, stream, idle, requests, changes or processes")
 	flag.Parse()
 	report, err := capacity.Run(context.Background(), capacity.Plan{
 		Windows: capacity.Windows{Settle: *settle, Measure: *window}, Processes: *processes, Only: *only, Progress: os.Stderr,
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/fx"
@@ -132,7 +133,7 @@
 	f.closers = append(f.closers, relay.Close)
 	source, err := settings.Open("", []string{
 		"node.id=" + id, "node.failure_domain=" + domain, "node.log_level=error",
-		"caller.listen=127.0.0.1:0", "admin.listen=127.0.0.1:0", "admin.key=" + adminKey,
+		"caller.listen=127.0.0.1:0", "caller.drain_delay=0s", "admin.listen=127.0.0.1:0", "admin.key=" + adminKey,
 		"peer.listen=127.0.0.1:0", "peer.advertise=" + relay.Address(), "peer.key=" + peerKey,
 		"platform.url=" + platformURL,
 	})
@@ -197,15 +198,16 @@
 	return n
 }
 
-// Close ends the fleet. Routers are given a moment only: what they hold
-// belongs to this process.
+// Close stops the routers together and then the stand-ins.
 func (f *Fleet) Close() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
 	defer cancel()
+	var wg sync.WaitGroup
+	for _, r := range f.Routers {
+		wg.Go(func() { _ = r.app.Stop(ctx) }) // what is left ends with the process
+	}
+	wg.Wait()
 	for _, c := range f.closers {
 		_ = c() // the listeners end anyway
 	}
-	for _, r := range f.Routers {
-		go func() { _ = r.app.Stop(ctx) }()
-	}
 }
--- /dev/null
+++ b/internal/capacity/processes.go
@@ -0,0 +1,45 @@
+package capacity
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+)
+
+// ReadProcesses adds the lines of scripts/capacity: name, unit, what X counts,
+// X and Y, separated by tabs. Errors: the file cannot be read or is malformed.
+func (s *Slopes) ReadProcesses(file string) error {
+	if file == "" {
+		return nil
+	}
+	f, err := os.Open(file)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	lines := map[string]*Line{}
+	var order []*Line
+	for scan := bufio.NewScanner(f); scan.Scan(); {
+		field := strings.Split(scan.Text(), "\t")
+		if len(field) != 5 {
+			return fmt.Errorf("line %q has %d fields, not 5", scan.Text(), len(field))
+		}
+		x, errX := strconv.ParseFloat(field[3], 64)
+		y, errY := strconv.ParseFloat(field[4], 64)
+		if errX != nil || errY != nil {
+			return fmt.Errorf("line %q has no numbers", scan.Text())
+		}
+		l := lines[field[0]]
+		if l == nil {
+			l = &Line{Name: field[0], Unit: field[1], Per: field[2]}
+			lines[l.Name], order = l, append(order, l)
+		}
+		l.Fit.Points = append(l.Fit.Points, Point{x, y})
+	}
+	for _, l := range order {
+		s.add(l.Name, l.Unit, l.Per, l.Fit.Points)
+	}
+	return nil
+}
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"sync"
 	"time"
 )
 
@@ -84,17 +86,18 @@
 // small is a set with the fleet's workers and few callers.
 var small = SetSize{Callers: 100}
 
-// overSizes measures idle fleets of several sizes, one after the other.
+// overSizes measures idle fleets of several sizes at the same time: only bytes
+// are counted, which do not depend on the load of the machine.
 func (s *Slopes) overSizes(ctx context.Context, over, per string, sizes []float64, w Windows, at func(x int) FleetSize) error {
 	rates := make([]Rates, len(sizes))
+	failures := make([]error, len(sizes))
+	var wg sync.WaitGroup
 	for i, x := range sizes {
-		var err error
-		if rates[i], err = idle(ctx, at(int(x)), w, nil); err != nil {
-			return err
-		}
+		wg.Go(func() { rates[i], failures[i] = idle(ctx, at(int(x)), w, nil) })
 	}
+	wg.Wait()
 	s.addRates(over, per, sizes, rates)
-	return nil
+	return errors.Join(failures...)
 }
 
 // Idle fits the idle rates over routers, domains and workers.
@@ -147,34 +150,40 @@
 	return err
 }
 
-// Changes fits the bytes of one configuration change over the size of the set.
+// Changes fits the bytes and platform reads that one configuration change
+// costs one router over the size of the set.
 func (s *Slopes) Changes(ctx context.Context, w Windows) error {
-	var bytes, reads []Point
-	for _, callers := range []int{100, 1000, 4000} {
-		size := FleetSize{Domains: 2, Routers: 4, Workers: 6, Set: SetSize{Workers: targetWorkers, Callers: callers}}
-		_, err := idle(ctx, size, w, func(f *Fleet) error {
-			before := f.Measure(ctx, w.Measure)
-			const changes = 5
-			change := make(chan error, 1)
-			go func() { change <- f.changeEach(ctx, changes, w.Measure/(changes+1)) }()
-			after := f.Measure(ctx, w.Measure)
-			if err := <-change; err != nil {
+	callers := []int{100, 1000, 4000}
+	bytes, reads := make([]Point, len(callers)), make([]Point, len(callers))
+	failures := make([]error, len(callers))
+	var wg sync.WaitGroup
+	for i, n := range callers {
+		wg.Go(func() {
+			size := FleetSize{Domains: 2, Routers: 4, Workers: 6, Set: SetSize{Workers: targetWorkers, Callers: n}}
+			_, failures[i] = idle(ctx, size, w, func(f *Fleet) error {
+				b, r, err := f.changeCost(ctx, w.Measure)
+				x := float64(targetWorkers + n)
+				bytes[i], reads[i] = Point{x, b}, Point{x, r}
 				return err
-			}
-			each := w.Measure.Seconds() / changes
-			x := float64(targetWorkers + callers)
-			total := func(r Rates) float64 { return r.PeerSent + r.TableSent + r.TableReceived }
-			bytes = append(bytes, Point{x, (total(after) - total(before)) * each})
-			reads = append(reads, Point{x, (after.Reads - before.Reads) * each})
-			return nil
+			})
 		})
-		if err != nil {
-			return err
-		}
 	}
-	s.add("bytes of one change", "B", "object in the set", bytes)
+	wg.Wait()
+	s.add("bytes received for one change", "B", "object in the set", bytes)
 	s.add("platform reads of one change", "reads", "object in the set", reads)
-	return nil
+	return errors.Join(failures...)
+}
+
+// changeCost is what one change costs one router beyond an idle window.
+func (f *Fleet) changeCost(ctx context.Context, window time.Duration) (bytes, reads float64, err error) {
+	const changes = 5
+	before := f.Measure(ctx, window)
+	change := make(chan error, 1)
+	go func() { change <- f.changeEach(ctx, changes, window/(changes+1)) }()
+	after := f.Measure(ctx, window)
+	each := window.Seconds() / changes
+	total := func(r Rates) float64 { return r.PeerReceived + r.TableReceived }
+	return (total(after) - total(before)) * each, (after.Reads - before.Reads) * each, <-change
 }
 
 func (f *Fleet) changeEach(ctx context.Context, n int, every time.Duration) error {
