--- a/internal/capacity/calls.go
+++ b/internal/capacity/calls.go
@@ -51,7 +51,6 @@
 	}
 	sums := &peerpb.PoolSums{Workers: 3, InFlight: 30}
 	return []call{
-		{"exchange", func(ctx context.Context, c peerpb.PeerClient, _ int) error { _, err := c.Exchange(ctx, push); return err }},
 		{"renewal of 3 leases", func(ctx context.Context, c peerpb.PeerClient, _ int) error { _, err := c.Renew(ctx, renew); return err }},
 		{"slot request", func(ctx context.Context, c peerpb.PeerClient, i int) error {
 			_, err := c.Acquire(ctx, &peerpb.AcquireRequest{
@@ -71,6 +70,11 @@
 			_, err := c.FetchObject(ctx, &peerpb.FetchObjectRequest{Digest: f.current.Manifest})
 			return err
 		}},
+		// Last, since it makes the routers known that do not exist.
+		{"exchange", func(ctx context.Context, c peerpb.PeerClient, _ int) error {
+			_, err := c.Exchange(ctx, push)
+			return err
+		}},
 	}
 }
 
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -16,12 +16,36 @@
 	Passed  bool    `json:"passed"`
 }
 
+// Figure is an extrapolated value that decides nothing.
+type Figure struct {
+	Name    string  `json:"name"`
+	Value   float64 `json:"value"`
+	Unit    string  `json:"unit"`
+	Formula string  `json:"formula"`
+}
+
 // Report is the result of a run.
 type Report struct {
-	Lines  []Line  `json:"lines"`
-	Checks []Check `json:"checks"`
-	Passed int     `json:"passed"`
-	Failed int     `json:"failed"`
+	Lines   []Line   `json:"lines"`
+	Figures []Figure `json:"figures"`
+	Checks  []Check  `json:"checks"`
+	Passed  int      `json:"passed"`
+	Failed  int      `json:"failed"`
+}
+
+func (r *Report) figure(name, unit string, value float64, formula string) float64 {
+	r.Figures = append(r.Figures, Figure{name, value, unit, formula})
+	return value
+}
+
+func (r *Report) check(name, unit string, value, limit float64, formula string) {
+	c := Check{name, value, limit, unit, formula, value <= limit}
+	r.Checks = append(r.Checks, c)
+	if c.Passed {
+		r.Passed++
+	} else {
+		r.Failed++
+	}
 }
 
 // Write prints the report as text or json.
@@ -30,17 +54,21 @@
 		return json.NewEncoder(w).Encode(r)
 	}
 	for _, l := range r.Lines {
-		fmt.Fprintf(w, "%-42s %10.4g + %10.4g %s a %s, residual %.3g\n", l.Name, l.Fit.Base, l.Fit.Slope, l.Unit, l.Per, l.Fit.Residual)
+		fmt.Fprintf(w, "%-46s %10.4g + %9.4g %s a %s, residual %.3g\n", l.Name, l.Fit.Base, l.Fit.Slope, l.Unit, l.Per, l.Fit.Residual)
 		for _, p := range l.Fit.Points {
 			fmt.Fprintf(w, "    %10.5g %12.5g\n", p.X, p.Y)
 		}
 	}
+	fmt.Fprintln(w, "at the target size, for one router unless stated:")
+	for _, f := range r.Figures {
+		fmt.Fprintf(w, "     %-44s %10.4g %-5s = %s\n", f.Name, f.Value, f.Unit, f.Formula)
+	}
 	for _, c := range r.Checks {
 		verdict := "ok  "
 		if !c.Passed {
 			verdict = "FAIL"
 		}
-		fmt.Fprintf(w, "%s %-44s %12.5g of %8.5g %-4s = %s\n", verdict, c.Name, c.Value, c.Limit, c.Unit, c.Formula)
+		fmt.Fprintf(w, "%s %-44s %10.4g of %7.5g %-4s = %s\n", verdict, c.Name, c.Value, c.Limit, c.Unit, c.Formula)
 	}
 	_, err := fmt.Fprintf(w, "capacity: %d passed, %d failed\n", r.Passed, r.Failed)
 	return err
