Spread the first fetch of a starting router

Change: without a revision the peers are asked first and each object read from the platform waits 350 ms on average. Result: at most 1,483 reads in a second, none refused. The price: all routers are ready after 31 s and not after 15 s.

--- a/plugins/config/follower.go
+++ b/plugins/config/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,11 @@
 // leaves time for the next one.
 const objectTimeout = 2 * time.Second
 
+// startPace is the mean wait before each object that a starting router reads
+// from the platform. 400 routers that start at once then make 1,143 of the
+// platform's 2,000 reads a second; the rest is for polls and row reads.
+const startPace = 350 * time.Millisecond
+
 // readyPart is the name of this part in core.Readiness.
 const readyPart = "config"
 
@@ -228,12 +234,19 @@
 	f.ready.SetReady(readyPart, true, "")
 }
 
-// sources returns where content is looked for, in order.
+// sources returns where content is looked for, in order. A router without a
+// revision lacks every chunk, so it asks its peers first and the platform at a
+// low rate.
 func (f *Follower) sources(peersFirst bool) []publish.Source {
 	f.peersMu.Lock()
 	peers := f.peers
 	f.peersMu.Unlock()
-	store := counted{f.client.Objects(), f.metrics.fetched}
+	var objects publish.Source = f.client.Objects()
+	if f.Current() == nil {
+		objects = paced{objects}
+		peersFirst = true
+	}
+	store := counted{objects, f.metrics.fetched}
 	if peers == nil {
 		return []publish.Source{store}
 	}
@@ -252,6 +265,19 @@
 	return p.peers.FetchObject(ctx, digest)
 }
 
+// paced spreads the object reads of a router that starts.
+type paced struct{ publish.Source }
+
+// Get implements publish.Source.
+func (p paced) Get(ctx context.Context, digest string) ([]byte, error) {
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(rand.N(2 * startPace)):
+	}
+	return p.Source.Get(ctx, digest)
+}
+
 // counted bounds each read of a source and counts the bytes that it returns.
 type counted struct {
 	publish.Source
--- /dev/null
+++ b/plugins/config/start_test.go
@@ -0,0 +1,93 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/auburnlead/auburnlead/objects"
+	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/publish"
+)
+
+// largeSet has the target's workers and a thousand callers.
+func largeSet() *objects.Set {
+	s := objects.NewSet()
+	s.Ranks["urgent"] = &objects.Rank{Name: "urgent", TargetWait: time.Second, MaxDuration: time.Minute, QueueLimit: 200}
+	s.Models["m"] = &objects.Model{Name: "m", Weights: "m/1", ContextTokens: 8192}
+	u := &objects.Upstream{Name: "pool", Kind: objects.UpstreamEngine, Models: []string{"m"}, LoadBound: 1.25, MaxInFlight: 16}
+	for i := range 1100 {
+		u.Workers = append(u.Workers, objects.Worker{ID: fmt.Sprintf("e%04d", i), FailureDomain: "d", URL: fmt.Sprintf("http://10.0.%d.%d:9000", i/250, i%250)})
+	}
+	s.Upstreams["pool"] = u
+	for i := range 1000 {
+		name := fmt.Sprintf("caller-%04d", i)
+		s.Callers[name] = &objects.Caller{Name: name, KeySHA256: fmt.Sprintf("%064x", i), Ranks: []string{"urgent"}, DefaultRank: "urgent", Models: []string{"m"}, Weight: 1}
+	}
+	return s
+}
+
+// ring serves the content of the next few routers, as a peer plug-in does.
+type ring struct {
+	all  []*router
+	from int
+}
+
+func (p ring) FetchObject(_ context.Context, digest string) ([]byte, error) {
+	for i := 1; i <= 3; i++ {
+		if body, ok := p.all[(p.from+i*37)%len(p.all)].Object(digest); ok {
+			return body, nil
+		}
+	}
+	return nil, &platform.NotFoundError{Name: digest}
+}
+
+// Guards against a start of the whole fleet that asks the platform for more
+// reads than it serves. Prints the reads of each second.
+func TestFleetStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("400 routers that start together stay below 2,000 reads a second", t, func() {
+			p := platformtest.New(platformtest.Options{Now: time.Now})
+			publisher := publish.Publisher{Table: p, Objects: p.Objects()}
+			_, err := publisher.Submit(context.Background(), publish.Submission{Set: largeSet(), Token: "t", Author: "a", Now: time.Now()})
+			So(err, ShouldBeNil)
+			slow := func(context.Context, platformtest.Call) { <-time.After(100 * time.Millisecond) }
+			p.SetFaults(platformtest.Faults{ReadsPerSecond: 2000, Delay: slow})
+			var all []*router
+			for i := range 400 {
+				r := newRouter(t, fmt.Sprint("r", i), p)
+				join(r.Follower, optional{Peers: ring{all: nil}})
+				all = append(all, r)
+			}
+			for i, r := range all {
+				r.setPeers(ring{all, i})
+				r.lc.RequireStart()
+			}
+			most, ready := int64(0), 0
+			for second := 1; second <= 40 && ready < len(all); second++ {
+				before := p.Stats()
+				wait(time.Second)
+				now := p.Stats()
+				ready = 0
+				for _, r := range all {
+					if r.revision() > 0 {
+						ready++
+					}
+				}
+				most = max(most, now.Reads-before.Reads)
+				t.Logf("second %d: %d reads, %d refused, %d routers ready", second, now.Reads-before.Reads, now.Refused-before.Refused, ready)
+			}
+			for _, r := range all {
+				r.lc.RequireStop()
+			}
+			So(ready, ShouldEqual, len(all))
+			So(p.Stats().Refused, ShouldEqual, 0)
+			So(most, ShouldBeLessThanOrEqualTo, 2000)
+		})
+	})
+}
