Compress the VM list in the platform stand-in

Cause: a router reads 105 bytes for each VM of the fleet every 5 s. Idle fleets of 6 to 54 routers gave 20.5 B/s for each router listed, 8.2 KB/s at 400. Change: the stand-in answers with gzip when the client accepts it, which Go's client does by itself. A platform that does not compress leaves the figure.

--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -3,10 +3,13 @@
 package platform
 
 import (
+	"compress/gzip"
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -167,7 +170,16 @@
 		fail(w, err)
 		return
 	}
-	standin.WriteJSON(w, http.StatusOK, list)
+	// The list of a large fleet is most of what a router reads from the
+	// platform: 105 bytes a VM plain.
+	if !strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		standin.WriteJSON(w, http.StatusOK, list)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Encoding", "gzip")
+	z := gzip.NewWriter(w)
+	_, _ = json.NewEncoder(z).Encode(list), z.Close() // the connection may be gone
 }
 
 func (s *server) putVM(w http.ResponseWriter, r *http.Request) {
