--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
-# Targets: build, test, lint, demo, latency, proto.
+# Targets: build, test, lint, demo, latency, capacity, proto.
 GO ?= go
 BIN := bin/auburnlead
 
-.PHONY: build test lint demo latency proto
+.PHONY: build test lint demo latency capacity proto
 
 build:
 	$(GO) build -o $(BIN) ./cmd/auburnlead
@@ -24,6 +24,11 @@
 latency: build
 	./scripts/latency
 
+# Measures slopes on this machine and checks the limits at the target size.
+capacity: build
+	$(GO) build -o bin/capacity ./internal/capacity/cmd
+	./scripts/capacity
+
 # Regenerates the committed gRPC code; needs protoc. The build does not.
 proto:
 	mkdir -p bin
--- a/internal/capacity/calls.go
+++ b/internal/capacity/calls.go
@@ -52,17 +52,18 @@
 	sums := &peerpb.PoolSums{Workers: 3, InFlight: 30}
 	return []call{
 		{"renewal of 3 leases", func(ctx context.Context, c peerpb.PeerClient, _ int) error { _, err := c.Renew(ctx, renew); return err }},
-		{"slot request", func(ctx context.Context, c peerpb.PeerClient, i int) error {
-			_, err := c.Acquire(ctx, &peerpb.AcquireRequest{
-				Attempt: fmt.Sprintf("%s-18a1b2c3d4e5f607-%d", me, i), Router: me, Incarnation: 1, Upstream: PoolName(0),
-				Workers: []string{WorkerName(0, 0)}, AnyWorker: true, Caller: CallerName(1), Weight: 1,
-				Workspace: "workspace-00001", Rank: "normal", CostTokens: 900, WaitMs: 20, Sums: sums,
+		{"slot request and release", func(ctx context.Context, c peerpb.PeerClient, i int) error {
+			// An attempt is never used twice, also not over several sizes.
+			attempt := fmt.Sprintf("%s-%016x", me, time.Now().UnixNano())
+			reply, err := c.Acquire(ctx, &peerpb.AcquireRequest{
+				Attempt: attempt, Router: me, Incarnation: 1, Upstream: PoolName(0), Workers: []string{WorkerName(0, 0)}, Caller: CallerName(1), Weight: 1,
+				Workspace: "workspace-00001", Rank: "normal", CostTokens: 900, WaitMs: 1000, Sums: sums,
 			})
-			return err
-		}},
-		{"slot release", func(ctx context.Context, c peerpb.PeerClient, i int) error {
-			_, err := c.Release(ctx, &peerpb.ReleaseRequest{
-				Attempt: fmt.Sprintf("%s-18a1b2c3d4e5f607-%d", me, i), Upstream: PoolName(0), Worker: WorkerName(0, 0), CostTokens: 880, Router: me, Sums: sums,
+			if err != nil || !reply.GetGranted() {
+				return err
+			}
+			_, err = c.Release(ctx, &peerpb.ReleaseRequest{
+				Attempt: attempt, Upstream: PoolName(0), Worker: WorkerName(0, 0), CostTokens: 880, Router: me, Sums: sums,
 			})
 			return err
 		}},
--- a/internal/capacity/extrapolate.go
+++ b/internal/capacity/extrapolate.go
@@ -63,12 +63,12 @@
 
 // processor adds up the processor time of control work.
 func (s *Slopes) processor(r *Report) {
-	if !s.has("processor time without requests", "processor time, both sides: slot request", "follower: fetch, verify and decode one change") {
+	if !s.has("processor time without requests", "processor time, both sides: slot request and release", "follower: fetch, verify and decode one change") {
 		return
 	}
 	idle := r.figure("periodic work", "us/s", s.Find("processor time without requests").At(targetDomainRouters), "line over routers of the process at 22")
 	requests := targetRequests / targetRouters
-	calls := r.figure("slot requests and releases, both sides", "us/s", requests*(s.Find("processor time, both sides: slot request").Slope+s.Find("processor time, both sides: slot release").Slope), "2.375 x (request + release)")
+	calls := r.figure("slot requests and releases, both sides", "us/s", requests*(s.Find("processor time, both sides: slot request and release").Slope), "2.375 x slope")
 	members := r.figure("member lists of 400 routers", "us/s", memberLists*s.Find("list the members of a view").At(targetRouters), "20 lists a second x line at 400")
 	changes := r.figure("configuration changes", "us/s", targetChangesDay/86400*s.Find("follower: fetch, verify and decode one change").At(targetCallers), "0.022 x line at 1,000 callers")
 	r.check("processor time of control work", "core", (idle+calls+members+changes)/1e6, limitCore, "sum of the four rows")
