--- a/internal/capacity/calls.go
+++ b/internal/capacity/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -29,8 +30,14 @@
 	if err != nil {
 		return err
 	}
-	wait(ctx, w.Settle)
-	for _, c := range f.calls() {
+	if err := f.Settle(ctx, w.Settle); err != nil {
+		return err
+	}
+	pool, worker, err := f.heldByFirst(ctx)
+	if err != nil {
+		return err
+	}
+	for _, c := range f.calls(pool, worker) {
 		if err := s.measureCall(ctx, f, c); err != nil {
 			return fmt.Errorf("%s: %w", c.name, err)
 		}
@@ -38,8 +45,28 @@
 	return nil
 }
 
+// heldByFirst finds a worker that the first router holds. Errors: there is none.
+func (f *Fleet) heldByFirst(ctx context.Context) (pool, worker string, err error) {
+	conn, err := grpc.NewClient("passthrough:///"+f.Routers[0].addresses.Get("peer"), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return "", "", err
+	}
+	defer conn.Close()
+	keyed := metadata.AppendToOutgoingContext(ctx, "x-peer-key", peerKey)
+	for i := range f.Size.Workers {
+		pool, worker = PoolName(i), WorkerName(0, i)
+		reply, err := peerpb.NewPeerClient(conn).Acquire(keyed, &peerpb.AcquireRequest{
+			Attempt: fmt.Sprint("find-", i), Router: "capacity", Upstream: pool, Workers: []string{worker}, Caller: CallerName(1), Rank: "normal", WaitMs: 1,
+		})
+		if err != nil || reply.GetGranted() {
+			return pool, worker, err
+		}
+	}
+	return "", "", errors.New("the first router holds no worker")
+}
+
 // calls are the kinds of calls with the sizes of the target.
-func (f *Fleet) calls() []call {
+func (f *Fleet) calls(pool, worker string) []call {
 	me := RouterName(0, 21)
 	push := &peerpb.View{From: me}
 	for i := range 21 {
@@ -56,14 +83,17 @@
 			// An attempt is never used twice, also not over several sizes.
 			attempt := fmt.Sprintf("%s-%016x", me, time.Now().UnixNano())
 			reply, err := c.Acquire(ctx, &peerpb.AcquireRequest{
-				Attempt: attempt, Router: me, Incarnation: 1, Upstream: PoolName(0), Workers: []string{WorkerName(0, 0)}, Caller: CallerName(1), Weight: 1,
+				Attempt: attempt, Router: me, Incarnation: 1, Upstream: pool, Workers: []string{worker}, Caller: CallerName(1), Weight: 1,
 				Workspace: "workspace-00001", Rank: "normal", CostTokens: 900, WaitMs: 1000, Sums: sums,
 			})
-			if err != nil || !reply.GetGranted() {
+			if err != nil {
 				return err
 			}
+			if !reply.GetGranted() {
+				return fmt.Errorf("not granted: %s", reply.GetReason())
+			}
 			_, err = c.Release(ctx, &peerpb.ReleaseRequest{
-				Attempt: attempt, Upstream: PoolName(0), Worker: WorkerName(0, 0), CostTokens: 880, Router: me, Sums: sums,
+				Attempt: attempt, Upstream: pool, Worker: worker, CostTokens: 880, Router: me, Sums: sums,
 			})
 			return err
 		}},
--- a/internal/capacity/cmd/main.go
+++ b/internal/capacity/cmd/main.go
@@ -14,9 +14,9 @@
 func main() {
 	output := flag.String("output", "text", "text or json")
 	processes := flag.String("processes", "", "file with the measurements of processes by scripts/capacity")
-	settle := flag.Duration("settle", 12*time.Second, "time from the start of a fleet to its first count")
-	window := flag.Duration("window", 10*time.Second, "time of each count")
-	only := flag.String("only", "", "run only one part: operations, calls, stream, idle, requests, changes or processes")
+	settle := flag.Duration("settle", 10*time.Second, "time from the start of a fleet to its first count")
+	window := flag.Duration("window", 6*time.Second, "time of each count")
+	only := flag.String("only", "", "run only one part: operations, calls, idle, requests, changes or processes")
 	flag.Parse()
 	report, err := capacity.Run(context.Background(), capacity.Plan{
 		Windows: capacity.Windows{Settle: *settle, Measure: *window}, Processes: *processes, Only: *only, Progress: os.Stderr,
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -187,6 +187,20 @@
 	return f.Publish(ctx)
 }
 
+// Settle waits until every router has the revision and then for a time, so that
+// the workers have their final holders. Errors: ctx ended or a minute passed.
+func (f *Fleet) Settle(ctx context.Context, after time.Duration) error {
+	limit := time.Now().Add(2 * startLimit)
+	for f.InForce() < len(f.Routers) {
+		if ctx.Err() != nil || time.Now().After(limit) {
+			return fmt.Errorf("only %d of %d routers have the revision", f.InForce(), len(f.Routers))
+		}
+		wait(ctx, startLimit/100)
+	}
+	wait(ctx, after)
+	return nil
+}
+
 // InForce counts the routers that have the newest revision.
 func (f *Fleet) InForce() int {
 	n := 0
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -23,7 +23,6 @@
 	}{
 		{"operations", func() error { return s.Operations(ctx) }},
 		{"calls", func() error { return s.Calls(ctx, p.Windows) }},
-		{"stream", func() error { return s.Streams(ctx) }},
 		{"idle", func() error { return s.Idle(ctx, p.Windows) }},
 		{"requests", func() error { return s.Requests(ctx, p.Windows) }},
 		{"changes", func() error { return s.Changes(ctx, p.Windows) }},
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -75,7 +75,9 @@
 	if err != nil {
 		return Rates{}, fmt.Errorf("fleet %+v: %w", size, err)
 	}
-	wait(ctx, w.Settle)
+	if err := f.Settle(ctx, w.Settle); err != nil {
+		return Rates{}, err
+	}
 	rates := f.Measure(ctx, w.Measure)
 	if then != nil {
 		err = then(f)
--- a/internal/capacity/stream.go
+++ /dev/null
@@ -1,5 +0,0 @@
-package capacity
-
-import "context"
-
-func (s *Slopes) Streams(ctx context.Context) error { return nil }
