--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
-# Targets: build, test, lint, demo, verify, latency, bench, proto.
+# Targets: build, test, lint, demo, verify, latency, bench, capacity, proto.
 GO ?= go
 BIN := bin/auburnlead
 
-.PHONY: build test lint demo verify latency bench proto
+.PHONY: build test lint demo verify latency bench capacity proto
 
 build:
 	$(GO) build -o $(BIN) ./cmd/auburnlead
@@ -35,6 +35,11 @@
 bench:
 	$(GO) run ./internal/bench/cmd $(BENCH)
 
+# Measures slopes on this machine and checks the limits at the target size.
+capacity: build
+	$(GO) build -o bin/capacity ./internal/capacity/cmd
+	./scripts/capacity
+
 # Regenerates the committed gRPC code; needs protoc. The build does not.
 proto:
 	mkdir -p bin
