Send load and unload orders to engines under a lease

Change: the library package orders decides orders from wanted and reported models and shares the weight store's rate limit through the row weights/rate. The plug-in router.orders holds the order lease of each upstream whose object says manage_models, and sends orders through the new interface core.Orders of plugins/upstream, which asks for permission right before the bytes go out.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -165,6 +165,26 @@
 	Load(ctx context.Context, upstream, worker string) (LoadReport, error)
 }
 
+// Order is a control command to an engine.
+type Order struct {
+	Upstream     string
+	Worker       string
+	Order        string // load or unload
+	Model        string
+	FencingToken uint64
+	// Allowed is asked immediately before the bytes go out. The order is not
+	// sent when it returns false. It must not block.
+	Allowed func() bool
+}
+
+// Orders sends orders to engines. Implemented by plugins/upstream.
+type Orders interface {
+	// SendOrder sends an order once and returns the load report that the
+	// engine answers with. Errors: *AttemptError, with status 409 when the
+	// engine refuses an old fencing token.
+	SendOrder(ctx context.Context, o Order) (LoadReport, error)
+}
+
 // AttemptSource tells what this router knows of its own attempts. Implemented
 // by plugins/dispatch, called by plugins/peer.
 type AttemptSource interface {
--- a/internal/core/lockorder.go
+++ b/internal/core/lockorder.go
@@ -8,6 +8,7 @@
 //	30  plugins/peer      slot leases
 //	40  plugins/peer      schedulers, one for each upstream
 //	50  plugins/dispatch  attempts
+//	55  plugins/orders    order leases and plans
 //	60  plugins/upstream  worker health
 //	70  ledger            claim groups
 //	90  leaf locks: revision store, registries, metrics, logs; nothing is taken under them
--- a/objects/check.go
+++ b/objects/check.go
@@ -201,6 +201,9 @@
 	if u.Kind == UpstreamEngine && len(u.OnceMethods) > 0 {
 		c.report(section, "once_methods", "an engine upstream has no once_methods", "no value", "remove the key or set kind = service")
 	}
+	if u.ManageModels && (u.Kind != UpstreamEngine || !u.ReportsLoad) {
+		c.report(section, "manage_models", "the models of workers that report no load cannot be managed", "true for engines with reports_load = true", "set reports_load = true or remove the key")
+	}
 	c.workers(section, u)
 }
 
--- a/objects/fields.go
+++ b/objects/fields.go
@@ -212,6 +212,7 @@
 	listField("models", "names of models", false, validName, func(u *Upstream) *[]string { return &u.Models }),
 	boolField("reports_load", func(u *Upstream) *bool { return &u.ReportsLoad }),
 	boolField("checks_fencing", func(u *Upstream) *bool { return &u.ChecksFencing }),
+	boolField("manage_models", func(u *Upstream) *bool { return &u.ManageModels }),
 	floatField("load_bound", "1.25", 1.05, 100, func(u *Upstream) *float64 { return &u.LoadBound }),
 	intField("max_in_flight", "16", 1, 4096, func(u *Upstream) *int { return &u.MaxInFlight }),
 	listField("once_methods", "POST, PUT, PATCH, DELETE", false, validMethod, func(u *Upstream) *[]string { return &u.OnceMethods }),
--- a/objects/objects.go
+++ b/objects/objects.go
@@ -94,6 +94,9 @@
 	// ChecksFencing says that workers refuse orders with an old fencing
 	// token. Default false.
 	ChecksFencing bool `json:"checks_fencing,omitempty"`
+	// ManageModels has the routers load and unload models until each worker
+	// has exactly Models; engines that report load only. Default false.
+	ManageModels bool `json:"manage_models,omitempty"`
 	// LoadBound is the multiple of the mean load that no worker exceeds.
 	// At least 1.05, default 1.25.
 	LoadBound float64 `json:"load_bound"`
--- a/objects/objects_test.go
+++ b/objects/objects_test.go
@@ -86,6 +86,7 @@
 		{"worker line too short", "worker = e1 west-a http://127.0.0.1:9001", "worker = e1", "upstream.pool worker: \"e1\" does not have three parts"},
 		{"unknown worker draining", "draining = e2", "draining = e7", "upstream.pool draining: \"e7\" is not a worker"},
 		{"load bound", "draining = e2", "load_bound = 1", "upstream.pool load_bound: 1 is outside"},
+		{"managed without load reports", "draining = e2", "manage_models = true", "upstream.pool manage_models: the models of workers that report no load"},
 		{"method", "once_methods = POST", "once_methods = GET", "upstream.desk once_methods: \"GET\" is not allowed"},
 	}
 	for _, test := range tests {
--- /dev/null
+++ b/orders/rate_test.go
@@ -0,0 +1,113 @@
+package orders
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/auburnlead/auburnlead/platform/platformtest"
+)
+
+const within = 2 * time.Second
+
+// loads is the record of uses in a run, by true time.
+type loads struct {
+	mu sync.Mutex
+	at []time.Time
+}
+
+func (l *loads) add() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.at = append(l.at, time.Now())
+}
+
+// excess returns the first window with more uses than the limit.
+func (l *loads) excess(limit int) string {
+	slices.SortFunc(l.at, time.Time.Compare)
+	for i := limit; i < len(l.at); i++ {
+		if took := l.at[i].Sub(l.at[i-limit]); took < time.Minute {
+			return fmt.Sprintf("%d loads within %v", limit+1, took)
+		}
+	}
+	return ""
+}
+
+// consumer is a router that reserves tokens and uses them, with pauses and a
+// clock of its own rate.
+func consumer(ctx context.Context, r *rand.Rand, table *platformtest.Platform, owner string, l *loads) {
+	began, speed := time.Now(), 1+(r.Float64()*2-1)*0.024
+	now := func() time.Time { return began.Add(time.Duration(float64(time.Since(began)) * speed)) }
+	rate := NewRate(RateConfig{Owner: owner, Now: now})
+	wait := func(most time.Duration) { <-time.After(time.Duration(r.Int64N(int64(most)))) }
+	for ctx.Err() == nil {
+		wait(3 * time.Second)
+		_ = rate.Reserve(ctx, table, 1+r.IntN(4), within)
+		for r.IntN(4) > 0 {
+			token, ok := rate.Take(now(), within)
+			if !ok {
+				break
+			}
+			if r.IntN(4) == 0 {
+				wait(90 * time.Second)
+			}
+			if token.Usable(now(), within) {
+				wait(time.Duration(float64(within) / speed))
+				l.add()
+			}
+		}
+	}
+}
+
+// Guards against more loads in a minute than the weight store allows: by lost
+// replies, late writes, tokens kept over a pause, or tokens that add up.
+func TestRateNeverExceeded(t *testing.T) {
+	uses := 0
+	for seed := range uint64(60) {
+		synctest.Test(t, func(t *testing.T) {
+			p := platformtest.New(platformtest.Options{Seed: seed, Now: time.Now, After: func(d time.Duration, fn func()) { time.AfterFunc(d, fn) }})
+			share := float64(seed%4) * 0.1
+			p.SetFaults(platformtest.Faults{LostReplies: share, DroppedRequests: share, LateWrites: share, DuplicateWrites: share, LateBy: 30 * time.Second})
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Minute)
+			defer cancel()
+			var l loads
+			var wg sync.WaitGroup
+			for i := range uint64(4) {
+				wg.Go(func() { consumer(ctx, rand.New(rand.NewPCG(seed, i)), p, fmt.Sprint("r", i), &l) })
+			}
+			wg.Wait()
+			if excess := l.excess(6); excess != "" {
+				t.Errorf("seed %d: %s", seed, excess)
+			}
+			uses += len(l.at)
+		})
+	}
+	if t.Logf("%d loads in 1200 minutes", uses); uses < 2000 {
+		t.Errorf("the runs prove little: %d loads", uses)
+	}
+}
+
+// Guards against a reservation that is lost with its reply, and against a row
+// that another program has overwritten being taken for an empty one.
+func TestReadBack(t *testing.T) {
+	Convey("A reservation whose reply was lost is found by reading back", t, func() {
+		p := platformtest.New(platformtest.Options{Now: func() time.Time { return start }})
+		p.SetFaults(platformtest.Faults{LostReplies: 1})
+		r := NewRate(RateConfig{Owner: "r1", Now: func() time.Time { return start }})
+		So(r.Reserve(t.Context(), p, 2, within), ShouldNotBeNil)
+		So(r.usable(within), ShouldEqual, 2)
+	})
+	Convey("A value that is not a record is refused", t, func() {
+		for _, text := range []string{"x", `{"reservations":[{"id":"a","count":0}]}`, `{"reservations":[{"id":"a","count":1,"expires_in_ms":-1}]}`} {
+			_, err := DecodeRateRecord([]byte(text))
+			So(err, ShouldNotBeNil)
+		}
+	})
+}
--- a/plugins/standard/standard.go
+++ b/plugins/standard/standard.go
@@ -7,6 +7,7 @@
 	_ "github.com/auburnlead/auburnlead/plugins/config"   // registers router.config
 	_ "github.com/auburnlead/auburnlead/plugins/dispatch" // registers router.dispatch
 	_ "github.com/auburnlead/auburnlead/plugins/node"     // registers router.node
+	_ "github.com/auburnlead/auburnlead/plugins/orders"   // registers router.orders
 	_ "github.com/auburnlead/auburnlead/plugins/peer"     // registers router.peer
 	_ "github.com/auburnlead/auburnlead/plugins/platform" // registers router.platform
 	_ "github.com/auburnlead/auburnlead/plugins/upstream" // registers router.upstream
--- a/plugins/upstream/client.go
+++ b/plugins/upstream/client.go
@@ -124,10 +124,14 @@
 // roundTrip sends the request once, before sendBy unless that is zero. Errors: *core.AttemptError, with not_run
 // only when no byte of the request can have left.
 func (c *Client) roundTrip(r *http.Request, sendBy time.Time) (*http.Response, error) {
+	return c.send(r, &sentTracker{sendBy: sendBy})
+}
+
+// send is roundTrip with a tracker that the caller has set up.
+func (c *Client) send(r *http.Request, tr *sentTracker) (*http.Response, error) {
 	if err := r.Context().Err(); err != nil {
 		return nil, notRun(err)
 	}
-	tr := sentTracker{sendBy: sendBy}
 	response, err := c.transport.RoundTrip(r.WithContext(tr.trace(r.Context())))
 	if err == nil {
 		return response, nil
--- a/plugins/upstream/load.go
+++ b/plugins/upstream/load.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"net/http"
 	"sync"
 	"syscall"
@@ -26,27 +24,18 @@
 func (c *Client) Load(ctx context.Context, upstream, worker string) (core.LoadReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.LoadTimeout)
 	defer cancel()
-	var report core.LoadReport
 	u, err := c.target(upstream, worker, "/v1/load")
 	if err != nil {
-		return report, notRun(err)
+		return core.LoadReport{}, notRun(err)
 	}
 	response, err := c.roundTrip(request(ctx, http.MethodGet, u, nil), time.Time{})
 	if err != nil {
-		return report, err
+		return core.LoadReport{}, err
 	}
 	if response.StatusCode != http.StatusOK {
-		return report, refused(response)
-	}
-	defer response.Body.Close()
-	body, err := readBounded(response, reportBytes)
-	if err == nil {
-		err = json.Unmarshal(body, &report)
-	}
-	if err != nil {
-		return core.LoadReport{}, unknown(fmt.Errorf("load report: %w", err))
+		return core.LoadReport{}, refused(response)
 	}
-	return report, nil
+	return readReport(response)
 }
 
 // reach checks that a worker without load reports accepts connections.
--- /dev/null
+++ b/plugins/upstream/orders.go
@@ -0,0 +1,55 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/auburnlead/auburnlead/internal/core"
+)
+
+// orderBody is the body of POST /v1/orders.
+type orderBody struct {
+	Order        string `json:"order"`
+	Model        string `json:"model"`
+	FencingToken uint64 `json:"fencing_token"`
+}
+
+// SendOrder implements core.Orders. The context bounds the whole exchange.
+func (c *Client) SendOrder(ctx context.Context, o core.Order) (core.LoadReport, error) {
+	body, err := json.Marshal(orderBody{o.Order, o.Model, o.FencingToken})
+	if err != nil {
+		return core.LoadReport{}, notRun(err)
+	}
+	u, err := c.target(o.Upstream, o.Worker, "/v1/orders")
+	if err != nil {
+		return core.LoadReport{}, notRun(err)
+	}
+	r := request(ctx, http.MethodPost, u, body)
+	r.Header.Set("Content-Type", "application/json")
+	response, err := c.send(r, &sentTracker{allowed: o.Allowed})
+	if err != nil {
+		return core.LoadReport{}, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return core.LoadReport{}, refused(response)
+	}
+	return readReport(response)
+}
+
+// readReport reads a load report from the body of an answer.
+func readReport(response *http.Response) (core.LoadReport, error) {
+	defer response.Body.Close()
+	var report core.LoadReport
+	body, err := readBounded(response, reportBytes)
+	if err == nil {
+		err = json.Unmarshal(body, &report)
+	}
+	if err != nil {
+		return core.LoadReport{}, unknown(fmt.Errorf("load report: %w", err))
+	}
+	return report, nil
+}
+
+var _ core.Orders = (*Client)(nil)
--- a/plugins/upstream/sent.go
+++ b/plugins/upstream/sent.go
@@ -66,6 +66,8 @@
 // the request from being sent twice or too late.
 type sentTracker struct {
 	sendBy time.Time // zero for no bound
+	// allowed is asked right before the request is written; nil allows.
+	allowed func() bool
 
 	mu    sync.Mutex // level 60, taken before a connection's
 	conn  *countedConn
@@ -81,6 +83,7 @@
 // transport uses several connections in turn when it finds that an idle one
 // has been closed.
 func (t *sentTracker) gotConn(info httptrace.GotConnInfo) {
+	allowed := t.allowed == nil || t.allowed() // takes locks below this level
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.conn != nil && t.conn.seal(t.start) {
@@ -91,7 +94,7 @@
 	// net/http repeats requests that it takes for idempotent, among them each
 	// one with an Idempotency-Key. Whether to repeat is decided in
 	// plugins/dispatch, so a repetition gets a connection without writes.
-	if t.sent || !t.sendBy.IsZero() && time.Now().After(t.sendBy) {
+	if !allowed || t.sent || !t.sendBy.IsZero() && time.Now().After(t.sendBy) {
 		t.conn.seal(t.start)
 	}
 }
--- a/plugins/upstream/setup.go
+++ b/plugins/upstream/setup.go
@@ -52,7 +52,7 @@
 		Options: func(s any) fx.Option {
 			return fx.Module("upstream",
 				fx.Supply(s.(*Settings)),
-				fx.Provide(fx.Annotate(newFromParams, fx.As(new(core.Engines)), fx.As(new(core.Services)), fx.As(new(core.LoadProbe)), fx.As(fx.Self()))),
+				fx.Provide(fx.Annotate(newFromParams, fx.As(new(core.Engines)), fx.As(new(core.Services)), fx.As(new(core.LoadProbe)), fx.As(new(core.Orders)), fx.As(fx.Self()))),
 				fx.Invoke(startPolls),
 			)
 		},
