Test each rule of the orders and let candidates take turns

Cause: the fleet runs alone did not fail when some rules were broken, and the routers that compete for a lease never changed, so a lease stayed free when none of them reached the platform.

--- a/orders/rate_test.go
+++ b/orders/rate_test.go
@@ -94,6 +94,30 @@
 	}
 }
 
+// Guards against a limit that holds only for clocks that run at the same rate.
+func TestRateMargin(t *testing.T) {
+	Convey("A fast router waits a whole minute after a slow one's last load", t, func() {
+		var elapsed time.Duration
+		clock := func(rate float64) func() time.Time {
+			return func() time.Time { return start.Add(time.Duration(float64(elapsed) * rate)) }
+		}
+		p := platformtest.New(platformtest.Options{Now: clock(1)})
+		slow := NewRate(RateConfig{Owner: "slow", Now: clock(0.976)})
+		fast := NewRate(RateConfig{Owner: "fast", Now: clock(1.024)})
+		So(slow.Reserve(t.Context(), p, 6, 0), ShouldBeNil)
+		last := time.Duration(0)
+		for ; fast.usable(0) == 0; elapsed += 100 * time.Millisecond {
+			if _, ok := slow.Take(slow.cfg.Now(), 0); ok {
+				slow.granted[0].count++
+				last = elapsed
+			}
+			So(fast.Reserve(t.Context(), p, 1, 0), ShouldBeNil)
+		}
+		So(last, ShouldBeGreaterThan, 10*time.Second)
+		So(elapsed-last, ShouldBeBetween, time.Minute, 70*time.Second)
+	})
+}
+
 // Guards against a reservation that is lost with its reply, and against a row
 // that another program has overwritten being taken for an empty one.
 func TestReadBack(t *testing.T) {
--- a/plugins/orders/fleet_test.go
+++ b/plugins/orders/fleet_test.go
@@ -170,11 +170,18 @@
 	if c.f.onSend != nil {
 		c.f.onSend(c.router)
 	}
+	if c.f.fault(s, c.f.flaky, 0.15) {
+		c.f.pause(c.router, s.between(time.Second, 20*time.Second))
+	}
 	c.gate(s)
-	if !o.Allowed() || ctx.Err() != nil {
+	if !o.Allowed() {
 		return core.LoadReport{}, &core.AttemptError{Outcome: core.OutcomeNotRun, Err: errors.New("not allowed")}
 	}
 	c.f.record(c.router, o)
+	if ctx.Err() != nil { // a pause: the bytes go out before the process looks at its timers
+		c.f.obey(o)
+		return core.LoadReport{}, &core.AttemptError{Outcome: core.OutcomeUnknown, Err: ctx.Err()}
+	}
 	deadline, _ := ctx.Deadline()
 	arrival := s.between(0, max(time.Until(deadline), 1))
 	if c.f.fault(s, c.f.slips, 0.2) {
--- a/plugins/orders/manager.go
+++ b/plugins/orders/manager.go
@@ -105,40 +105,58 @@
 		p.wanted = false
 	}
 	if revision != nil && !m.stopping {
-		for name, u := range revision.Set.Upstreams {
-			if u.ManageModels && m.competes(u, members) {
-				if m.parts[name] == nil {
-					m.parts[name] = m.newPart(name)
-				}
-				m.parts[name].wanted = true
+		for _, u := range revision.Set.Upstreams {
+			if u.ManageModels {
+				m.join(u, m.competes(u, members, m.now()))
 			}
 		}
 	}
 	maps.DeleteFunc(m.parts, func(_ string, p *part) bool { return !p.wanted && p.idle(m.id.Router) })
 }
 
+// join has this router take part in an upstream when it is a candidate, and go
+// on when it holds the lease already. The caller holds mu.
+func (m *Manager) join(u *objects.Upstream, candidate bool) {
+	p := m.parts[u.Name]
+	if p == nil && !candidate {
+		return
+	}
+	if p == nil {
+		p = m.newPart(u.Name)
+		m.parts[u.Name] = p
+	}
+	p.wanted = candidate || near(u, m.id.FailureDomain) && p.lease.MayAct(m.now(), 0)
+}
+
 // idle reports whether nothing is left to do for a part that is not wanted.
 func (p *part) idle(router string) bool {
 	r, known := p.lease.Record()
 	return (!known || !p.lease.NeedsRead()) && r.Holder != router && p.plan.InFlight() == 0
 }
 
+// candidatePeriod is how long the same routers are candidates. Others take
+// their turn then, in case none of the present ones reaches the platform. It
+// leaves room for a contender to see a lease of the default time expire.
+const candidatePeriod = time.Minute
+
+// near reports whether a failure domain has a worker of the upstream.
+func near(u *objects.Upstream, domain string) bool {
+	return slices.ContainsFunc(u.Workers, func(w objects.Worker) bool { return w.FailureDomain == domain })
+}
+
 // competes reports whether this router is one of the candidates for the lease
 // of an upstream: the best by rendezvous of the live routers that have one of
 // its workers in their failure domain. The choice only saves reads of the row;
-// a router with another view does no harm, and a holder that is no longer a
-// candidate releases the lease.
-func (m *Manager) competes(u *objects.Upstream, members []core.Member) bool {
-	near := func(domain string) bool {
-		return slices.ContainsFunc(u.Workers, func(w objects.Worker) bool { return w.FailureDomain == domain })
-	}
-	if !near(m.id.FailureDomain) {
+// a router with another view or clock does no harm.
+func (m *Manager) competes(u *objects.Upstream, members []core.Member, now time.Time) bool {
+	if !near(u, m.id.FailureDomain) {
 		return false
 	}
-	own := placement.Hash(u.Name, m.id.Router)
+	period := now.UTC().Truncate(candidatePeriod).String()
+	own := placement.Hash(u.Name, period, m.id.Router)
 	better := 0
 	for _, o := range members {
-		if o.State == "live" && o.Router != m.id.Router && near(o.FailureDomain) && placement.Hash(u.Name, o.Router) > own {
+		if o.State == "live" && o.Router != m.id.Router && near(u, o.FailureDomain) && placement.Hash(u.Name, period, o.Router) > own {
 			better++
 		}
 	}
--- a/plugins/orders/orders_test.go
+++ b/plugins/orders/orders_test.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,7 +11,9 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/lease"
 	"github.com/auburnlead/auburnlead/objects"
+	"github.com/auburnlead/auburnlead/orders"
 	"github.com/auburnlead/auburnlead/platform/platformtest"
 )
 
@@ -50,7 +52,7 @@
 		{"engines that ignore tokens", false, false},
 		{"engines that ignore tokens, with late orders", false, true},
 	} {
-		orders, tokens := 0, uint64(0)
+		total, tokens := 0, uint64(0)
 		for seed := range uint64(10) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
@@ -73,16 +75,38 @@
 					t.Fatalf("%s, seed %d", test.desc, seed)
 				}
 				sent := f.orders()
-				orders += len(sent)
+				total += len(sent)
 				tokens += sent[len(sent)-1].token
 			})
 		}
-		if t.Logf("%s: %d orders, %d tokens", test.desc, orders, tokens); orders < 200 || tokens < 50 {
-			t.Errorf("%s: the runs prove little: %d orders under %d tokens", test.desc, orders, tokens)
+		if t.Logf("%s: %d orders, %d tokens", test.desc, total, tokens); total < 200 || tokens < 50 {
+			t.Errorf("%s: the runs prove little: %d orders under %d tokens", test.desc, total, tokens)
 		}
 	}
 }
 
+// lag pauses the router before order number nth goes out, and delays that order
+// further. It returns the number of orders that were to be sent so far.
+func (f *fleet) lag(nth int64, pause, further time.Duration) *atomic.Int64 {
+	var calls atomic.Int64
+	f.onSend = func(router string) {
+		if calls.Add(1) == nth {
+			f.pause(router, pause)
+			<-time.After(pause + further)
+		}
+	}
+	return &calls
+}
+
+// holder returns the holder that the row of the lease names.
+func (f *fleet) holder() string {
+	rows, err := f.table.Get(context.Background(), rowPrefix+upstream)
+	So(err, ShouldBeNil)
+	record, err := lease.DecodeFencedRecord(rows[0].Value)
+	So(err, ShouldBeNil)
+	return record.Holder
+}
+
 func inFleet(t *testing.T, desc string, checks bool, engines int, test func(ctx context.Context, f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -99,17 +123,56 @@
 // leaves the lease to expire.
 func TestHolder(t *testing.T) {
 	inFleet(t, "A holder paused past its lease sends nothing under it, and a successor finishes", false, 1, func(ctx context.Context, f *fleet) {
-		var once sync.Once
-		f.onSend = func(router string) { once.Do(func() { f.pause(router, 30*time.Second) }) }
+		f.want("m1", "m2")
+		f.lag(3, 30*time.Second, 0)
 		f.router(ctx, "r0", nil)
-		<-time.After(5 * time.Second)
+		<-time.After(20 * time.Second)
+		So(f.settled(), ShouldBeTrue)
 		f.router(ctx, "r1", nil)
-		<-time.After(15 * time.Second)
+		f.want("m1")
+		<-time.After(20 * time.Second)
+		So(f.settled(), ShouldBeTrue)
+		<-time.After(time.Minute)
+		So(f.orders(), ShouldHaveLength, 3)
+		So(f.orders()[2].router, ShouldEqual, "r1")
+		So(f.orders()[2].token, ShouldEqual, 2)
+	})
+	inFleet(t, "A holder that cannot renew sends nothing that could end after its lease", false, 1, func(ctx context.Context, f *fleet) {
+		f.want("m1", "m2")
+		f.lag(3, 2900*time.Millisecond, 0)
+		f.router(ctx, "r0", nil)
+		<-time.After(20 * time.Second)
+		So(f.settled(), ShouldBeTrue)
+		sent, writes := len(f.orders()), f.table.Stats().Writes
+		for f.table.Stats().Writes == writes {
+			<-time.After(10 * time.Millisecond)
+		}
+		f.table.SetFaults(platformtest.Faults{Outage: true})
+		<-time.After(5 * time.Second)
+		f.want("m1") // decided before 7.5 s have passed, ready to be sent between 7.5 s and 9.5 s
+		<-time.After(time.Minute)
+		So(f.orders(), ShouldHaveLength, sent)
+		f.table.SetFaults(platformtest.Faults{})
+		<-time.After(20 * time.Second)
+		So(f.settled(), ShouldBeTrue)
+	})
+	inFleet(t, "A holder that has acquired the lease again does not send what it decided before", false, 1, func(ctx context.Context, f *fleet) {
+		f.want("m1", "m2")
+		f.lag(3, 30*time.Second, 5*time.Second)
+		f.router(ctx, "r0", nil)
+		<-time.After(20 * time.Second)
+		f.want("m1")
+		<-time.After(time.Minute)
 		So(f.settled(), ShouldBeTrue)
+		So(f.orders(), ShouldHaveLength, 3)
+		So(f.orders()[2].token, ShouldEqual, 2)
+	})
+	inFleet(t, "A load is not sent once its rate-limit token has expired", false, 1, func(ctx context.Context, f *fleet) {
+		calls := f.lag(1, 0, 12*time.Second)
+		f.router(ctx, "r0", nil)
 		<-time.After(time.Minute)
 		So(f.orders(), ShouldHaveLength, 1)
-		So(f.orders()[0].router, ShouldEqual, "r1")
-		So(f.orders()[0].token, ShouldEqual, 2)
+		So(calls.Load(), ShouldEqual, 2)
 	})
 	inFleet(t, "A late order to an engine that ignores tokens is corrected", false, 1, func(ctx context.Context, f *fleet) {
 		f.router(ctx, "r0", nil)
@@ -138,7 +201,17 @@
 	inFleet(t, "A router that stops releases the lease", true, 1, func(ctx context.Context, f *fleet) {
 		m := f.router(ctx, "r0", nil)
 		<-time.After(5 * time.Second)
+		m.mu.Lock()
+		plan := m.parts[upstream].plan
+		plan.Begin("e0")
+		m.mu.Unlock()
+		So(m.stop(ctx), ShouldBeNil)
+		So(f.holder(), ShouldEqual, "r0") // an order is in flight
+		m.mu.Lock()
+		plan.Ended(time.Now(), "e0", orders.Order{}, orders.NotSent)
+		m.mu.Unlock()
 		So(m.stop(ctx), ShouldBeNil)
+		So(f.holder(), ShouldEqual, "")
 		f.router(ctx, "r1", nil)
 		f.want("m2")
 		<-time.After(10 * time.Second) // without the release, nobody acts before 11 s
@@ -148,25 +221,42 @@
 }
 
 // Guards against routers that compete for a lease whose workers they cannot
-// reach in a partition, and against a whole fleet that reads one row.
+// reach in a partition, against a whole fleet that reads one row, and against
+// candidates that never change although none of them reaches the platform.
 func TestCompetes(t *testing.T) {
-	Convey("The best candidates with workers in their domain compete", t, func() {
+	Convey("The best candidates with workers in their domain compete in turn, and a holder stays", t, func() {
 		u := &objects.Upstream{Name: upstream, Workers: []objects.Worker{{ID: "e1", FailureDomain: "a"}}}
 		var members []core.Member
 		for i := range 20 {
 			members = append(members, core.Member{Router: fmt.Sprint("r", i), FailureDomain: []string{"a", "b"}[i%2], State: "live"})
 		}
+		now := time.Unix(0, 0)
+		seen := map[string]bool{}
 		candidates := func(list []core.Member) (n int) {
 			for _, o := range members {
 				m := &Manager{s: &Settings{Candidates: 3}, id: core.Identity{Router: o.Router, FailureDomain: o.FailureDomain}}
-				if m.competes(u, list) {
+				if m.competes(u, list, now) {
 					So(o.FailureDomain, ShouldEqual, "a")
+					seen[o.Router] = true
 					n++
 				}
 			}
 			return n
 		}
-		So(candidates(members), ShouldEqual, 3)
+		for range 20 {
+			So(candidates(members), ShouldEqual, 3)
+			now = now.Add(candidatePeriod)
+		}
+		So(seen, ShouldHaveLength, 10)
 		So(candidates(nil), ShouldEqual, 10)
 	})
+	inFleet(t, "A holder stays when it is no candidate any more", false, 1, func(ctx context.Context, f *fleet) {
+		m := f.router(ctx, "r0", nil)
+		<-time.After(5 * time.Second)
+		m.mu.Lock()
+		m.join(f.Current().Set.Upstreams[upstream], false)
+		wanted := m.parts[upstream].wanted
+		m.mu.Unlock()
+		So(wanted, ShouldBeTrue)
+	})
 }
