Fetch one revision at a time

Cause: a starting router's first poll and its first periodic poll fetched the same objects at the same time, so 400 routers made 2,344 reads in a second of a platform that serves 2,000.

--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 
 test: lint
 	$(GO) test -race -count=1 ./...
+	$(GO) test -count=1 -run TestFleetStart ./plugins/config
 	@echo "Known to fail and passed over (KNOWN-RED.txt):"; grep '^bench short:' KNOWN-RED.txt || true
 
 # Runs the whole path as separate processes on loopback, in under a minute.
--- a/plugins/config/follower.go
+++ b/plugins/config/follower.go
@@ -25,8 +25,9 @@
 const objectTimeout = 2 * time.Second
 
 // startPace is the mean wait before each object after the first startBurst that
-// a starting router reads from the platform. 400 routers that start at once then make 1,143 of the
-// platform's 2,000 reads a second; the rest is for polls and row reads.
+// a starting router reads from the platform. 400 routers that start at once
+// then make 1,143 of the platform's 2,000 reads a second; the rest is for polls
+// and row reads.
 const (
 	startPace  = 350 * time.Millisecond
 	startBurst = 2
@@ -47,6 +48,7 @@
 	metrics    metrics
 	now        func() time.Time
 	store      *publish.Store
+	fetching   chan struct{} // holds a token while a revision is fetched
 	current    atomic.Pointer[core.Published]
 	failing    atomic.Bool  // the last poll failed; logged once
 	startReads atomic.Int64 // objects read from the platform before the first revision
@@ -88,7 +90,7 @@
 	scope := p.Scope.SubScope("config")
 	f := &Follower{
 		settings: p.Settings, identity: p.Identity, client: p.Client, ready: p.Readiness, jobs: p.Jobs,
-		log: p.Log.WithPrefix("config"), now: time.Now, store: publish.NewStore(),
+		log: p.Log.WithPrefix("config"), now: time.Now, store: publish.NewStore(), fetching: make(chan struct{}, 1),
 		metrics: metrics{
 			revision:    scope.Gauge("revision"),
 			polls:       scope.Counter("polls"),
@@ -204,6 +206,14 @@
 
 // advance fetches a revision and puts it in force.
 func (f *Follower) advance(ctx context.Context, revision uint64, manifest string, peersFirst bool) {
+	// One fetch at a time: two of them at the start would read the same
+	// objects twice and at twice the pace.
+	select {
+	case f.fetching <- struct{}{}:
+		defer func() { <-f.fetching }()
+	case <-ctx.Done():
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, f.settings.FetchTimeout)
 	defer cancel()
 	applied, err := f.store.Advance(ctx, revision, manifest, f.sources(peersFirst)...)
