--- a/internal/capacity/calls.go
+++ b/internal/capacity/calls.go
@@ -26,10 +26,11 @@
 // directions with all framing, and processor time of both sides together.
 func (s *Slopes) Calls(ctx context.Context, w Windows) error {
 	f, err := StartFleet(ctx, FleetSize{Domains: 1, Routers: 2, Workers: 6, Set: SetSize{Workers: targetWorkers, Callers: targetCallers}})
-	defer f.Close()
 	if err != nil {
+		f.Close() // what had started
 		return err
 	}
+	defer f.Close()
 	if err := f.Settle(ctx, w.Settle); err != nil {
 		return err
 	}
--- a/internal/capacity/slopes.go
+++ b/internal/capacity/slopes.go
@@ -71,10 +71,11 @@
 // idle starts a fleet, lets it settle and returns its idle rates.
 func idle(ctx context.Context, size FleetSize, w Windows, then func(*Fleet) error) (Rates, error) {
 	f, err := StartFleet(ctx, size)
-	defer f.Close()
 	if err != nil {
+		f.Close() // what had started
 		return Rates{}, fmt.Errorf("fleet %+v: %w", size, err)
 	}
+	defer f.Close()
 	if err := f.Settle(ctx, w.Settle); err != nil {
 		return Rates{}, err
 	}
