State the outcome of a commit in one place

plugins/peer, plugins/orders and the simulation of package lease each mapped the errors of a commit; lease.OutcomeOf now does.

--- /dev/null
+++ b/lease/outcome.go
@@ -0,0 +1,36 @@
+package lease
+
+import (
+	"errors"
+
+	"github.com/auburnlead/auburnlead/platform"
+)
+
+// OutcomeOf returns the outcome that an error of platform.Table.Commit shows.
+// An error of an unknown kind may hide an effect.
+func OutcomeOf(err error) Outcome {
+	var conflict *platform.ConflictError
+	var unavailable *platform.UnavailableError
+	switch {
+	case err == nil:
+		return Applied
+	case errors.As(err, &conflict):
+		return Conflict
+	case errors.As(err, &unavailable):
+		return NotApplied
+	}
+	return Uncertain
+}
+
+// String is the outcome's name in metrics.
+func (o Outcome) String() string {
+	switch o {
+	case Applied:
+		return "applied"
+	case NotApplied:
+		return "not_applied"
+	case Conflict:
+		return "conflict"
+	}
+	return "uncertain"
+}
--- a/lease/sim_test.go
+++ b/lease/sim_test.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"container/heap"
 	"context"
-	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -159,24 +158,10 @@
 		if p.s.now < p.cutOff {
 			return
 		}
-		p.deliver(p.s.delay(), func() { answer(outcomeOf(err), version) })
+		p.deliver(p.s.delay(), func() { answer(OutcomeOf(err), version) })
 	})
 }
 
-func outcomeOf(err error) Outcome {
-	var conflict *platform.ConflictError
-	var uncertain *platform.UncertainError
-	switch {
-	case err == nil:
-		return Applied
-	case errors.As(err, &conflict):
-		return Conflict
-	case errors.As(err, &uncertain):
-		return Uncertain
-	}
-	return NotApplied
-}
-
 // disturb changes the faults of the platform at random.
 func (s *sim) disturb(faults platformtest.Faults, outages bool) {
 	s.after(s.between(time.Second, 20*time.Second), func() {
--- a/plugins/orders/leases.go
+++ b/plugins/orders/leases.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/auburnlead/auburnlead/lease"
@@ -118,8 +117,8 @@
 	defer cancel()
 	key := rowPrefix + w.part.upstream
 	done, err := m.table.Commit(ctx, []platform.Op{{Key: key, IfVersion: w.write.IfVersion, Value: w.write.Value.Encode()}})
-	outcome := outcomeOf(err)
-	m.scope.Tagged(map[string]string{"outcome": outcomeNames[outcome]}).Counter("row_writes").Inc(1)
+	outcome := lease.OutcomeOf(err)
+	m.scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("row_writes").Inc(1)
 	version := int64(0)
 	if outcome == lease.Applied {
 		version = done.Versions[0]
@@ -129,23 +128,6 @@
 	w.part.lease.Written(m.now(), w.write, outcome, version)
 }
 
-var outcomeNames = map[lease.Outcome]string{lease.Applied: "applied", lease.NotApplied: "not_applied", lease.Uncertain: "uncertain", lease.Conflict: "conflict"}
-
-// outcomeOf maps an error of Commit. An unknown error may hide an effect.
-func outcomeOf(err error) lease.Outcome {
-	var conflict *platform.ConflictError
-	var unavailable *platform.UnavailableError
-	switch {
-	case err == nil:
-		return lease.Applied
-	case errors.As(err, &conflict):
-		return lease.Conflict
-	case errors.As(err, &unavailable):
-		return lease.NotApplied
-	}
-	return lease.Uncertain
-}
-
 // lead tells the plans under which token they decide.
 func (m *Manager) lead() {
 	m.mu.Lock()
--- a/plugins/peer/rows.go
+++ b/plugins/peer/rows.go
@@ -121,11 +121,11 @@
 		ops[i] = platform.Op{Key: w.key.row(), IfVersion: w.write.IfVersion, Value: w.write.Value.Encode()}
 	}
 	done, err := p.table.Commit(ctx, ops)
-	outcome := outcomeOf(err)
+	outcome := lease.OutcomeOf(err)
 	if outcome == lease.Conflict && len(writes) > 1 {
 		return outcome
 	}
-	p.scope.Tagged(map[string]string{"outcome": outcomeNames[outcome]}).Counter("row_writes").Inc(int64(len(writes)))
+	p.scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("row_writes").Inc(int64(len(writes)))
 	now := p.now()
 	p.leaseMu.Lock()
 	defer p.leaseMu.Unlock()
@@ -149,20 +149,3 @@
 	}
 	return outcome
 }
-
-var outcomeNames = map[lease.Outcome]string{lease.Applied: "applied", lease.NotApplied: "not_applied", lease.Uncertain: "uncertain", lease.Conflict: "conflict"}
-
-// outcomeOf maps an error of Commit. An unknown error may hide an effect.
-func outcomeOf(err error) lease.Outcome {
-	var conflict *platform.ConflictError
-	var unavailable *platform.UnavailableError
-	switch {
-	case err == nil:
-		return lease.Applied
-	case errors.As(err, &conflict):
-		return lease.Conflict
-	case errors.As(err, &unavailable):
-		return lease.NotApplied
-	}
-	return lease.Uncertain
-}
