--- a/admission/scheduler.go
+++ b/admission/scheduler.go
@@ -413,3 +413,6 @@
 	}
 	return a
 }
+
+// Known reports whether a request is waiting or has a slot.
+func (s *Scheduler) Known(requestID string) bool { return s.entries[requestID] != nil }
--- a/plugins/peer/pool.go
+++ b/plugins/peer/pool.go
@@ -119,7 +119,9 @@
 	w := &waiter{done: make(chan decision, 1)}
 	refusal := &admission.Refusal{RequestID: q.ID, Router: q.Router, Reason: admission.ReasonClosed}
 	pl.locked(func(now time.Time) {
-		if pl.closed || pl.waiting[q.ID] != nil {
+		// A request that is known would not be decided again, so its second
+		// waiter would wait without end.
+		if pl.closed || pl.s.Known(q.ID) {
 			return
 		}
 		q.Deadline = now.Add(wait)
--- a/plugins/peer/silent_test.go
+++ b/plugins/peer/silent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -45,3 +46,17 @@
 		So(err, ShouldNotBeNil)
 	})
 }
+
+// Guards against a request for a slot that is never answered.
+func TestRepeatedAttempt(t *testing.T) {
+	Convey("A second request with the ID of an attempt that has a slot is refused", t, func() {
+		f := newFleet(t, poolSet(2, 2))
+		r := f.start("a", "d1")
+		eventually(func() bool { return eachHeldOnce(2, r) })
+		slot, err := r.Acquire(context.Background(), request("one", time.Hour, "w0"))
+		So(err, ShouldBeNil)
+		_, err = r.Acquire(context.Background(), request("one", time.Hour, "w0"))
+		So(err, ShouldNotBeNil)
+		r.Release(slot, 1)
+	})
+}
