--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -15,10 +15,10 @@
 	platformstandin "github.com/auburnlead/auburnlead/internal/standin/platform"
 	"github.com/auburnlead/auburnlead/kernel"
 	"github.com/auburnlead/auburnlead/objects"
-	"github.com/auburnlead/auburnlead/platform"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
 	"github.com/auburnlead/auburnlead/publish"
 	"github.com/auburnlead/auburnlead/settings"
+	"github.com/auburnlead/auburnlead/store"
+	"github.com/auburnlead/auburnlead/store/storetest"
 
 	_ "github.com/auburnlead/auburnlead/plugins/standard" // the router's plug-ins
 )
@@ -35,7 +35,7 @@
 // connections to one another, to the platform and to the workers.
 type Fleet struct {
 	Size     FleetSize
-	Platform *platformtest.Platform
+	Platform *storetest.Platform
 	Routers  []*Router
 	Peers    Traffic // between routers
 	Table    Traffic // to the platform
@@ -151,7 +151,7 @@
 		return fmt.Errorf("start %s: %w", id, err)
 	}
 	relay.SetTarget(r.addresses.Get("peer"))
-	f.Platform.PutVM(platform.VM{ID: id, Address: relay.Address(), FailureDomain: domain, State: platform.VMLive})
+	f.Platform.PutVM(store.VM{ID: id, Address: relay.Address(), FailureDomain: domain, State: store.VMLive})
 	f.Routers = append(f.Routers, r)
 	return nil
 }
--- a/internal/capacity/operations.go
+++ b/internal/capacity/operations.go
@@ -11,8 +11,8 @@
 	"github.com/auburnlead/auburnlead/admission"
 	"github.com/auburnlead/auburnlead/membership"
 	"github.com/auburnlead/auburnlead/peerpb"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
 	"github.com/auburnlead/auburnlead/publish"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 // Operations fits the processor time of single kinds of control work in the
@@ -148,7 +148,7 @@
 func (s *Slopes) revisions(ctx context.Context) error {
 	var follow, submit, memory, first, objectCount []Point
 	for _, callers := range []int{100, 1000, 4000} {
-		p := platformtest.New(platformtest.Options{Now: time.Now})
+		p := storetest.New(storetest.Options{Now: time.Now})
 		f := &Fleet{Platform: p, set: NewSet(SetSize{Workers: targetWorkers, Callers: callers}, FleetSize{}, nil)}
 		x := float64(callers)
 		store := publish.NewStore()
--- a/internal/cli/admin_test.go
+++ b/internal/cli/admin_test.go
@@ -16,11 +16,11 @@
 
 	"github.com/auburnlead/auburnlead/internal/adminapi"
 	"github.com/auburnlead/auburnlead/internal/core"
-	"github.com/auburnlead/auburnlead/platform"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
 	"github.com/auburnlead/auburnlead/plugins/admin"
 	"github.com/auburnlead/auburnlead/plugins/config"
 	"github.com/auburnlead/auburnlead/plugins/node"
+	"github.com/auburnlead/auburnlead/store"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 const testSet = `[rank.urgent]
@@ -43,7 +43,7 @@
 
 // startRouter runs the parts of a router that operators talk to, and returns
 // the URL of its admin API and its revisions in force.
-func startRouter(t *testing.T, p *platformtest.Platform) (string, <-chan uint64) {
+func startRouter(t *testing.T, p *storetest.Platform) (string, <-chan uint64) {
 	addresses := core.NewAddresses()
 	inForce := make(chan uint64, 100)
 	app := fx.New(fx.NopLogger,
@@ -51,7 +51,7 @@
 			&config.Settings{PollPeriod: 8 * time.Second, FetchTimeout: 10 * time.Second},
 			&admin.Settings{Listen: "127.0.0.1:0", Key: "operators", MaxConnections: 8, RequestTimeout: 30 * time.Second}),
 		fx.Provide(node.NewLogger, core.NewReadiness, core.NewBackground, admin.NewScope, admin.NewAPI, admin.NewServer,
-			func() platform.Client { return p }, func() core.Membership { return members{} },
+			func() store.Client { return p }, func() core.Membership { return members{} },
 			fx.Annotate(config.NewFollower, fx.As(new(core.Config)), fx.As(new(core.RevisionSink)), fx.As(new(core.ObjectSource)))),
 		fx.Invoke(func(_ *admin.Server, c core.Config) {
 			c.Subscribe(func(p *core.Published) { inForce <- p.Revision })
@@ -80,7 +80,7 @@
 	t.Setenv("AUBURNLEAD_ADMIN_KEY", "operators")
 	t.Setenv("AUBURNLEAD_AUTHOR", "asha")
 	Convey("Operators publish, compare, drain and list through a router", t, func() {
-		p := platformtest.New(platformtest.Options{Now: time.Now})
+		p := storetest.New(storetest.Options{Now: time.Now})
 		url, inForce := startRouter(t, p)
 		run := func(args ...string) (int, string) { return command(append(args, "--admin", url)...) }
 		set := writeFile(t, testSet)
@@ -133,7 +133,7 @@
 		code, out = run("get", "--admin-key", "wrong")
 		So(code, ShouldEqual, ExitFailed)
 		So(out, ShouldContainSubstring, "operators' key")
-		p.SetFaults(platformtest.Faults{Outage: true})
+		p.SetFaults(storetest.Faults{Outage: true})
 		code, _ = run("apply", set, "--base", "3")
 		So(code, ShouldEqual, ExitUnreachable)
 		code, out = run("get")
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -1,4 +1,4 @@
-// Package platform is the stand-in for the platform: platformtest behind the
+// Package platform is the stand-in for the platform: storetest behind the
 // HTTP protocol that plugins/platform speaks, with faults set by request.
 package platform
 
@@ -15,8 +15,8 @@
 	"github.com/gorilla/mux"
 
 	"github.com/auburnlead/auburnlead/internal/standin"
-	api "github.com/auburnlead/auburnlead/platform"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
+	api "github.com/auburnlead/auburnlead/store"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 // maxScanRows bounds the rows of one scan.
@@ -75,18 +75,18 @@
 }
 
 // New returns the platform behind the stand-in.
-func New(s Settings) *platformtest.Platform {
-	return platformtest.New(platformtest.Options{
+func New(s Settings) *storetest.Platform {
+	return storetest.New(storetest.Options{
 		Seed:  s.Seed,
 		Now:   time.Now,
 		After: func(d time.Duration, fn func()) { time.AfterFunc(d, fn) },
 	})
 }
 
-type server struct{ p *platformtest.Platform }
+type server struct{ p *storetest.Platform }
 
 // Handler serves a platform over HTTP.
-func Handler(p *platformtest.Platform) http.Handler {
+func Handler(p *storetest.Platform) http.Handler {
 	s := &server{p}
 	r := mux.NewRouter()
 	r.HandleFunc("/table/get", s.get).Methods(http.MethodPost)
@@ -213,9 +213,9 @@
 	standin.WriteJSON(w, http.StatusOK, s.p.Stats())
 }
 
-func (f Faults) faults() platformtest.Faults {
+func (f Faults) faults() storetest.Faults {
 	delay := time.Duration(f.DelayMs) * time.Millisecond
-	pt := platformtest.Faults{
+	pt := storetest.Faults{
 		Outage:          f.Outage,
 		LostReplies:     f.LostReplies,
 		DroppedRequests: f.DroppedRequests,
@@ -227,8 +227,8 @@
 		WritesPerSecond: f.WritesPerSecond,
 	}
 	if delay > 0 {
-		pt.Delay = func(ctx context.Context, c platformtest.Call) {
-			if c.Stage == platformtest.BeforeEffect {
+		pt.Delay = func(ctx context.Context, c storetest.Call) {
+			if c.Stage == storetest.BeforeEffect {
 				standin.Sleep(ctx, delay)
 			}
 		}
@@ -242,7 +242,7 @@
 	var conflict *api.ConflictError
 	var missing *api.NotFoundError
 	switch {
-	case errors.Is(err, platformtest.ErrLost):
+	case errors.Is(err, storetest.ErrLost):
 		standin.Drop()
 	case errors.As(err, &conflict):
 		standin.WriteJSON(w, http.StatusConflict, ConflictReply{conflict.Current})
--- a/lease/fenced_test.go
+++ b/lease/fenced_test.go
@@ -9,8 +9,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/auburnlead/auburnlead/internal/proof"
-	"github.com/auburnlead/auburnlead/platform"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/store"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 const orderTimeout = 2 * time.Second
@@ -35,14 +35,14 @@
 	}
 	if w, ok := n.write(now); ok {
 		n.busy = true
-		n.commit(platform.Op{Key: rowKey, IfVersion: w.IfVersion, Value: w.Value.Encode()}, func(outcome Outcome, version int64) {
+		n.commit(store.Op{Key: rowKey, IfVersion: w.IfVersion, Value: w.Value.Encode()}, func(outcome Outcome, version int64) {
 			n.busy = false
 			n.lease.Written(n.now(), w, outcome, version)
 		})
 		return
 	}
 	if n.lease.NeedsRead() || n.s.chance(0.3) {
-		n.read(rowKey, func(sent time.Time, row platform.Row) {
+		n.read(rowKey, func(sent time.Time, row store.Row) {
 			record, _ := DecodeFencedRecord(row.Value)
 			n.lease.RowRead(sent, n.now(), record, row.Version)
 		})
@@ -84,7 +84,7 @@
 }
 
 // contend runs three contenders and returns their orders.
-func contend(seed uint64, faults platformtest.Faults, outages bool) []porcupine.Operation {
+func contend(seed uint64, faults storetest.Faults, outages bool) []porcupine.Operation {
 	s := newSim(seed)
 	s.table.SetFaults(faults)
 	s.disturb(faults, outages)
@@ -132,7 +132,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64Range(1, 1<<32).Draw(t, "seed")
 		share := rapid.SampledFrom([]float64{0, 0.05, 0.3})
-		faults := platformtest.Faults{
+		faults := storetest.Faults{
 			LostReplies: share.Draw(t, "lost replies"), DroppedRequests: share.Draw(t, "dropped requests"),
 			LateWrites: share.Draw(t, "late writes"), DuplicateWrites: share.Draw(t, "duplicates"), LateBy: 20 * time.Second,
 		}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -9,8 +9,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/auburnlead/auburnlead/internal/proof"
-	"github.com/auburnlead/auburnlead/platform"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/store"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 // member is a process that takes part in one slot lease. Apart from the rules
@@ -174,7 +174,7 @@
 }
 
 func (m *member) readRow() {
-	m.read(rowKey, func(sent time.Time, row platform.Row) {
+	m.read(rowKey, func(sent time.Time, row store.Row) {
 		record, _ := DecodeRecord(row.Value)
 		m.lease.RowRead(sent, m.now(), record, row.Version)
 	})
@@ -225,7 +225,7 @@
 
 func (m *member) commit(w Write[Record]) {
 	m.busy = true
-	m.process.commit(platform.Op{Key: rowKey, IfVersion: w.IfVersion, Value: w.Value.Encode()}, func(outcome Outcome, version int64) {
+	m.process.commit(store.Op{Key: rowKey, IfVersion: w.IfVersion, Value: w.Value.Encode()}, func(outcome Outcome, version int64) {
 		m.busy = false
 		m.lease.Written(m.now(), w, outcome, version)
 	})
@@ -261,7 +261,7 @@
 }
 
 // simulate runs a cluster and returns the first moment with two holders.
-func simulate(seed uint64, cfg Config, d time.Duration, faults platformtest.Faults, loss float64, outages, pauses bool) (*cluster, string) {
+func simulate(seed uint64, cfg Config, d time.Duration, faults storetest.Faults, loss float64, outages, pauses bool) (*cluster, string) {
 	c := &cluster{sim: newSim(seed), cfg: cfg, lossShare: loss, pauses: pauses, members: make([]*member, 4),
 		cut: map[[2]string]bool{}, holders: map[string]bool{}}
 	for i := range c.members {
@@ -295,7 +295,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64Range(1, 1<<32).Draw(t, "seed")
 		share := rapid.SampledFrom([]float64{0, 0.05, 0.3})
-		faults := platformtest.Faults{
+		faults := storetest.Faults{
 			LostReplies: share.Draw(t, "lost replies"), DroppedRequests: share.Draw(t, "dropped requests"),
 			LateWrites: share.Draw(t, "late writes"), DuplicateWrites: share.Draw(t, "duplicates"), LateBy: 20 * time.Second,
 		}
--- a/lease/outcome.go
+++ b/lease/outcome.go
@@ -3,14 +3,14 @@
 import (
 	"errors"
 
-	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/store"
 )
 
-// OutcomeOf returns the outcome that an error of platform.Table.Commit shows.
+// OutcomeOf returns the outcome that an error of store.Table.Commit shows.
 // An error of an unknown kind may hide an effect.
 func OutcomeOf(err error) Outcome {
-	var conflict *platform.ConflictError
-	var unavailable *platform.UnavailableError
+	var conflict *store.ConflictError
+	var unavailable *store.UnavailableError
 	switch {
 	case err == nil:
 		return Applied
--- a/lease/sim_test.go
+++ b/lease/sim_test.go
@@ -7,8 +7,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/auburnlead/auburnlead/platform"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/store"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 const rowKey = "slots/u/w"
@@ -23,13 +23,13 @@
 	now   time.Duration
 	queue events
 	order int
-	table *platformtest.Platform
+	table *storetest.Platform
 	check func()
 }
 
 func newSim(seed uint64) *sim {
 	s := &sim{rand: rand.New(rand.NewPCG(seed, 1)), check: func() {}}
-	s.table = platformtest.New(platformtest.Options{
+	s.table = storetest.New(storetest.Options{
 		Seed: seed, Now: func() time.Time { return epoch.Add(s.now) },
 		After: func(d time.Duration, fn func()) { s.after(d, fn) },
 	})
@@ -128,7 +128,7 @@
 }
 
 // read reads the row as a process does over a slow network.
-func (p *process) read(key string, done func(sent time.Time, row platform.Row)) {
+func (p *process) read(key string, done func(sent time.Time, row store.Row)) {
 	sent := p.now()
 	p.s.after(p.s.delay(), func() {
 		rows, err := p.s.table.Get(context.Background(), key)
@@ -140,7 +140,7 @@
 
 // commit writes the row. The write is uncertain until its answer arrives, and
 // stays so when the answer takes longer than a second.
-func (p *process) commit(op platform.Op, done func(outcome Outcome, version int64)) {
+func (p *process) commit(op store.Op, done func(outcome Outcome, version int64)) {
 	answered := false
 	answer := func(outcome Outcome, version int64) {
 		if !answered {
@@ -150,7 +150,7 @@
 	}
 	p.deliver(time.Second, func() { answer(Uncertain, 0) })
 	p.s.after(p.s.delay(), func() {
-		result, err := p.s.table.Commit(context.Background(), []platform.Op{op})
+		result, err := p.s.table.Commit(context.Background(), []store.Op{op})
 		version := int64(0)
 		if err == nil {
 			version = result.Versions[0]
@@ -163,7 +163,7 @@
 }
 
 // disturb changes the faults of the platform at random.
-func (s *sim) disturb(faults platformtest.Faults, outages bool) {
+func (s *sim) disturb(faults storetest.Faults, outages bool) {
 	s.after(s.between(time.Second, 20*time.Second), func() {
 		f := faults
 		f.Outage = outages && s.chance(0.25)
--- a/ledger/example_test.go
+++ b/ledger/example_test.go
@@ -6,13 +6,13 @@
 	"time"
 
 	"github.com/auburnlead/auburnlead/ledger"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 // Two routers receive the same booking. It runs once; the second router gets
 // the stored answer.
 func Example() {
-	p := platformtest.New(platformtest.Options{Now: time.Now})
+	p := storetest.New(storetest.Options{Now: time.Now})
 	options := ledger.Options{Now: time.Now, After: time.After}
 	first := ledger.New(p, p.Objects(), options)
 	second := ledger.New(p, p.Objects(), options)
--- a/ledger/group.go
+++ b/ledger/group.go
@@ -6,7 +6,7 @@
 	"errors"
 	"time"
 
-	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 // resolveTries bounds the tries to learn the effect of a commit whose reply
@@ -34,8 +34,8 @@
 
 type writeResult struct {
 	kind  writeKind
-	row   platform.Row // applied: the new version; conflict: the row as it is
-	maybe bool         // failed: the write may still take effect
+	row   store.Row // applied: the new version; conflict: the row as it is
+	maybe bool      // failed: the write may still take effect
 	err   error
 }
 
@@ -45,10 +45,10 @@
 }
 
 func (w *write) applied(version int64) {
-	w.done <- writeResult{kind: writeApplied, row: platform.Row{Key: w.key, Version: version}}
+	w.done <- writeResult{kind: writeApplied, row: store.Row{Key: w.key, Version: version}}
 }
 
-func (w *write) conflict(row platform.Row) {
+func (w *write) conflict(row store.Row) {
 	w.done <- writeResult{kind: writeConflict, row: row, maybe: w.maybe}
 }
 
@@ -127,14 +127,14 @@
 // commit tries the writes in one commit and returns those that have to be
 // tried again.
 func (l *Ledger) commit(writes []*write) (again []*write) {
-	ops := make([]platform.Op, len(writes))
+	ops := make([]store.Op, len(writes))
 	for i, w := range writes {
-		ops[i] = platform.Op{Key: w.key, IfVersion: w.ifVersion, Value: w.value}
+		ops[i] = store.Op{Key: w.key, IfVersion: w.ifVersion, Value: w.value}
 		w.tries++
 	}
 	done, err := l.table.Commit(l.ctx, ops)
-	var conflict *platform.ConflictError
-	var uncertain *platform.UncertainError
+	var conflict *store.ConflictError
+	var uncertain *store.UncertainError
 	switch {
 	case err == nil:
 		l.learnClock(done.At)
@@ -158,8 +158,8 @@
 
 // afterConflict decides the writes whose preconditions failed. The others are
 // tried again, so that one conflict does not fail the group.
-func (l *Ledger) afterConflict(writes []*write, current []platform.Row, err error) (again []*write) {
-	rows := make(map[string]platform.Row, len(current))
+func (l *Ledger) afterConflict(writes []*write, current []store.Row, err error) (again []*write) {
+	rows := make(map[string]store.Row, len(current))
 	for _, r := range current {
 		rows[r.Key] = r
 	}
@@ -179,7 +179,7 @@
 
 // settle decides a write from a row that does not have the expected version.
 // Versions do not recur, so the write can take no effect later.
-func (w *write) settle(row platform.Row) {
+func (w *write) settle(row store.Row) {
 	if bytes.Equal(row.Value, w.value) {
 		w.applied(row.Version)
 		return
@@ -207,7 +207,7 @@
 	return again
 }
 
-func (l *Ledger) readBack(writes []*write) ([]platform.Row, error) {
+func (l *Ledger) readBack(writes []*write) ([]store.Row, error) {
 	keys := make([]string, len(writes))
 	for i, w := range writes {
 		keys[i] = w.key
--- a/ledger/history_test.go
+++ b/ledger/history_test.go
@@ -15,8 +15,8 @@
 	"github.com/anishathalye/porcupine"
 
 	"github.com/auburnlead/auburnlead/internal/proof"
-	"github.com/auburnlead/auburnlead/platform"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/store"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 // cell is the sequential specification's state of one request.
@@ -108,7 +108,7 @@
 // world is a few routers that share one platform, with clients that repeat
 // requests at random.
 type world struct {
-	p       *platformtest.Platform
+	p       *storetest.Platform
 	ledgers []*Ledger
 	seq     atomic.Int64
 	clients sync.WaitGroup
@@ -122,7 +122,7 @@
 
 func newWorld(seed uint64, routers int) *world {
 	w := &world{notSent: map[string]bool{}, runs: map[string]int{}, answers: map[string]string{}}
-	w.p = platformtest.New(platformtest.Options{Seed: seed, Now: time.Now, After: func(d time.Duration, fn func()) { time.AfterFunc(d, fn) }})
+	w.p = storetest.New(storetest.Options{Seed: seed, Now: time.Now, After: func(d time.Duration, fn func()) { time.AfterFunc(d, fn) }})
 	for range routers {
 		w.ledgers = append(w.ledgers, New(w.p, w.p.Objects(), Options{Now: time.Now, After: time.After, InlineBytes: 24}))
 	}
@@ -211,17 +211,17 @@
 }
 
 // faultsOf draws the faults of one world.
-func faultsOf(r *rand.Rand) platformtest.Faults {
+func faultsOf(r *rand.Rand) storetest.Faults {
 	share := func() float64 { return []float64{0, 0.1, 0.4}[r.IntN(3)] }
 	delays := rand.New(rand.NewPCG(r.Uint64(), 0))
 	var mu sync.Mutex
-	return platformtest.Faults{
+	return storetest.Faults{
 		LostReplies:     share(),
 		DroppedRequests: share(),
 		LateWrites:      share(),
 		DuplicateWrites: share(),
 		LateBy:          time.Duration(1+r.IntN(3000)) * time.Millisecond,
-		Delay: func(ctx context.Context, _ platformtest.Call) {
+		Delay: func(ctx context.Context, _ storetest.Call) {
 			mu.Lock()
 			d := upTo(delays, 20*time.Millisecond)
 			mu.Unlock()
@@ -254,7 +254,7 @@
 		faults.Outage = false
 		w.p.SetFaults(faults)
 		w.clients.Wait()
-		w.p.SetFaults(platformtest.Faults{})
+		w.p.SetFaults(storetest.Faults{})
 		for _, l := range w.ledgers {
 			l.Close(context.Background())
 		}
@@ -310,7 +310,7 @@
 	return ""
 }
 
-func (w *world) checkRow(key string, row platform.Row) string {
+func (w *world) checkRow(key string, row store.Row) string {
 	if row.Version == 0 {
 		if w.runs[key] > 0 {
 			return key + " ran and has no row"
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 // Defaults of Options.
@@ -104,8 +104,8 @@
 // Ledger claims and records requests that must not run twice. It is safe for
 // concurrent use. Close it to end its background work.
 type Ledger struct {
-	table   platform.Table
-	objects platform.Objects
+	table   store.Table
+	objects store.Objects
 	o       Options
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -125,7 +125,7 @@
 
 // New returns a ledger on a platform. Calls of t and s must end by themselves.
 // It panics without a clock.
-func New(t platform.Table, s platform.Objects, o Options) *Ledger {
+func New(t store.Table, s store.Objects, o Options) *Ledger {
 	if o.Now == nil || o.After == nil {
 		panic("ledger: Options.Now and Options.After are required")
 	}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -12,8 +12,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/auburnlead/auburnlead/platform"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/store"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 // inBubble runs a test on virtual time.
@@ -69,7 +69,7 @@
 		_, err := l.Claim(t.Context(), c)
 		So(err, ShouldBeNil)
 		So(l.Finish(t.Context(), c, Result{OutcomeRan, []byte(strings.Repeat("x", 99))}), ShouldBeNil)
-		l.objects = platformtest.New(platformtest.Options{Now: time.Now}).Objects()
+		l.objects = storetest.New(storetest.Options{Now: time.Now}).Objects()
 		_, err = l.Claim(t.Context(), booking("k", "a2"))
 		var noAnswer *AnswerUnavailableError
 		So(errors.As(err, &noAnswer), ShouldBeTrue)
@@ -119,7 +119,7 @@
 		c := booking("k1", "a1")
 		_, err := l.Claim(t.Context(), c)
 		So(err, ShouldBeNil)
-		w.p.SetFaults(platformtest.Faults{Outage: true})
+		w.p.SetFaults(storetest.Faults{Outage: true})
 		began := time.Now()
 		_, err = l.Claim(t.Context(), booking("k2", "a2"))
 		var notClaimed *NotClaimedError
@@ -129,7 +129,7 @@
 		defer cancel()
 		var pending *PendingError
 		So(errors.As(l.Finish(ctx, c, Result{OutcomeRan, []byte("turn 7")}), &pending), ShouldBeTrue)
-		w.p.SetFaults(platformtest.Faults{})
+		w.p.SetFaults(storetest.Faults{})
 		l.Close(t.Context())
 		d, err := New(w.p, w.p.Objects(), l.o).Claim(t.Context(), booking("k1", "a3"))
 		So(err, ShouldBeNil)
@@ -173,8 +173,8 @@
 }
 
 // damaged is a table whose rows all have a value that cannot be decoded.
-type damaged struct{ platform.Table }
+type damaged struct{ store.Table }
 
-func (damaged) Commit(_ context.Context, ops []platform.Op) (platform.Committed, error) {
-	return platform.Committed{}, &platform.ConflictError{Current: []platform.Row{{Key: ops[0].Key, Value: []byte("{"), Version: 9}}}
+func (damaged) Commit(_ context.Context, ops []store.Op) (store.Committed, error) {
+	return store.Committed{}, &store.ConflictError{Current: []store.Row{{Key: ops[0].Key, Value: []byte("{"), Version: 9}}}
 }
--- a/ledger/state_test.go
+++ b/ledger/state_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/auburnlead/auburnlead/internal/proof"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 // The seed makes every run give the same verdict; -rapid.seed overrides it.
@@ -127,7 +127,7 @@
 
 func (m *machine) setFaults(t *rapid.T) {
 	share := rapid.SampledFrom([]float64{0, 0, 0.5, 1})
-	m.p.SetFaults(platformtest.Faults{
+	m.p.SetFaults(storetest.Faults{
 		Outage:          rapid.Bool().Draw(t, "outage"),
 		LostReplies:     share.Draw(t, "lost"),
 		DroppedRequests: share.Draw(t, "dropped"),
@@ -139,7 +139,7 @@
 
 // stop lets the platform answer again and ends the background work.
 func (m *machine) stop() {
-	m.p.SetFaults(platformtest.Faults{})
+	m.p.SetFaults(storetest.Faults{})
 	for _, l := range m.ledgers {
 		l.Close(context.Background())
 	}
--- a/ledger/sweep.go
+++ b/ledger/sweep.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 // sweepRow says when the last sweep was; it lies outside rowPrefix.
@@ -70,8 +70,8 @@
 	if err != nil {
 		return now, false, err
 	}
-	done, err := l.table.Commit(ctx, []platform.Op{{Key: sweepRow, IfVersion: rows[0].Version, Value: value}})
-	var conflict *platform.ConflictError
+	done, err := l.table.Commit(ctx, []store.Op{{Key: sweepRow, IfVersion: rows[0].Version, Value: value}})
+	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
 		return now, false, nil
 	}
@@ -87,8 +87,8 @@
 
 // sweepRows deletes the rows that are too old. A row whose writer did not know
 // the platform's clock gets it now.
-func (l *Ledger) sweepRows(ctx context.Context, rows []platform.Row, now time.Time) (int, error) {
-	var ops []platform.Op
+func (l *Ledger) sweepRows(ctx context.Context, rows []store.Row, now time.Time) (int, error) {
+	var ops []store.Op
 	for _, row := range rows {
 		if op, ok := l.sweepOp(row, now); ok {
 			ops = append(ops, op)
@@ -98,11 +98,11 @@
 		return 0, nil
 	}
 	_, err := l.table.Commit(ctx, ops)
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
 		// Rows written since the scan are left for the next sweep.
-		ops = slices.DeleteFunc(ops, func(op platform.Op) bool {
-			return slices.ContainsFunc(conflict.Current, func(r platform.Row) bool { return r.Key == op.Key })
+		ops = slices.DeleteFunc(ops, func(op store.Op) bool {
+			return slices.ContainsFunc(conflict.Current, func(r store.Row) bool { return r.Key == op.Key })
 		})
 		if len(ops) == 0 {
 			return 0, nil
@@ -121,12 +121,12 @@
 	return deleted, nil
 }
 
-func (l *Ledger) sweepOp(row platform.Row, now time.Time) (platform.Op, bool) {
+func (l *Ledger) sweepOp(row store.Row, now time.Time) (store.Op, bool) {
 	rec, err := decode(row.Value)
 	if err != nil {
-		return platform.Op{}, false // a malformed row is kept for inspection
+		return store.Op{}, false // a malformed row is kept for inspection
 	}
-	op := platform.Op{Key: row.Key, IfVersion: row.Version}
+	op := store.Op{Key: row.Key, IfVersion: row.Version}
 	switch {
 	case rec.At == 0:
 		rec.At = now.UnixMilli()
@@ -136,5 +136,5 @@
 		op.Delete = true
 		return op, true
 	}
-	return platform.Op{}, false
+	return store.Op{}, false
 }
--- a/orders/rate.go
+++ b/orders/rate.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 // RateRow is the row that all routers share.
@@ -164,7 +164,7 @@
 // to want, as far as the limit allows: one read, and a write if something is
 // free. Errors: *FormatError and those of the table; the next call resolves
 // what a lost reply left open.
-func (r *Rate) Reserve(ctx context.Context, table platform.Table, want int, within time.Duration) error {
+func (r *Rate) Reserve(ctx context.Context, table store.Table, want int, within time.Duration) error {
 	if !r.begin() {
 		return nil
 	}
@@ -179,13 +179,13 @@
 	if !ok {
 		return nil
 	}
-	op := platform.Op{Key: RateRow, IfVersion: g.ifVersion, Value: value}
-	done, err := table.Commit(ctx, []platform.Op{op})
+	op := store.Op{Key: RateRow, IfVersion: g.ifVersion, Value: value}
+	done, err := table.Commit(ctx, []store.Op{op})
 	if err == nil {
 		r.apply(g, done.Versions[0])
 		return nil
 	}
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
 		return r.read(ctx, table)
 	}
@@ -226,7 +226,7 @@
 }
 
 // read takes over the row and learns the fate of pending reservations.
-func (r *Rate) read(ctx context.Context, table platform.Table) error {
+func (r *Rate) read(ctx context.Context, table store.Table) error {
 	rows, err := table.Get(ctx, RateRow)
 	if err != nil {
 		return err
--- a/orders/rate_test.go
+++ b/orders/rate_test.go
@@ -12,7 +12,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 const within = 2 * time.Second
@@ -42,7 +42,7 @@
 
 // consumer is a router that reserves tokens and uses them, with pauses and a
 // clock of its own rate.
-func consumer(ctx context.Context, r *rand.Rand, table *platformtest.Platform, owner string, l *loads) {
+func consumer(ctx context.Context, r *rand.Rand, table *storetest.Platform, owner string, l *loads) {
 	began, speed := time.Now(), 1+(r.Float64()*2-1)*0.024
 	now := func() time.Time { return began.Add(time.Duration(float64(time.Since(began)) * speed)) }
 	rate := NewRate(RateConfig{Owner: owner, Now: now})
@@ -72,9 +72,9 @@
 	uses := 0
 	for seed := range uint64(60) {
 		synctest.Test(t, func(t *testing.T) {
-			p := platformtest.New(platformtest.Options{Seed: seed, Now: time.Now, After: func(d time.Duration, fn func()) { time.AfterFunc(d, fn) }})
+			p := storetest.New(storetest.Options{Seed: seed, Now: time.Now, After: func(d time.Duration, fn func()) { time.AfterFunc(d, fn) }})
 			share := float64(seed%4) * 0.1
-			p.SetFaults(platformtest.Faults{LostReplies: share, DroppedRequests: share, LateWrites: share, DuplicateWrites: share, LateBy: 30 * time.Second})
+			p.SetFaults(storetest.Faults{LostReplies: share, DroppedRequests: share, LateWrites: share, DuplicateWrites: share, LateBy: 30 * time.Second})
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Minute)
 			defer cancel()
 			var l loads
@@ -101,7 +101,7 @@
 		clock := func(rate float64) func() time.Time {
 			return func() time.Time { return start.Add(time.Duration(float64(elapsed) * rate)) }
 		}
-		p := platformtest.New(platformtest.Options{Now: clock(1)})
+		p := storetest.New(storetest.Options{Now: clock(1)})
 		slow := NewRate(RateConfig{Owner: "slow", Now: clock(0.976)})
 		fast := NewRate(RateConfig{Owner: "fast", Now: clock(1.024)})
 		So(slow.Reserve(t.Context(), p, 6, 0), ShouldBeNil)
@@ -122,8 +122,8 @@
 // that another program has overwritten being taken for an empty one.
 func TestReadBack(t *testing.T) {
 	Convey("A reservation whose reply was lost is found by reading back", t, func() {
-		p := platformtest.New(platformtest.Options{Now: func() time.Time { return start }})
-		p.SetFaults(platformtest.Faults{LostReplies: 1})
+		p := storetest.New(storetest.Options{Now: func() time.Time { return start }})
+		p.SetFaults(storetest.Faults{LostReplies: 1})
 		r := NewRate(RateConfig{Owner: "r1", Now: func() time.Time { return start }})
 		So(r.Reserve(t.Context(), p, 2, within), ShouldNotBeNil)
 		So(r.usable(within), ShouldEqual, 2)
--- a/plugins/admin/admin_test.go
+++ b/plugins/admin/admin_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/objects"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 // noConfig is a router without a revision.
@@ -28,7 +28,7 @@
 func newTestAPI() (*API, http.Handler) {
 	api := NewAPI(Params{
 		Settings: &Settings{RequestTimeout: time.Minute}, Log: log.New(io.Discard), Config: noConfig{}, Objects: noConfig{}, Scope: NewScope(),
-		Client:    platformtest.New(platformtest.Options{Now: time.Now}),
+		Client:    storetest.New(storetest.Options{Now: time.Now}),
 		Readiness: core.NewReadiness(), Addresses: core.NewAddresses(),
 	})
 	return api, api.routes("operators")
--- a/plugins/admin/api.go
+++ b/plugins/admin/api.go
@@ -16,8 +16,8 @@
 	"github.com/auburnlead/auburnlead/internal/adminapi"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/objects"
-	"github.com/auburnlead/auburnlead/platform"
 	"github.com/auburnlead/auburnlead/publish"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 // maxBody bounds a request body: a set of the largest size whose characters
@@ -42,7 +42,7 @@
 	fx.In
 	Settings   *Settings
 	Identity   core.Identity
-	Client     platform.Client
+	Client     store.Client
 	Config     core.Config
 	Objects    core.ObjectSource
 	Sink       core.RevisionSink
@@ -71,7 +71,7 @@
 	if body, ok := f.objects.Object(digest); ok {
 		return body, nil
 	}
-	return nil, &platform.NotFoundError{Name: digest}
+	return nil, &store.NotFoundError{Name: digest}
 }
 
 // routes returns the handler of all paths.
--- a/plugins/config/follower.go
+++ b/plugins/config/follower.go
@@ -12,8 +12,8 @@
 	"go.uber.org/fx"
 
 	"github.com/auburnlead/auburnlead/internal/core"
-	"github.com/auburnlead/auburnlead/platform"
 	"github.com/auburnlead/auburnlead/publish"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 // pollJitter is the share of the period by which polls vary, so that routers
@@ -41,7 +41,7 @@
 type Follower struct {
 	settings   *Settings
 	identity   core.Identity
-	client     platform.Client
+	client     store.Client
 	ready      core.Readiness
 	jobs       *core.Background
 	log        *log.Logger
@@ -77,7 +77,7 @@
 	fx.In
 	Settings  *Settings
 	Identity  core.Identity
-	Client    platform.Client
+	Client    store.Client
 	Readiness core.Readiness
 	Jobs      *core.Background
 	Log       *log.Logger
--- a/plugins/config/follower_test.go
+++ b/plugins/config/follower_test.go
@@ -15,9 +15,9 @@
 
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/objects"
-	"github.com/auburnlead/auburnlead/platform"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
 	"github.com/auburnlead/auburnlead/publish"
+	"github.com/auburnlead/auburnlead/store"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 // router is one follower with the parts around it.
@@ -27,12 +27,12 @@
 	lc    *fxtest.Lifecycle
 }
 
-func newRouter(t *testing.T, id string, client platform.Client) *router {
+func newRouter(t *testing.T, id string, client store.Client) *router {
 	lc := fxtest.NewLifecycle(t)
 	return newRouterWith(id, client, lc, core.NewBackground(lc))
 }
 
-func newRouterWith(id string, client platform.Client, lc *fxtest.Lifecycle, jobs *core.Background) *router {
+func newRouterWith(id string, client store.Client, lc *fxtest.Lifecycle, jobs *core.Background) *router {
 	ready := core.NewReadiness()
 	f := NewFollower(Params{
 		Settings: &Settings{PollPeriod: 3 * time.Second, FetchTimeout: 10 * time.Second},
@@ -56,7 +56,7 @@
 }
 
 // submit publishes the next revision.
-func submit(p *platformtest.Platform, base uint64) publish.Revision {
+func submit(p *storetest.Platform, base uint64) publish.Revision {
 	set, err := objects.Load("", fmt.Appendf(nil, "[rank.urgent]\npriority = 0\nqueue_limit = %d\n", base+1))
 	So(err, ShouldBeNil)
 	publisher := publish.Publisher{Table: p, Objects: p.Objects()}
@@ -72,7 +72,7 @@
 	if body, ok := p.from.Object(digest); ok {
 		return body, nil
 	}
-	return nil, &platform.NotFoundError{Name: digest}
+	return nil, &store.NotFoundError{Name: digest}
 }
 
 // wait lets virtual time pass.
@@ -84,12 +84,12 @@
 // Guards against routers that are ready without a configuration, that miss or
 // lose a revision, or that go back to an older one.
 func TestFollower(t *testing.T) {
-	run := func(desc string, body func(*testing.T, *platformtest.Platform)) {
+	run := func(desc string, body func(*testing.T, *storetest.Platform)) {
 		synctest.Test(t, func(t *testing.T) {
-			Convey(desc, t, func() { body(t, platformtest.New(platformtest.Options{Now: time.Now})) })
+			Convey(desc, t, func() { body(t, storetest.New(storetest.Options{Now: time.Now})) })
 		})
 	}
-	run("A router is ready with its first revision and follows within a poll", func(t *testing.T, p *platformtest.Platform) {
+	run("A router is ready with its first revision and follows within a poll", func(t *testing.T, p *storetest.Platform) {
 		r := newRouter(t, "r1", p)
 		r.start()
 		defer r.lc.RequireStop()
@@ -106,12 +106,12 @@
 		So(r.revision(), ShouldEqual, 2)
 		So(r.Current().Set.Ranks["urgent"].QueueLimit, ShouldEqual, 2)
 	})
-	run("Without the platform a router starts from its peers and stays ready", func(t *testing.T, p *platformtest.Platform) {
+	run("Without the platform a router starts from its peers and stays ready", func(t *testing.T, p *storetest.Platform) {
 		other := newRouter(t, "r2", p)
 		first := submit(p, 0)
 		other.start()
 		defer other.lc.RequireStop()
-		p.SetFaults(platformtest.Faults{Outage: true})
+		p.SetFaults(storetest.Faults{Outage: true})
 		r := newRouter(t, "r1", p)
 		join(r.Follower, optional{Peers: peers{other}})
 		r.start()
@@ -125,7 +125,7 @@
 		ready, _ = r.ready.Ready()
 		So(ready, ShouldBeTrue)
 	})
-	run("Announced revisions are applied at once, older and failed ones change nothing", func(t *testing.T, p *platformtest.Platform) {
+	run("Announced revisions are applied at once, older and failed ones change nothing", func(t *testing.T, p *storetest.Platform) {
 		first, second := submit(p, 0), submit(p, 1)
 		r := newRouter(t, "r1", p)
 		var told []uint64
--- a/plugins/config/start_test.go
+++ b/plugins/config/start_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/objects"
-	"github.com/auburnlead/auburnlead/platform"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
 	"github.com/auburnlead/auburnlead/publish"
+	"github.com/auburnlead/auburnlead/store"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 // largeSet has the target's workers and a thousand callers.
@@ -46,7 +46,7 @@
 			return body, nil
 		}
 	}
-	return nil, &platform.NotFoundError{Name: digest}
+	return nil, &store.NotFoundError{Name: digest}
 }
 
 // sharing is the number of routers that share a background pool, since the race
@@ -54,7 +54,7 @@
 const sharing = 4
 
 // startTogether starts n routers at one moment.
-func startTogether(t *testing.T, p *platformtest.Platform, n int) []*router {
+func startTogether(t *testing.T, p *storetest.Platform, n int) []*router {
 	var all []*router
 	for i := range n {
 		if i%sharing != 0 {
@@ -91,12 +91,12 @@
 // each reply.
 func fleetStart(t *testing.T, delay time.Duration) {
 	Convey(fmt.Sprintf("400 routers that start together stay below 2,000 reads a second at a delay of %v", delay), t, func() {
-		p := platformtest.New(platformtest.Options{Now: time.Now})
+		p := storetest.New(storetest.Options{Now: time.Now})
 		publisher := publish.Publisher{Table: p, Objects: p.Objects()}
 		_, err := publisher.Submit(context.Background(), publish.Submission{Set: largeSet(), Token: "t", Author: "a", Now: time.Now()})
 		So(err, ShouldBeNil)
-		slow := func(context.Context, platformtest.Call) { <-time.After(delay) }
-		p.SetFaults(platformtest.Faults{ReadsPerSecond: 2000 / fleetScale, Delay: slow})
+		slow := func(context.Context, storetest.Call) { <-time.After(delay) }
+		p.SetFaults(storetest.Faults{ReadsPerSecond: 2000 / fleetScale, Delay: slow})
 		all := startTogether(t, p, 400/fleetScale)
 		most, ready := int64(0), 0
 		for second := 1; second <= 40 && ready < len(all); second++ {
--- a/plugins/dispatch/service_test.go
+++ b/plugins/dispatch/service_test.go
@@ -14,12 +14,12 @@
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/internal/proof"
 	"github.com/auburnlead/auburnlead/ledger"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 // onceBench is a bench with a ledger on a platform until the test ends.
-func onceBench(t *testing.T, seed uint64) (*bench, *platformtest.Platform) {
-	p := platformtest.New(platformtest.Options{Seed: seed, Now: time.Now, After: func(d time.Duration, fn func()) { time.AfterFunc(d, fn) }})
+func onceBench(t *testing.T, seed uint64) (*bench, *storetest.Platform) {
+	p := storetest.New(storetest.Options{Seed: seed, Now: time.Now, After: func(d time.Duration, fn func()) { time.AfterFunc(d, fn) }})
 	l := ledger.New(p, p.Objects(), ledger.Options{Now: time.Now, After: time.After})
 	t.Cleanup(func() { l.Close(context.Background()) })
 	b := newBench()
@@ -97,11 +97,11 @@
 	})
 	inBubble(t, "Nothing is sent while the platform is down", func(t *testing.T) {
 		b, p := onceBench(t, 0)
-		p.SetFaults(platformtest.Faults{Outage: true})
+		p.SetFaults(storetest.Faults{Outage: true})
 		_, err := b.call(t.Context(), "POST", "k")
 		So(problemOf(err), ShouldEqual, "platform_unavailable not_run")
 		So(b.services.calls, ShouldEqual, 0)
-		p.SetFaults(platformtest.Faults{})
+		p.SetFaults(storetest.Faults{})
 	})
 	inBubble(t, "A claimed request goes on to its end when its caller goes away", func(t *testing.T) {
 		b, _ := onceBench(t, 0)
@@ -173,7 +173,7 @@
 			random := rand.New(rand.NewPCG(seed, 2))
 			b, p := onceBench(t, seed)
 			b.random = func() float64 { return 0.5 }
-			p.SetFaults(platformtest.Faults{LostReplies: 0.2, DroppedRequests: 0.1, LateWrites: 0.1, DuplicateWrites: 0.1})
+			p.SetFaults(storetest.Faults{LostReplies: 0.2, DroppedRequests: 0.1, LateWrites: 0.1, DuplicateWrites: 0.1})
 			b.services.fault = func(int) (bool, error) {
 				switch random.IntN(4) {
 				case 0:
@@ -197,7 +197,7 @@
 				}
 				<-time.After(time.Duration(random.IntN(3)) * time.Second)
 			}
-			p.SetFaults(platformtest.Faults{})
+			p.SetFaults(storetest.Faults{})
 			if !b.slots.balanced() || len(b.attempts.active) != 0 {
 				t.Errorf("seed %d: slots %v, attempts %v", seed, b.slots.held, b.attempts.active)
 			}
--- a/plugins/dispatch/setup.go
+++ b/plugins/dispatch/setup.go
@@ -15,8 +15,8 @@
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/kernel"
 	"github.com/auburnlead/auburnlead/ledger"
-	"github.com/auburnlead/auburnlead/platform"
 	"github.com/auburnlead/auburnlead/retry"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 // Settings is the section [dispatch].
@@ -70,7 +70,7 @@
 	Slots      core.Slots
 	Engines    core.Engines
 	Services   core.Services
-	Platform   platform.Client
+	Platform   store.Client
 	Background *core.Background
 	Logger     *log.Logger
 	Lifecycle  fx.Lifecycle
--- a/plugins/orders/fleet_test.go
+++ b/plugins/orders/fleet_test.go
@@ -17,7 +17,7 @@
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/objects"
 	"github.com/auburnlead/auburnlead/placement"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 const upstream = "pool"
@@ -65,7 +65,7 @@
 	stuck   bool                 // no report shows a change
 	calm    bool                 // nothing of these happens any more
 	onSend  func(router string)  // called before the bytes of an order go out
-	table   *platformtest.Platform
+	table   *storetest.Platform
 	loops   sync.WaitGroup
 }
 
@@ -75,7 +75,7 @@
 		seed:    seed,
 		set:     &objects.Set{Upstreams: map[string]*objects.Upstream{upstream: u}},
 		workers: map[string]*worker{}, paused: map[string]time.Time{},
-		table: platformtest.New(platformtest.Options{Seed: seed, Now: time.Now, After: func(d time.Duration, fn func()) { time.AfterFunc(d, fn) }}),
+		table: storetest.New(storetest.Options{Seed: seed, Now: time.Now, After: func(d time.Duration, fn func()) { time.AfterFunc(d, fn) }}),
 	}
 	for i := range engines {
 		id := fmt.Sprint("e", i)
--- a/plugins/orders/leases.go
+++ b/plugins/orders/leases.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/auburnlead/auburnlead/lease"
-	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 // rowPrefix precedes the name of the upstream in the key of its lease.
@@ -58,7 +58,7 @@
 }
 
 // rowRead passes a row to its lease. The caller holds mu.
-func (m *Manager) rowRead(p *part, sent time.Time, row platform.Row) {
+func (m *Manager) rowRead(p *part, sent time.Time, row store.Row) {
 	record, err := lease.DecodeFencedRecord(row.Value)
 	if err != nil {
 		m.log.Error("order lease not readable", "row", row.Key, "err", err)
@@ -116,7 +116,7 @@
 	ctx, cancel := context.WithTimeout(ctx, m.s.CallTimeout)
 	defer cancel()
 	key := rowPrefix + w.part.upstream
-	done, err := m.table.Commit(ctx, []platform.Op{{Key: key, IfVersion: w.write.IfVersion, Value: w.write.Value.Encode()}})
+	done, err := m.table.Commit(ctx, []store.Op{{Key: key, IfVersion: w.write.IfVersion, Value: w.write.Value.Encode()}})
 	outcome := lease.OutcomeOf(err)
 	m.scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("row_writes").Inc(1)
 	version := int64(0)
--- a/plugins/orders/manager.go
+++ b/plugins/orders/manager.go
@@ -16,8 +16,8 @@
 	"github.com/auburnlead/auburnlead/objects"
 	"github.com/auburnlead/auburnlead/orders"
 	"github.com/auburnlead/auburnlead/placement"
-	"github.com/auburnlead/auburnlead/platform"
 	"github.com/auburnlead/auburnlead/retry"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 // Manager takes part in the order leases of the managed upstreams and acts for
@@ -27,7 +27,7 @@
 	id      core.Identity
 	config  core.Config
 	members core.Membership
-	table   platform.Table
+	table   store.Table
 	probe   core.LoadProbe
 	sender  core.Orders
 	rate    *orders.Rate
@@ -62,7 +62,7 @@
 	return slices.Compare([]string{k.upstream, k.worker}, []string{o.upstream, o.worker})
 }
 
-func newManager(p Params, table platform.Table, now func() time.Time, random func() float64) *Manager {
+func newManager(p Params, table store.Table, now func() time.Time, random func() float64) *Manager {
 	m := &Manager{
 		s: p.Settings, id: p.Identity, config: p.Config, members: p.Members, table: table,
 		probe: p.Probe, sender: p.Orders, now: now, random: random,
--- a/plugins/orders/orders_test.go
+++ b/plugins/orders/orders_test.go
@@ -14,7 +14,7 @@
 	"github.com/auburnlead/auburnlead/lease"
 	"github.com/auburnlead/auburnlead/objects"
 	"github.com/auburnlead/auburnlead/orders"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 // disturb pauses routers, loses replies and takes the platform down for ten
@@ -23,7 +23,7 @@
 	s := f.source("faults")
 	end := time.Now().Add(10 * time.Minute)
 	for time.Now().Before(end) {
-		faults := platformtest.Faults{LateBy: 20 * time.Second, Outage: s.chance(0.1)}
+		faults := storetest.Faults{LateBy: 20 * time.Second, Outage: s.chance(0.1)}
 		if s.chance(0.5) {
 			faults.LostReplies, faults.DroppedRequests, faults.LateWrites, faults.DuplicateWrites = 0.2, 0.1, 0.1, 0.1
 		}
@@ -36,7 +36,7 @@
 		}
 		<-time.After(s.between(time.Second, 30*time.Second))
 	}
-	f.table.SetFaults(platformtest.Faults{})
+	f.table.SetFaults(storetest.Faults{})
 }
 
 // Guards against orders of two holders that mix, against orders that leave
@@ -147,12 +147,12 @@
 		for f.table.Stats().Writes == writes {
 			<-time.After(10 * time.Millisecond)
 		}
-		f.table.SetFaults(platformtest.Faults{Outage: true})
+		f.table.SetFaults(storetest.Faults{Outage: true})
 		<-time.After(5 * time.Second)
 		f.want("m1") // decided before 7.5 s have passed, ready to be sent between 7.5 s and 9.5 s
 		<-time.After(time.Minute)
 		So(f.orders(), ShouldHaveLength, sent)
-		f.table.SetFaults(platformtest.Faults{})
+		f.table.SetFaults(storetest.Faults{})
 		<-time.After(20 * time.Second)
 		So(f.settled(), ShouldBeTrue)
 	})
--- a/plugins/orders/setup.go
+++ b/plugins/orders/setup.go
@@ -13,8 +13,8 @@
 
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/kernel"
-	"github.com/auburnlead/auburnlead/platform"
 	"github.com/auburnlead/auburnlead/settings"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 // Settings is the section [orders].
@@ -88,7 +88,7 @@
 	Settings *Settings
 	Identity core.Identity
 	Config   core.Config
-	Platform platform.Client
+	Platform store.Client
 	Probe    core.LoadProbe
 	Orders   core.Orders
 	Logger   *log.Logger
--- a/plugins/peer/exchange.go
+++ b/plugins/peer/exchange.go
@@ -9,7 +9,7 @@
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/membership"
 	"github.com/auburnlead/auburnlead/peerpb"
-	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 // exchangeFanout is the number of domain peers that get the view each time.
@@ -42,7 +42,7 @@
 	}
 	vms := make([]membership.Listed, 0, len(list.VMs))
 	for _, vm := range list.VMs {
-		vms = append(vms, membership.Listed{Router: vm.ID, Domain: vm.FailureDomain, Address: vm.Address, Leaving: vm.State == platform.VMLeaving})
+		vms = append(vms, membership.Listed{Router: vm.ID, Domain: vm.FailureDomain, Address: vm.Address, Leaving: vm.State == store.VMLeaving})
 	}
 	p.viewMu.Lock()
 	p.view.SetListed(p.now(), vms)
--- a/plugins/peer/failure_test.go
+++ b/plugins/peer/failure_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/internal/proof"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 // Guards against workers that stay without holder after a crash, and against
@@ -64,14 +64,14 @@
 func TestPlatformTrouble(t *testing.T) {
 	Convey("With lost replies every worker still gets one holder", t, func() {
 		f := newFleet(t, poolSet(4, 2))
-		f.platform.SetFaults(platformtest.Faults{LostReplies: 0.5, DroppedRequests: 0.1})
+		f.platform.SetFaults(storetest.Faults{LostReplies: 0.5, DroppedRequests: 0.1})
 		a, b := f.start("a", "d1"), f.start("b", "d1")
 		eventually(func() bool { return settled(4, a, b) })
 		Convey("and an outage longer than the lease time does not stop grants", func() {
 			// A lease rightly ends in an outage when the fate of a write is
 			// open, or when its successor has not read the row yet.
 			eventually(func() bool { return a.knowsRows() && b.knowsRows() })
-			f.platform.SetFaults(platformtest.Faults{Outage: true})
+			f.platform.SetFaults(storetest.Faults{Outage: true})
 			began := time.Now()
 			user, holder := other(a, b)
 			for time.Since(began) < f.settings.LeaseTime*3/2 {
--- a/plugins/peer/fleet_test.go
+++ b/plugins/peer/fleet_test.go
@@ -15,15 +15,15 @@
 
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/objects"
-	"github.com/auburnlead/auburnlead/platform"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/store"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 // fleet is several routers in this process that meet over loopback gRPC and an
 // in-memory platform.
 type fleet struct {
 	t        *testing.T
-	platform *platformtest.Platform
+	platform *storetest.Platform
 	config   *fakeConfig
 	settings Settings
 }
@@ -31,7 +31,7 @@
 func newFleet(t *testing.T, set *objects.Set) *fleet {
 	return &fleet{
 		t:        t,
-		platform: platformtest.New(platformtest.Options{Seed: 1, Now: time.Now}),
+		platform: storetest.New(storetest.Options{Seed: 1, Now: time.Now}),
 		config:   &fakeConfig{current: &core.Published{Revision: 1, Manifest: "m1", Set: set}},
 		settings: Settings{
 			Listen: "127.0.0.1:0", Key: "secret", Exchange: 50 * time.Millisecond, RemoteExchange: 50 * time.Millisecond,
@@ -75,7 +75,7 @@
 		fx.Supply(&s, identity),
 		fx.Provide(core.NewAddresses, core.NewReadiness, core.NewBackground, New,
 			func() *log.Logger { return log.New(io.Discard) },
-			func() platform.Client { return r.table },
+			func() store.Client { return r.table },
 			func() core.Config { return f.config }),
 		fx.Invoke(Attach),
 		fx.Populate(&r.Peer),
@@ -87,7 +87,7 @@
 	if err := r.app.Start(context.Background()); err != nil {
 		f.t.Fatal(err)
 	}
-	f.platform.PutVM(platform.VM{ID: id, Address: r.id.PeerAddress, FailureDomain: domain, State: platform.VMLive})
+	f.platform.PutVM(store.VM{ID: id, Address: r.id.PeerAddress, FailureDomain: domain, State: store.VMLive})
 	r.stop = sync.OnceFunc(func() { _ = r.app.Stop(context.Background()) })
 	f.t.Cleanup(r.stop)
 	return r
@@ -137,7 +137,7 @@
 
 // tableSwitch cuts one router off from the platform.
 type tableSwitch struct {
-	platform.Client
+	store.Client
 	mu  sync.Mutex
 	off bool
 }
@@ -152,28 +152,28 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.off {
-		return &platform.UnavailableError{Op: op, Err: platformtest.ErrOutage}
+		return &store.UnavailableError{Op: op, Err: storetest.ErrOutage}
 	}
 	return nil
 }
 
-func (s *tableSwitch) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (s *tableSwitch) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
 	if err := s.err("get"); err != nil {
 		return nil, err
 	}
 	return s.Client.Get(ctx, keys...)
 }
 
-func (s *tableSwitch) Commit(ctx context.Context, ops []platform.Op) (platform.Committed, error) {
+func (s *tableSwitch) Commit(ctx context.Context, ops []store.Op) (store.Committed, error) {
 	if err := s.err("commit"); err != nil {
-		return platform.Committed{}, err
+		return store.Committed{}, err
 	}
 	return s.Client.Commit(ctx, ops)
 }
 
-func (s *tableSwitch) List(ctx context.Context) (platform.VMList, error) {
+func (s *tableSwitch) List(ctx context.Context) (store.VMList, error) {
 	if err := s.err("list"); err != nil {
-		return platform.VMList{}, err
+		return store.VMList{}, err
 	}
 	return s.Client.List(ctx)
 }
--- a/plugins/peer/peer.go
+++ b/plugins/peer/peer.go
@@ -17,14 +17,14 @@
 	"github.com/auburnlead/auburnlead/lease"
 	"github.com/auburnlead/auburnlead/membership"
 	"github.com/auburnlead/auburnlead/peerpb"
-	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 // Peer is the plug-in.
 type Peer struct {
 	s         *Settings
 	id        core.Identity
-	table     platform.Client
+	table     store.Client
 	bg        *core.Background
 	addresses *core.Addresses
 	readiness core.Readiness
--- a/plugins/peer/query.go
+++ b/plugins/peer/query.go
@@ -10,7 +10,7 @@
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/membership"
 	"github.com/auburnlead/auburnlead/peerpb"
-	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 // fetchPeers bounds the peers asked for one object.
@@ -34,7 +34,7 @@
 			return reply.GetBody(), nil
 		}
 	}
-	return nil, &platform.NotFoundError{Name: digest}
+	return nil, &store.NotFoundError{Name: digest}
 }
 
 func (p *Peer) fetchOrder() []membership.Member {
--- a/plugins/peer/restart_test.go
+++ b/plugins/peer/restart_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/peerpb"
-	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 // Guards against a restarted holder that grants slots which its predecessor
@@ -88,7 +88,7 @@
 			So(err, ShouldBeNil)
 			So(string(body), ShouldEqual, "body")
 			_, err = a.FetchObject(context.Background(), "other")
-			var missing *platform.NotFoundError
+			var missing *store.NotFoundError
 			So(errors.As(err, &missing), ShouldBeTrue)
 		})
 		Convey("a peer tells that it does not know an attempt", func() {
--- a/plugins/peer/rows.go
+++ b/plugins/peer/rows.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/auburnlead/auburnlead/lease"
-	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 // maxRowOps bounds the rows in one request to the table.
@@ -83,7 +83,7 @@
 }
 
 // rowRead passes a row to its lease. The caller holds leaseMu.
-func (p *Peer) rowRead(sent time.Time, k workerKey, row platform.Row) {
+func (p *Peer) rowRead(sent time.Time, k workerKey, row store.Row) {
 	l := p.leases[k]
 	if l == nil {
 		return
@@ -116,9 +116,9 @@
 func (p *Peer) commit(ctx context.Context, writes []rowWrite) lease.Outcome {
 	ctx, cancel := context.WithTimeout(ctx, p.s.CallTimeout)
 	defer cancel()
-	ops := make([]platform.Op, len(writes))
+	ops := make([]store.Op, len(writes))
 	for i, w := range writes {
-		ops[i] = platform.Op{Key: w.key.row(), IfVersion: w.write.IfVersion, Value: w.write.Value.Encode()}
+		ops[i] = store.Op{Key: w.key.row(), IfVersion: w.write.IfVersion, Value: w.write.Value.Encode()}
 	}
 	done, err := p.table.Commit(ctx, ops)
 	outcome := lease.OutcomeOf(err)
@@ -141,7 +141,7 @@
 		}
 		l.lease.Written(now, w.write, outcome, version)
 	}
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
 		for _, row := range conflict.Current {
 			p.rowRead(now, writes[0].key, row)
--- a/plugins/peer/setup.go
+++ b/plugins/peer/setup.go
@@ -13,8 +13,8 @@
 
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/kernel"
-	"github.com/auburnlead/auburnlead/platform"
 	"github.com/auburnlead/auburnlead/settings"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 // part is the name of this plug-in in logs, readiness and bound addresses.
@@ -101,7 +101,7 @@
 	Lifecycle  fx.Lifecycle
 	Settings   *Settings
 	Identity   core.Identity
-	Platform   platform.Client
+	Platform   store.Client
 	Background *core.Background
 	Addresses  *core.Addresses
 	Readiness  core.Readiness
--- a/plugins/platform/client.go
+++ b/plugins/platform/client.go
@@ -14,7 +14,7 @@
 	"strings"
 	"sync/atomic"
 
-	api "github.com/auburnlead/auburnlead/platform"
+	api "github.com/auburnlead/auburnlead/store"
 )
 
 // Bounds of the platform's answers.
--- a/plugins/platform/client_test.go
+++ b/plugins/platform/client_test.go
@@ -12,8 +12,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	standin "github.com/auburnlead/auburnlead/internal/standin/platform"
-	api "github.com/auburnlead/auburnlead/platform"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
+	api "github.com/auburnlead/auburnlead/store"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 func client(url string) *Client {
@@ -26,14 +26,14 @@
 	insert := []api.Op{{Key: "a", Value: []byte("1")}}
 	cases := []struct {
 		desc      string
-		faults    platformtest.Faults
+		faults    storetest.Faults
 		uncertain bool
 		written   bool
 	}{
-		{"outage", platformtest.Faults{Outage: true}, false, false},
-		{"reply lost after the write", platformtest.Faults{LostReplies: 1}, true, true},
-		{"request lost before the write", platformtest.Faults{DroppedRequests: 1}, true, false},
-		{"rate limit", platformtest.Faults{WritesPerSecond: 1e-9}, false, false},
+		{"outage", storetest.Faults{Outage: true}, false, false},
+		{"reply lost after the write", storetest.Faults{LostReplies: 1}, true, true},
+		{"request lost before the write", storetest.Faults{DroppedRequests: 1}, true, false},
+		{"rate limit", storetest.Faults{WritesPerSecond: 1e-9}, false, false},
 	}
 	for _, tc := range cases {
 		Convey("A commit during: "+tc.desc, t, func() {
@@ -53,7 +53,7 @@
 			var unavailable *api.UnavailableError
 			So(errors.As(err, &uncertain), ShouldEqual, tc.uncertain)
 			So(errors.As(err, &unavailable), ShouldEqual, !tc.uncertain)
-			p.SetFaults(platformtest.Faults{})
+			p.SetFaults(storetest.Faults{})
 			rows, err := c.Get(t.Context(), "a")
 			So(err, ShouldBeNil)
 			So(rows[0].Version > 0, ShouldEqual, tc.written)
@@ -116,7 +116,7 @@
 		list, err := c.List(ctx)
 		So(err, ShouldBeNil)
 		So(list.VMs, ShouldHaveLength, 1)
-		p.SetFaults(platformtest.Faults{VMLag: time.Hour})
+		p.SetFaults(storetest.Faults{VMLag: time.Hour})
 		list, err = c.List(ctx)
 		So(err, ShouldBeNil)
 		So(list.VMs, ShouldBeEmpty)
--- a/plugins/platform/setup.go
+++ b/plugins/platform/setup.go
@@ -9,7 +9,7 @@
 	"go.uber.org/fx"
 
 	"github.com/auburnlead/auburnlead/kernel"
-	api "github.com/auburnlead/auburnlead/platform"
+	api "github.com/auburnlead/auburnlead/store"
 )
 
 // Settings is the section [platform].
--- a/publish/example_test.go
+++ b/publish/example_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/auburnlead/auburnlead/objects"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
 	"github.com/auburnlead/auburnlead/publish"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 // Two operators submit a set on the same base, then a reader takes the newest
@@ -16,7 +16,7 @@
 func Example() {
 	ctx := context.Background()
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	platform := platformtest.New(platformtest.Options{Now: func() time.Time { return now }})
+	platform := storetest.New(storetest.Options{Now: func() time.Time { return now }})
 
 	set, err := objects.Load("set.ini", []byte("[rank.urgent]\npriority = 0\n"))
 	if err != nil {
--- a/publish/helpers_test.go
+++ b/publish/helpers_test.go
@@ -7,27 +7,27 @@
 	"time"
 
 	"github.com/auburnlead/auburnlead/objects"
-	"github.com/auburnlead/auburnlead/platform"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/store"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 var ctx = context.Background()
 
-func newPlatform() *platformtest.Platform {
-	return platformtest.New(platformtest.Options{Now: func() time.Time { return time.Unix(1, 0) }})
+func newPlatform() *storetest.Platform {
+	return storetest.New(storetest.Options{Now: func() time.Time { return time.Unix(1, 0) }})
 }
 
-func publisher(p *platformtest.Platform) *Publisher {
+func publisher(p *storetest.Platform) *Publisher {
 	return &Publisher{Table: p, Objects: p.Objects()}
 }
 
 // outageAfterCommit applies commits, loses their replies and is down then.
-type outageAfterCommit struct{ *platformtest.Platform }
+type outageAfterCommit struct{ *storetest.Platform }
 
-func (o outageAfterCommit) Commit(ctx context.Context, ops []platform.Op) (platform.Committed, error) {
+func (o outageAfterCommit) Commit(ctx context.Context, ops []store.Op) (store.Committed, error) {
 	_, _ = o.Platform.Commit(ctx, ops) // the caller must not learn the result
-	o.SetFaults(platformtest.Faults{Outage: true})
-	return platform.Committed{}, &platform.UncertainError{Op: "commit", Err: errors.New("injected fault")}
+	o.SetFaults(storetest.Faults{Outage: true})
+	return store.Committed{}, &store.UncertainError{Op: "commit", Err: errors.New("injected fault")}
 }
 
 // corrupt returns content that does not match the digest.
--- a/publish/history_test.go
+++ b/publish/history_test.go
@@ -14,8 +14,8 @@
 	"github.com/anishathalye/porcupine"
 
 	"github.com/auburnlead/auburnlead/internal/proof"
-	"github.com/auburnlead/auburnlead/platform"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/store"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 // value is the configuration register: the newest revision, told apart by the
@@ -60,8 +60,8 @@
 
 // trial runs operators and stores against one platform in virtual time.
 type trial struct {
-	platform *platformtest.Platform
-	table    platform.Table // the platform's, or a broken form of it
+	platform *storetest.Platform
+	table    store.Table // the platform's, or a broken form of it
 	start    time.Time
 
 	mu      sync.Mutex
@@ -82,9 +82,9 @@
 
 // travel is the way to or from the platform. Some replies to commits take so
 // long that other operators publish several revisions meanwhile.
-func (t *trial) travel(_ context.Context, c platformtest.Call) {
+func (t *trial) travel(_ context.Context, c storetest.Call) {
 	d := time.Duration(t.intN(int(20 * time.Millisecond)))
-	if c.Op == "commit" && c.Stage == platformtest.BeforeReply && t.intN(4) == 0 {
+	if c.Op == "commit" && c.Stage == storetest.BeforeReply && t.intN(4) == 0 {
 		d *= 20
 	}
 	<-time.After(d)
@@ -186,10 +186,10 @@
 
 // runTrial returns whether the history of a seed fits the register and no
 // store went back, and the numbers of operations by kind of result.
-func runTrial(seed uint64, wrap func(platform.Table) platform.Table) (ok bool, counts map[string]int) {
-	f := platformtest.New(platformtest.Options{Seed: seed, Now: time.Now, After: func(d time.Duration, fn func()) { time.AfterFunc(d, fn) }})
+func runTrial(seed uint64, wrap func(store.Table) store.Table) (ok bool, counts map[string]int) {
+	f := storetest.New(storetest.Options{Seed: seed, Now: time.Now, After: func(d time.Duration, fn func()) { time.AfterFunc(d, fn) }})
 	t := &trial{platform: f, table: wrap(f), start: time.Now(), highest: map[*Store]uint64{}, rand: rand.New(rand.NewPCG(seed, 2))}
-	f.SetFaults(platformtest.Faults{
+	f.SetFaults(storetest.Faults{
 		Delay: t.travel, LostReplies: 0.1, DroppedRequests: 0.02 + 0.08*float64(seed%4),
 		LateWrites: 0.05, DuplicateWrites: 0.05, LateBy: 300 * time.Millisecond,
 	})
@@ -229,7 +229,7 @@
 	seeds := proof.Seeds(300)
 	for _, seed := range seeds {
 		synctest.Test(t, func(t *testing.T) {
-			ok, counts := runTrial(seed, func(p platform.Table) platform.Table { return p })
+			ok, counts := runTrial(seed, func(p store.Table) store.Table { return p })
 			if !ok {
 				t.Errorf("seed %d: the history does not fit the register: %v", seed, counts)
 			}
@@ -249,12 +249,12 @@
 }
 
 // blind ignores the preconditions of commits.
-type blind struct{ platform.Table }
+type blind struct{ store.Table }
 
-func (b blind) Commit(ctx context.Context, ops []platform.Op) (platform.Committed, error) {
-	free := make([]platform.Op, len(ops))
+func (b blind) Commit(ctx context.Context, ops []store.Op) (store.Committed, error) {
+	free := make([]store.Op, len(ops))
 	for i, op := range ops {
-		op.IfVersion = platform.AnyVersion
+		op.IfVersion = store.AnyVersion
 		free[i] = op
 	}
 	return b.Table.Commit(ctx, free)
@@ -267,7 +267,7 @@
 	for i := range uint64(20) {
 		synctest.Test(t, func(*testing.T) {
 			// Every fourth seed has few outages, so that submissions overlap.
-			if ok, _ := runTrial(4*i, func(p platform.Table) platform.Table { return blind{p} }); !ok {
+			if ok, _ := runTrial(4*i, func(p store.Table) store.Table { return blind{p} }); !ok {
 				rejected++
 			}
 		})
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -21,7 +21,7 @@
 	"time"
 
 	"github.com/auburnlead/auburnlead/objects"
-	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 // Rows of the table.
@@ -106,8 +106,8 @@
 
 // Publisher submits sets. It has no state and may be used concurrently.
 type Publisher struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   store.Table
+	Objects store.Objects
 	// Cache is asked for content before Objects, for example a Store. It may
 	// be nil.
 	Cache Source
@@ -246,7 +246,7 @@
 
 func (p *Publisher) putOne(ctx context.Context, digest string, body []byte) error {
 	err := p.Objects.Put(ctx, digest, body)
-	var uncertain *platform.UncertainError
+	var uncertain *store.UncertainError
 	if errors.As(err, &uncertain) {
 		err = p.Objects.Put(ctx, digest, body)
 	}
@@ -260,7 +260,7 @@
 // later; repeating it is safe, since both need the same version of the pointer
 // and carry the same token.
 func (p *Publisher) commit(ctx context.Context, s Submission, at position, next, audit []byte) (Revision, error) {
-	ops := []platform.Op{
+	ops := []store.Op{
 		{Key: PointerKey, IfVersion: at.version, Value: next},
 		{Key: auditKey(s.Base + 1), IfVersion: 0, Value: audit},
 	}
@@ -272,8 +272,8 @@
 			var r Revision
 			return r, json.Unmarshal(next, &r)
 		}
-		var uncertain *platform.UncertainError
-		var conflict *platform.ConflictError
+		var uncertain *store.UncertainError
+		var conflict *store.ConflictError
 		switch {
 		case errors.As(err, &uncertain):
 			maybe = true
@@ -313,7 +313,7 @@
 
 func auditKey(revision uint64) string { return fmt.Sprintf("%s%020d", AuditPrefix, revision) }
 
-func decodePointer(row platform.Row) (Revision, error) {
+func decodePointer(row store.Row) (Revision, error) {
 	var r Revision
 	if row.Version == 0 {
 		return r, nil
@@ -324,7 +324,7 @@
 	return r, nil
 }
 
-func decodeAudit(row platform.Row) (Audit, error) {
+func decodeAudit(row store.Row) (Audit, error) {
 	var a Audit
 	if err := json.Unmarshal(row.Value, &a); err != nil {
 		return a, &CorruptError{Name: row.Key, Err: err}
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -9,8 +9,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/auburnlead/auburnlead/objects"
-	"github.com/auburnlead/auburnlead/platform"
-	"github.com/auburnlead/auburnlead/platform/platformtest"
+	"github.com/auburnlead/auburnlead/store"
+	"github.com/auburnlead/auburnlead/store/storetest"
 )
 
 // Guards against a submission that is published twice or taken for another
@@ -61,7 +61,7 @@
 			var uncertain *UncertainError
 			So(errors.As(err, &uncertain), ShouldBeTrue)
 			So(uncertain.Token, ShouldEqual, "token-a")
-			f.SetFaults(platformtest.Faults{})
+			f.SetFaults(storetest.Faults{})
 			p.Table = f
 			r, err := p.Submit(ctx, submission("a", 0))
 			So(err, ShouldBeNil)
@@ -143,7 +143,7 @@
 			var bad *CorruptError
 			So(errors.As(err, &bad), ShouldBeTrue)
 			_, err = v.Advance(ctx, 2, Digest([]byte("x")), corrupt{}, f.Objects())
-			var missing *platform.NotFoundError
+			var missing *store.NotFoundError
 			So(errors.As(err, &missing), ShouldBeTrue)
 			So(v.Current().Revision, ShouldEqual, 1)
 		})
--- a/publish/store.go
+++ b/publish/store.go
@@ -7,18 +7,18 @@
 	"sync"
 
 	"github.com/auburnlead/auburnlead/objects"
-	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/store"
 )
 
-// Source gives content by digest. platform.Objects is one.
+// Source gives content by digest. store.Objects is one.
 type Source interface {
-	// Get reads an object. Errors: *platform.NotFoundError or any other error
+	// Get reads an object. Errors: *store.NotFoundError or any other error
 	// when the source cannot tell.
 	Get(ctx context.Context, digest string) ([]byte, error)
 }
 
 // Newest reads the pointer. Revision 0 means that nothing was published yet.
-func Newest(ctx context.Context, t platform.Table) (Revision, error) {
+func Newest(ctx context.Context, t store.Table) (Revision, error) {
 	rows, err := t.Get(ctx, PointerKey)
 	if err != nil {
 		return Revision{}, fmt.Errorf("publish: read the pointer: %w", err)
@@ -27,7 +27,7 @@
 }
 
 // History returns up to limit audit records, the newest first.
-func History(ctx context.Context, t platform.Table, limit int) ([]Audit, error) {
+func History(ctx context.Context, t store.Table, limit int) ([]Audit, error) {
 	newest, err := Newest(ctx, t)
 	if err != nil {
 		return nil, err
@@ -116,7 +116,7 @@
 }
 
 // Get returns content of the revision in force by digest, which makes the
-// store a Source for others. Errors: *platform.NotFoundError.
+// store a Source for others. Errors: *store.NotFoundError.
 func (s *Store) Get(_ context.Context, digest string) ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -126,7 +126,7 @@
 	if body, ok := s.partial[digest]; ok {
 		return body, nil
 	}
-	return nil, &platform.NotFoundError{Name: digest}
+	return nil, &store.NotFoundError{Name: digest}
 }
 
 // Advance fetches a revision and puts it in force. It returns the revision
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,9 +1,9 @@
-// Package platform describes the services that a deployment's platform gives:
+// Package store describes the services that a deployment's platform gives:
 // a transactional table, an object store and a list of VMs. Everything that
 // has to be agreed or kept goes through these three. The package holds only
 // interfaces, messages and typed errors; plugins/platform has an HTTP client
 // and ledger, lease and publish are written against the interfaces.
-package platform
+package store
 
 import (
 	"context"
--- a/platform/platformtest/faults.go
+++ b/store/storetest/faults.go
@@ -1,10 +1,10 @@
-package platformtest
+package storetest
 
 import (
 	"context"
 	"time"
 
-	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 // fate is what the faults do to one operation.
@@ -46,16 +46,16 @@
 	f := p.drawRead()
 	switch {
 	case f.refused != nil:
-		return &platform.UnavailableError{Op: op, Err: f.refused}
+		return &store.UnavailableError{Op: op, Err: f.refused}
 	case f.dropped:
-		return &platform.UnavailableError{Op: op, Err: ErrLost}
+		return &store.UnavailableError{Op: op, Err: ErrLost}
 	case ctx.Err() != nil:
-		return &platform.UnavailableError{Op: op, Err: ctx.Err()}
+		return &store.UnavailableError{Op: op, Err: ctx.Err()}
 	}
 	p.locked(effect)
 	p.delay(ctx, Call{op, BeforeReply})
 	if err := ctx.Err(); err != nil {
-		return &platform.UnavailableError{Op: op, Err: err}
+		return &store.UnavailableError{Op: op, Err: err}
 	}
 	return nil
 }
@@ -64,14 +64,14 @@
 // given up, or twice; later is the effect without a reply.
 func (p *Platform) write(ctx context.Context, op string, effect, later func()) error {
 	if err := ctx.Err(); err != nil {
-		return &platform.UnavailableError{Op: op, Err: err}
+		return &store.UnavailableError{Op: op, Err: err}
 	}
 	p.delay(ctx, Call{op, BeforeEffect})
 	f := p.drawWrite()
-	uncertain := &platform.UncertainError{Op: op, Err: ErrLost}
+	uncertain := &store.UncertainError{Op: op, Err: ErrLost}
 	switch {
 	case f.refused != nil:
-		return &platform.UnavailableError{Op: op, Err: f.refused}
+		return &store.UnavailableError{Op: op, Err: f.refused}
 	case f.dropped:
 		return uncertain
 	case f.late > 0:
--- a/platform/platformtest/platformtest.go
+++ b/store/storetest/storetest.go
@@ -1,4 +1,4 @@
-// Package platformtest is an in-memory platform with fault injection, for the
+// Package storetest is an in-memory platform with fault injection, for the
 // tests of programs that embed ledger, lease or publish.
 //
 // A Platform keeps rows, objects and VMs in memory and is linearizable: each
@@ -6,7 +6,7 @@
 // for writes that Faults delay past the return. All methods are safe for
 // concurrent use. Faults are drawn from a generator with a seed, so one
 // goroutine sees the same faults in each run.
-package platformtest
+package storetest
 
 import (
 	"bytes"
@@ -20,7 +20,7 @@
 	"sync"
 	"time"
 
-	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 // Options are the fixed properties of a Platform.
@@ -84,7 +84,7 @@
 	Late    int64 `json:"late"` // late and duplicated writes
 }
 
-// Errors inside *platform.UnavailableError and *platform.UncertainError.
+// Errors inside *store.UnavailableError and *store.UncertainError.
 var (
 	ErrOutage  = errors.New("the platform is down")
 	ErrLimited = errors.New("the rate limit is reached")
@@ -93,7 +93,7 @@
 
 type vmVersion struct {
 	at  time.Time
-	vms map[string]platform.VM
+	vms map[string]store.VM
 }
 
 // Platform is the in-memory platform.
@@ -103,7 +103,7 @@
 	mu      sync.Mutex // leaf lock
 	rand    *rand.Rand
 	faults  Faults
-	rows    map[string]platform.Row
+	rows    map[string]store.Row
 	version int64
 	objects map[string][]byte
 	vms     []vmVersion // in rising time order
@@ -115,12 +115,12 @@
 // New returns an empty platform without faults. It panics without a clock.
 func New(o Options) *Platform {
 	if o.Now == nil {
-		panic("platformtest: Options.Now is required")
+		panic("storetest: Options.Now is required")
 	}
 	return &Platform{
 		o:       o,
 		rand:    rand.New(rand.NewPCG(o.Seed, 0x9e3779b97f4a7c15)),
-		rows:    map[string]platform.Row{},
+		rows:    map[string]store.Row{},
 		objects: map[string][]byte{},
 	}
 }
@@ -149,9 +149,9 @@
 	return p.stats
 }
 
-// Get implements platform.Table.
-func (p *Platform) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
-	var rows []platform.Row
+// Get implements store.Table.
+func (p *Platform) Get(ctx context.Context, keys ...string) ([]store.Row, error) {
+	var rows []store.Row
 	err := p.read(ctx, "get", func() {
 		for _, k := range keys {
 			rows = append(rows, p.row(k))
@@ -160,9 +160,9 @@
 	return rows, err
 }
 
-// Scan implements platform.Table.
-func (p *Platform) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	var rows []platform.Row
+// Scan implements store.Table.
+func (p *Platform) Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
+	var rows []store.Row
 	err := p.read(ctx, "scan", func() {
 		keys := slices.Sorted(maps.Keys(p.rows))
 		for _, k := range keys[sort.SearchStrings(keys, max(prefix, after)):] {
@@ -177,38 +177,38 @@
 	return rows, err
 }
 
-// Commit implements platform.Table.
-func (p *Platform) Commit(ctx context.Context, ops []platform.Op) (platform.Committed, error) {
-	var done platform.Committed
-	var conflict *platform.ConflictError
+// Commit implements store.Table.
+func (p *Platform) Commit(ctx context.Context, ops []store.Op) (store.Committed, error) {
+	var done store.Committed
+	var conflict *store.ConflictError
 	ops = cloneOps(ops)
 	first := func() { done, conflict = p.apply(ops) }
 	later := func() { _, _ = p.apply(ops) } // its result reaches nobody
 	err := p.write(ctx, "commit", first, later)
 	if err != nil {
-		return platform.Committed{}, err
+		return store.Committed{}, err
 	}
 	if conflict != nil {
-		return platform.Committed{}, conflict
+		return store.Committed{}, conflict
 	}
 	return done, nil
 }
 
-// Objects implements platform.Client.
-func (p *Platform) Objects() platform.Objects { return objectStore{p} }
+// Objects implements store.Client.
+func (p *Platform) Objects() store.Objects { return objectStore{p} }
 
 // PutVM adds a VM to the list or replaces its entry.
-func (p *Platform) PutVM(vm platform.VM) {
-	p.changeVMs(func(m map[string]platform.VM) { m[vm.ID] = vm })
+func (p *Platform) PutVM(vm store.VM) {
+	p.changeVMs(func(m map[string]store.VM) { m[vm.ID] = vm })
 }
 
 // DeleteVM removes a VM from the list.
-func (p *Platform) DeleteVM(id string) { p.changeVMs(func(m map[string]platform.VM) { delete(m, id) }) }
+func (p *Platform) DeleteVM(id string) { p.changeVMs(func(m map[string]store.VM) { delete(m, id) }) }
 
-func (p *Platform) changeVMs(change func(map[string]platform.VM)) {
+func (p *Platform) changeVMs(change func(map[string]store.VM)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	next := map[string]platform.VM{}
+	next := map[string]store.VM{}
 	if n := len(p.vms); n > 0 {
 		next = maps.Clone(p.vms[n-1].vms)
 	}
@@ -216,9 +216,9 @@
 	p.vms = append(p.vms, vmVersion{p.o.Now(), next})
 }
 
-// List implements platform.VMs.
-func (p *Platform) List(ctx context.Context) (platform.VMList, error) {
-	var list platform.VMList
+// List implements store.VMs.
+func (p *Platform) List(ctx context.Context) (store.VMList, error) {
+	var list store.VMList
 	err := p.read(ctx, "list", func() {
 		list.AsOf = p.o.Now().Add(-p.faults.VMLag)
 		for i := len(p.vms) - 1; i >= 0; i-- {
@@ -233,10 +233,10 @@
 	return list, err
 }
 
-func (p *Platform) row(key string) platform.Row {
+func (p *Platform) row(key string) store.Row {
 	r, ok := p.rows[key]
 	if !ok {
-		return platform.Row{Key: key}
+		return store.Row{Key: key}
 	}
 	r.Value = bytes.Clone(r.Value)
 	return r
@@ -244,17 +244,17 @@
 
 // apply carries out a commit. Versions come from one counter, so a row that is
 // deleted and written again does not get an earlier version a second time.
-func (p *Platform) apply(ops []platform.Op) (platform.Committed, *platform.ConflictError) {
-	var stale []platform.Row
+func (p *Platform) apply(ops []store.Op) (store.Committed, *store.ConflictError) {
+	var stale []store.Row
 	for _, op := range ops {
-		if op.IfVersion != platform.AnyVersion && p.rows[op.Key].Version != op.IfVersion {
+		if op.IfVersion != store.AnyVersion && p.rows[op.Key].Version != op.IfVersion {
 			stale = append(stale, p.row(op.Key))
 		}
 	}
 	if len(stale) > 0 {
-		return platform.Committed{}, &platform.ConflictError{Current: stale}
+		return store.Committed{}, &store.ConflictError{Current: stale}
 	}
-	done := platform.Committed{At: p.o.Now()}
+	done := store.Committed{At: p.o.Now()}
 	for _, op := range ops {
 		p.version++
 		if op.Delete {
@@ -262,13 +262,13 @@
 			done.Versions = append(done.Versions, 0)
 			continue
 		}
-		p.rows[op.Key] = platform.Row{Key: op.Key, Value: op.Value, Version: p.version}
+		p.rows[op.Key] = store.Row{Key: op.Key, Value: op.Value, Version: p.version}
 		done.Versions = append(done.Versions, p.version)
 	}
 	return done, nil
 }
 
-func cloneOps(ops []platform.Op) []platform.Op {
+func cloneOps(ops []store.Op) []store.Op {
 	ops = slices.Clone(ops)
 	for i := range ops {
 		ops[i].Value = bytes.Clone(ops[i].Value)
@@ -291,9 +291,9 @@
 		return nil, err
 	}
 	if !found {
-		return nil, &platform.NotFoundError{Name: name}
+		return nil, &store.NotFoundError{Name: name}
 	}
 	return bytes.Clone(body), nil
 }
 
-var _ platform.Client = (*Platform)(nil)
+var _ store.Client = (*Platform)(nil)
--- a/platform/platformtest/platformtest_test.go
+++ b/store/storetest/storetest_test.go
@@ -1,4 +1,4 @@
-package platformtest
+package storetest
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/auburnlead/auburnlead/platform"
+	"github.com/auburnlead/auburnlead/store"
 )
 
 func newPlatform(seed uint64) *Platform {
@@ -28,18 +28,18 @@
 	inBubble(t, "A commit applies all operations or none, and versions do not recur", func(t *testing.T) {
 		p := newPlatform(1)
 		ctx := t.Context()
-		first, err := p.Commit(ctx, []platform.Op{{Key: "a"}, {Key: "b"}})
+		first, err := p.Commit(ctx, []store.Op{{Key: "a"}, {Key: "b"}})
 		So(err, ShouldBeNil)
-		_, err = p.Commit(ctx, []platform.Op{{Key: "c"}, {Key: "a"}})
-		var conflict *platform.ConflictError
+		_, err = p.Commit(ctx, []store.Op{{Key: "c"}, {Key: "a"}})
+		var conflict *store.ConflictError
 		So(errors.As(err, &conflict), ShouldBeTrue)
-		So(conflict.Current, ShouldResemble, []platform.Row{{Key: "a", Version: first.Versions[0]}})
+		So(conflict.Current, ShouldResemble, []store.Row{{Key: "a", Version: first.Versions[0]}})
 		rows, err := p.Get(ctx, "c")
 		So(err, ShouldBeNil)
 		So(rows[0].Version, ShouldEqual, 0)
-		_, err = p.Commit(ctx, []platform.Op{{Key: "b", IfVersion: first.Versions[1], Delete: true}})
+		_, err = p.Commit(ctx, []store.Op{{Key: "b", IfVersion: first.Versions[1], Delete: true}})
 		So(err, ShouldBeNil)
-		again, err := p.Commit(ctx, []platform.Op{{Key: "b"}})
+		again, err := p.Commit(ctx, []store.Op{{Key: "b"}})
 		So(err, ShouldBeNil)
 		So(again.Versions[0], ShouldBeGreaterThan, first.Versions[1])
 	})
@@ -47,11 +47,11 @@
 		p := newPlatform(1)
 		ctx := t.Context()
 		p.SetFaults(Faults{LateWrites: 1})
-		_, err := p.Commit(ctx, []platform.Op{{Key: "late", Value: []byte("1")}})
-		var uncertain *platform.UncertainError
+		_, err := p.Commit(ctx, []store.Op{{Key: "late", Value: []byte("1")}})
+		var uncertain *store.UncertainError
 		So(errors.As(err, &uncertain), ShouldBeTrue)
 		p.SetFaults(Faults{DuplicateWrites: 1})
-		_, err = p.Commit(ctx, []platform.Op{{Key: "twice", IfVersion: platform.AnyVersion, Value: []byte("1")}})
+		_, err = p.Commit(ctx, []store.Op{{Key: "twice", IfVersion: store.AnyVersion, Value: []byte("1")}})
 		So(err, ShouldBeNil)
 		before, err := p.Get(ctx, "late", "twice")
 		So(err, ShouldBeNil)
@@ -65,7 +65,7 @@
 	inBubble(t, "Limits, the VM list's lag and the delay hook follow the clock", func(t *testing.T) {
 		p := newPlatform(1)
 		ctx := t.Context()
-		p.PutVM(platform.VM{ID: "r1"})
+		p.PutVM(store.VM{ID: "r1"})
 		p.SetFaults(Faults{ReadsPerSecond: 2, VMLag: 10 * time.Second, Delay: func(_ context.Context, c Call) {
 			if c.Stage == BeforeEffect {
 				<-time.After(time.Millisecond)
@@ -93,7 +93,7 @@
 			p.SetFaults(Faults{LostReplies: 0.5, DroppedRequests: 0.3})
 			var seen string
 			for range 40 {
-				_, err := p.Commit(t.Context(), []platform.Op{{Key: "a", IfVersion: platform.AnyVersion}})
+				_, err := p.Commit(t.Context(), []store.Op{{Key: "a", IfVersion: store.AnyVersion}})
 				seen += fmt.Sprint(err == nil, p.version, " ")
 			}
 			return seen
