Add routes and further keys to the object set

Requests that name a host and path instead of a model or service had no object. Tests: go test ./objects ./publish pass.

--- a/objects/check.go
+++ b/objects/check.go
@@ -45,7 +45,8 @@
 	missing := missingObjects(nil, KindRank, s.Ranks)
 	missing = missingObjects(missing, KindModel, s.Models)
 	missing = missingObjects(missing, KindCaller, s.Callers)
-	if missing = missingObjects(missing, KindUpstream, s.Upstreams); len(missing) > 0 {
+	missing = missingObjects(missing, KindUpstream, s.Upstreams)
+	if missing = missingObjects(missing, KindRoute, s.Routes); len(missing) > 0 {
 		return missing
 	}
 	c := &checker{set: s, ranks: slices.Sorted(maps.Keys(s.Ranks)), models: slices.Sorted(maps.Keys(s.Models)), cyclic: cyclic(s.Models)}
@@ -60,6 +61,8 @@
 	checkKind(c, KindCaller, callerFields, s.Callers, c.caller)
 	c.keys()
 	checkKind(c, KindUpstream, upstreamFields, s.Upstreams, c.upstream)
+	checkKind(c, KindRoute, routeFields, s.Routes, c.route)
+	c.prefixes()
 	return c.problems
 }
 
@@ -126,6 +129,8 @@
 	switch o := object.(type) {
 	case *Rank:
 		return o.Name
+	case *Route:
+		return o.Name
 	case *Model:
 		return o.Name
 	case *Caller:
@@ -181,12 +186,17 @@
 func (c *checker) keys() {
 	owner := map[string]string{}
 	for _, name := range slices.Sorted(maps.Keys(c.set.Callers)) {
-		key := c.set.Callers[name].KeySHA256
-		if first, taken := owner[key]; taken && key != "" {
-			c.report("caller."+name, "key_sha256", fmt.Sprintf("caller %s has the same key", first), "a digest that no other caller has", "issue a key of its own to each caller")
-			continue
+		for i, key := range c.set.Callers[name].Keys() {
+			field := "key_sha256"
+			if i > 0 {
+				field = "more_key_sha256"
+			}
+			if first, taken := owner[key]; taken && key != "" {
+				c.report("caller."+name, field, fmt.Sprintf("caller %s has the same key", first), "a digest that no other caller has", "issue a key of its own to each caller")
+				continue
+			}
+			owner[key] = name
 		}
-		owner[key] = name
 	}
 }
 
--- a/objects/diff.go
+++ b/objects/diff.go
@@ -39,7 +39,8 @@
 	changes := diffKind(nil, KindRank, rankFields, a.Ranks, b.Ranks)
 	changes = diffKind(changes, KindModel, modelFields, a.Models, b.Models)
 	changes = diffKind(changes, KindCaller, callerFields, a.Callers, b.Callers)
-	return diffKind(changes, KindUpstream, upstreamFields, a.Upstreams, b.Upstreams)
+	changes = diffKind(changes, KindUpstream, upstreamFields, a.Upstreams, b.Upstreams)
+	return diffKind(changes, KindRoute, routeFields, a.Routes, b.Routes)
 }
 
 func diffKind[T any](changes []Change, kind Kind, fields []field[T], a, b map[string]*T) []Change {
--- a/objects/fields.go
+++ b/objects/fields.go
@@ -197,6 +197,24 @@
 
 var callerFields = []field[Caller]{
 	stringField("key_sha256", "64 lower-case hex digits", true, validDigest, func(c *Caller) *string { return &c.KeySHA256 }),
+	listField("more_key_sha256", "64 lower-case hex digits each", false, validDigest, func(c *Caller) *[]string { return &c.MoreKeySHA256 }),
+	{
+		key: "priority", allowed: "0 to 9",
+		get: func(c *Caller) []string {
+			if c.Priority == nil {
+				return nil
+			}
+			return []string{strconv.Itoa(*c.Priority)}
+		},
+		set: func(c *Caller, text string) error {
+			n, err := strconv.Atoi(text)
+			if err != nil || n < 0 || n > 9 {
+				return fmt.Errorf("%q is not a priority", text)
+			}
+			c.Priority = &n
+			return nil
+		},
+	},
 	listField("ranks", "names of ranks", true, validName, func(c *Caller) *[]string { return &c.Ranks }),
 	stringField("default_rank", "one of the caller's ranks", true, validName, func(c *Caller) *string { return &c.DefaultRank }),
 	listField("models", "names of models", false, validName, func(c *Caller) *[]string { return &c.Models }),
--- a/objects/format.go
+++ b/objects/format.go
@@ -16,6 +16,7 @@
 	formatKind(&b, KindModel, modelFields, s.Models)
 	formatKind(&b, KindCaller, callerFields, s.Callers)
 	formatKind(&b, KindUpstream, upstreamFields, s.Upstreams)
+	formatKind(&b, KindRoute, routeFields, s.Routes)
 	return b.Bytes()
 }
 
--- a/objects/objects.go
+++ b/objects/objects.go
@@ -1,5 +1,5 @@
 // Package objects defines the published configuration: a set of named objects
-// (ranks, models, callers, upstreams) that refer to one another. A set is
+// (ranks, models, callers, upstreams, routes) that refer to one another. A set is
 // parsed, checked and published as a unit.
 package objects
 
@@ -14,6 +14,7 @@
 	KindModel    Kind = "model"
 	KindCaller   Kind = "caller"
 	KindUpstream Kind = "upstream"
+	KindRoute    Kind = "route"
 )
 
 // Set is a whole configuration. The maps are keyed by object name. A Set that
@@ -23,6 +24,7 @@
 	Models    map[string]*Model    `json:"models"`
 	Callers   map[string]*Caller   `json:"callers"`
 	Upstreams map[string]*Upstream `json:"upstreams"`
+	Routes    map[string]*Route    `json:"routes,omitempty"`
 }
 
 // Rank is a class of work with its target and its guaranteed share.
@@ -60,6 +62,12 @@
 	Name string `json:"name"`
 	// KeySHA256 is the SHA-256 of the caller's bearer key in lower-case hex.
 	KeySHA256 string `json:"key_sha256"`
+	// MoreKeySHA256 are the digests of further keys, so that keys can be
+	// replaced without a gap.
+	MoreKeySHA256 []string `json:"more_key_sha256,omitempty"`
+	// Priority of the caller's requests on routes, 0 to 9. It goes before the
+	// route's. Nil takes the route's.
+	Priority *int `json:"priority,omitempty"`
 	// Ranks the caller may use.
 	Ranks []string `json:"ranks"`
 	// DefaultRank applies to requests that name none; one of Ranks.
@@ -74,6 +82,11 @@
 	Diagnostics bool `json:"diagnostics,omitempty"`
 }
 
+// Keys returns the digests of all keys of the caller.
+func (c *Caller) Keys() []string {
+	return append([]string{c.KeySHA256}, c.MoreKeySHA256...)
+}
+
 // UpstreamKind tells engines from plain services.
 type UpstreamKind string
 
--- a/objects/parse.go
+++ b/objects/parse.go
@@ -63,6 +63,7 @@
 		Models:    map[string]*Model{},
 		Callers:   map[string]*Caller{},
 		Upstreams: map[string]*Upstream{},
+		Routes:    map[string]*Route{},
 	}
 }
 
@@ -155,8 +156,11 @@
 	case KindUpstream:
 		s.Upstreams[name] = &Upstream{Name: name}
 		return parseFields(sec, upstreamFields, s.Upstreams[name])
+	case KindRoute:
+		s.Routes[name] = &Route{Name: name}
+		return parseFields(sec, routeFields, s.Routes[name])
 	}
-	return []Problem{{Section: sec.Name(), Detail: fmt.Sprintf("unknown kind %q", kind), Allowed: "rank, model, caller, upstream", Remedy: "correct the kind or remove the section"}}
+	return []Problem{{Section: sec.Name(), Detail: fmt.Sprintf("unknown kind %q", kind), Allowed: "rank, model, caller, upstream, route", Remedy: "correct the kind or remove the section"}}
 }
 
 func parseFields[T any](sec *ini.Section, fields []field[T], o *T) []Problem {
