--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -44,6 +44,7 @@
 type commands struct {
 	Output  string     `help:"Output format." enum:"text,json" default:"text" placeholder:"text|json"`
 	Router  routerCmd  `cmd:"" help:"Run the router daemon."`
+	Gateway gatewayCmd `cmd:"" help:"Run the gateway daemon, which serves routes on the users' platform."`
 	Load    loadCmd    `cmd:"" help:"Send requests to a router."`
 	Standin standinCmd `cmd:"" help:"Run a stand-in for the platform or an upstream."`
 	Version versionCmd `cmd:"" help:"Print the version."`
--- /dev/null
+++ b/internal/core/route.go
@@ -0,0 +1,92 @@
+package core
+
+import (
+	"net/http"
+	"time"
+)
+
+// PromptPart is one part of a prompt. Requests share parts; a part is cached
+// for another request only if all parts before it are the same.
+type PromptPart struct {
+	ID     uint64
+	Tokens int
+}
+
+// RouteRequest is what a request on a route says of itself.
+type RouteRequest struct {
+	ID       string        // names this try of the caller, empty if it has none
+	Key      string        // the caller's key, never logged
+	Deadline time.Duration // how long the caller waits from now, 0 if not said
+	// LastEventID is the number of the last event that the caller has of a
+	// stream that it resumes, 0 for a stream from its start.
+	LastEventID  uint64
+	Prompt       []PromptPart
+	PromptTokens int // 0 if not said
+	OutputTokens int // the most that may be generated, 0 if not said
+}
+
+// AttemptHeader is what a router adds to a request that it sends to a worker.
+type AttemptHeader struct {
+	Worker   string        // the only worker that may run the request
+	Left     time.Duration // time until the worker has to stop
+	Caller   string        // name of the caller, empty on public routes
+	Priority int           // 0 to 9, 0 is the most urgent
+	// FetchFrom is the address of a worker that may keep parts of the prompt
+	// which this one lacks. Empty for none.
+	FetchFrom string
+	// LastEventID resumes a stream after this event. 0 leaves what the caller
+	// sent.
+	LastEventID uint64
+}
+
+// WorkerLoad is what a worker says of its load with an answer.
+type WorkerLoad struct {
+	Running, Waiting, Slots int
+}
+
+// AnswerHeader is what the header of a worker's answer says.
+type AnswerHeader struct {
+	ID     string // the request's ID as the worker read it
+	Sealed bool   // the worker has sealed the body with its digest
+	NotRun bool   // the worker states that it did not run the request
+	Load   *WorkerLoad
+}
+
+// Wire translates the headers that callers, routers and workers exchange.
+type Wire interface {
+	// Request reads a caller's request. Errors: a malformed value.
+	Request(h http.Header) (RouteRequest, error)
+	// Attempt turns the header of a caller's request into that of an attempt:
+	// it drops what only a router may set and adds the attempt's own values.
+	Attempt(h http.Header, a AttemptHeader)
+	// Answer reads the header of a worker's answer.
+	Answer(status int, h http.Header) AnswerHeader
+}
+
+// ListedWorker is a worker as the list of workers has it.
+type ListedWorker struct {
+	ID            string
+	Upstream      string
+	Address       string // IP:port
+	FailureDomain string
+	Slots         int   // requests that it runs at a time
+	Born          int64 // start of the process in ms since the epoch, 0 if not said
+	Draining      bool
+}
+
+// WorkerSnapshot is the list of workers at a moment. It is not modified after
+// it has been published.
+type WorkerSnapshot struct {
+	Version int64
+	At      time.Time // when it was read
+	Workers []ListedWorker
+}
+
+// WorkerList follows the workers of all upstreams.
+type WorkerList interface {
+	// Workers returns the newest list, nil before the first one.
+	Workers() *WorkerSnapshot
+	// SubscribeWorkers calls fn with each newer list, one call at a time, and
+	// once at once if there is one. fn must not block.
+	SubscribeWorkers(fn func(*WorkerSnapshot))
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,79 @@
+// Package metrics prints tally metrics in the Prometheus text format.
+package metrics
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Text prints all counters, gauges and histograms of a snapshot. Histograms
+// have cumulative buckets with bounds in seconds.
+func Text(s tally.Snapshot) string {
+	var lines []string
+	for _, c := range s.Counters() {
+		lines = append(lines, fmt.Sprintf("%s%s %d", metricName(c.Name()), labels(c.Tags(), ""), c.Value()))
+	}
+	for _, g := range s.Gauges() {
+		lines = append(lines, fmt.Sprintf("%s%s %s", metricName(g.Name()), labels(g.Tags(), ""), number(g.Value())))
+	}
+	for _, h := range s.Histograms() {
+		counts := map[float64]int64{}
+		maps.Copy(counts, h.Values())
+		for bound, n := range h.Durations() {
+			counts[bound.Seconds()] = n
+		}
+		lines = append(lines, bucketLines(metricName(h.Name()), h.Tags(), counts)...)
+	}
+	slices.Sort(lines)
+	return strings.Join(append(lines, ""), "\n")
+}
+
+// bucketLines sums the buckets up. The last one of a tally histogram has the
+// largest number as its bound, which stands for +Inf.
+func bucketLines(name string, tags map[string]string, counts map[float64]int64) []string {
+	var lines []string
+	total := int64(0)
+	for _, bound := range slices.Sorted(maps.Keys(counts)) {
+		total += counts[bound]
+		if bound < maxBound {
+			lines = append(lines, fmt.Sprintf("%s_bucket%s %d", name, labels(tags, number(bound)), total))
+		}
+	}
+	lines = append(lines, fmt.Sprintf("%s_bucket%s %d", name, labels(tags, "+Inf"), total))
+	return append(lines, fmt.Sprintf("%s_count%s %d", name, labels(tags, ""), total))
+}
+
+// maxBound is below the bounds that tally uses for +Inf: the largest float64
+// and the largest duration (292 years in seconds).
+const maxBound = 9e9
+
+func number(v float64) string { return strconv.FormatFloat(v, 'g', -1, 64) }
+
+// metricName replaces the characters that the text format does not allow.
+func metricName(name string) string {
+	return strings.Map(func(r rune) rune {
+		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '_' || r == ':' {
+			return r
+		}
+		return '_'
+	}, name)
+}
+
+func labels(tags map[string]string, le string) string {
+	var parts []string
+	for _, k := range slices.Sorted(maps.Keys(tags)) {
+		parts = append(parts, fmt.Sprintf("%s=%q", metricName(k), tags[k]))
+	}
+	if le != "" {
+		parts = append(parts, fmt.Sprintf("le=%q", le))
+	}
+	if len(parts) == 0 {
+		return ""
+	}
+	return "{" + strings.Join(parts, ",") + "}"
+}
--- /dev/null
+++ b/plugins/gateway/choose.go
@@ -0,0 +1,215 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/auburnlead/auburnlead/placement"
+)
+
+// choice is a worker for an attempt, with what decided.
+type choice struct {
+	worker    *worker
+	fetchFrom string // address of a worker that may keep the prompt's parts
+	reason    string
+	rank      int           // position in the preference of the prompt, 0 is first
+	busy      int           // estimated requests on the worker
+	age       time.Duration // of the worker's load report
+	list      int64         // version of the list of workers
+	listAge   time.Duration
+}
+
+// Reasons of choices.
+const (
+	choseHome     = "home"       // first choice of the prompt
+	choseNext     = "next"       // a later choice, the ones before are busy
+	choseIdle     = "least busy" // no prompt to place by
+	choseAnyone   = "all ejected"
+	choseLoaded   = "all busy"
+	loadFactor    = 1.5 // times the mean load that a prompt's first choice may carry
+	loadAllowed   = 2   // requests that it may carry beyond
+	otherDomain   = 0.5 // requests by which a worker of another domain must be less busy
+	preferences   = 4   // choices of a prompt that are looked at
+	sharedAtLeast = 2   // parts of a prompt of which the last is the request's own
+)
+
+// choose picks a worker that the request has not been sent to, and counts the
+// attempt. It returns false when there is none.
+func (g *Gateway) choose(x *exchange) (choice, bool) {
+	now := time.Now()
+	c, ok := g.fleet.choose(x, now)
+	if !ok {
+		g.decisions.request("no worker to choose", "request", x.in.ID, "upstream", x.destination, "tried", len(x.tried))
+		return choice{}, false
+	}
+	g.decisions.count("choices", "reason", c.reason)
+	g.decisions.request("worker chosen", "request", x.in.ID, "upstream", x.destination, "worker", c.worker.ID, "reason", c.reason, "rank", c.rank, "busy", c.busy, "fetch_from", c.fetchFrom, "load_age_ms", c.age.Milliseconds(), "list", c.list, "list_age_ms", c.listAge.Milliseconds(), "attempt", len(x.tried))
+	return c, true
+}
+
+func (f *fleet) choose(x *exchange, now time.Time) (choice, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.pools[x.destination]
+	if p == nil {
+		return choice{}, false
+	}
+	if len(x.tried) == 0 {
+		p.budget.Success(now)
+	}
+	c, ok := f.pick(p, x, now)
+	if !ok {
+		return choice{}, false
+	}
+	c.busy = c.worker.busy(now)
+	c.age = now.Sub(c.worker.loadAt)
+	c.list, c.listAge = f.version, now.Sub(f.read)
+	c.worker.inFlight++
+	x.tried = append(x.tried, c.worker)
+	return c, true
+}
+
+func (f *fleet) pick(p *pool, x *exchange, now time.Time) (choice, bool) {
+	free, hashes := p.candidates(x.tried, func(w *worker) bool { return !p.ejector.Ejected(now, w.ID) })
+	anyone := len(free) == 0
+	if anyone {
+		free, hashes = p.candidates(x.tried, func(*worker) bool { return true })
+	}
+	if len(free) == 0 {
+		return choice{}, false
+	}
+	var c choice
+	if key, ok := placementKey(x); ok {
+		c = f.byPrompt(key, free, hashes, now)
+	} else {
+		c = f.leastBusy(free, now)
+	}
+	if anyone {
+		c.reason = choseAnyone
+	}
+	return c, true
+}
+
+// candidates returns the workers that the request has not been sent to and
+// that admit lets through.
+func (p *pool) candidates(tried []*worker, admit func(*worker) bool) ([]*worker, []uint64) {
+	var workers []*worker
+	var hashes []uint64
+	for i, w := range p.workers {
+		if !slices.Contains(tried, w) && admit(w) {
+			workers = append(workers, w)
+			hashes = append(hashes, p.hashes[i])
+		}
+	}
+	return workers, hashes
+}
+
+// placementKey is the last part of the prompt that other requests share. The
+// parts before it follow it to the same worker.
+func placementKey(x *exchange) (uint64, bool) {
+	parts := x.in.Prompt
+	if !x.route.Sticky || len(parts) == 0 {
+		return 0, false
+	}
+	if len(parts) < sharedAtLeast {
+		return parts[0].ID, true
+	}
+	return parts[len(parts)-sharedAtLeast].ID, true
+}
+
+// byPrompt takes the first choice of the key that is not too busy.
+func (f *fleet) byPrompt(key uint64, free []*worker, hashes []uint64, now time.Time) choice {
+	var order [preferences]int
+	ranked := placement.Choose(order[:], key, hashes)
+	limit := loadLimit(free, now)
+	best := choice{worker: free[ranked[0]], reason: choseLoaded}
+	for rank, i := range ranked {
+		w := free[i]
+		if float64(w.busy(now)) < limit {
+			best = choice{worker: w, reason: choseHome, rank: rank}
+			break
+		}
+		if w.busy(now) < best.worker.busy(now) {
+			best = choice{worker: w, reason: choseLoaded, rank: rank}
+		}
+	}
+	if best.rank > 0 && best.reason == choseHome {
+		best.reason = choseNext
+	}
+	best.fetchFrom = f.fetchSource(key, best, free, ranked, now)
+	f.homes.put(key, best.worker, now)
+	return best
+}
+
+// loadLimit is the load above which a prompt goes to its next choice.
+func loadLimit(free []*worker, now time.Time) float64 {
+	sum := 0
+	for _, w := range free {
+		sum += w.busy(now)
+	}
+	return loadFactor*float64(sum)/float64(len(free)) + loadAllowed
+}
+
+// fetchSource names a worker that probably keeps the prompt's parts when the
+// chosen one probably does not: the worker that had the key before by this
+// router's memory, or else by its rank.
+func (f *fleet) fetchSource(key uint64, c choice, free []*worker, ranked []int, now time.Time) string {
+	if home := f.homes.get(key, now); home != nil {
+		if home == c.worker || !f.reachable(home, now) {
+			return ""
+		}
+		return home.Address
+	}
+	if c.rank > 0 {
+		return free[ranked[0]].Address
+	}
+	if c.worker.joined.IsZero() || now.Sub(c.worker.joined) > youngWorker {
+		return f.departed(key, c.worker, now)
+	}
+	if len(ranked) > 1 {
+		return free[ranked[1]].Address
+	}
+	return ""
+}
+
+// reachable reports whether a worker may still answer.
+func (f *fleet) reachable(w *worker, now time.Time) bool {
+	if f.byID[w.ID] == w {
+		return true
+	}
+	return !w.left.IsZero() && now.Sub(w.left) <= departedMemory
+}
+
+// departed returns the address of a worker that left lately and was the first
+// choice of the key before.
+func (f *fleet) departed(key uint64, chosen *worker, now time.Time) string {
+	top, address := placement.Score(key, chosen.hash), ""
+	for _, w := range f.leaving {
+		if w.Upstream != chosen.Upstream || now.Sub(w.left) > departedMemory {
+			continue
+		}
+		if score := placement.Score(key, w.hash); score > top {
+			top, address = score, w.Address
+		}
+	}
+	return address
+}
+
+// leastBusy takes the least busy worker, preferring the router's own failure
+// domain by a margin.
+func (f *fleet) leastBusy(free []*worker, now time.Time) choice {
+	var best *worker
+	least := 0.0
+	offset := int(now.UnixNano() % int64(len(free))) // equals are taken in turn
+	for i := range free {
+		w := free[(i+offset)%len(free)]
+		busy := float64(w.busy(now))
+		if w.FailureDomain != f.domain {
+			busy += otherDomain
+		}
+		if best == nil || busy < least {
+			best, least = w, busy
+		}
+	}
+	return choice{worker: best, reason: choseIdle}
+}
--- /dev/null
+++ b/plugins/gateway/homes.go
@@ -0,0 +1,54 @@
+package gateway
+
+import "time"
+
+// homes remembers to which worker this router last sent a prompt's key. It is
+// guarded by fleet.mu.
+type homes struct {
+	byKey map[uint64]home
+}
+
+type home struct {
+	worker *worker
+	at     time.Time
+}
+
+const (
+	// homesMost bounds the memory: 4096 entries are about 200 KB.
+	homesMost = 4096
+	// homeMemory is the time after which a worker has probably dropped the
+	// parts of a prompt that was not asked for.
+	homeMemory = time.Minute
+)
+
+func newHomes() homes { return homes{byKey: map[uint64]home{}} }
+
+func (h homes) get(key uint64, now time.Time) *worker {
+	e, ok := h.byKey[key]
+	if !ok || now.Sub(e.at) > homeMemory {
+		return nil
+	}
+	return e.worker
+}
+
+func (h homes) put(key uint64, w *worker, now time.Time) {
+	if _, known := h.byKey[key]; !known && len(h.byKey) >= homesMost {
+		h.makeRoom(now)
+	}
+	h.byKey[key] = home{w, now}
+}
+
+// makeRoom drops what is out of date, or else any entry.
+func (h homes) makeRoom(now time.Time) {
+	for key, e := range h.byKey {
+		if now.Sub(e.at) > homeMemory {
+			delete(h.byKey, key)
+		}
+	}
+	for key := range h.byKey {
+		if len(h.byKey) < homesMost {
+			return
+		}
+		delete(h.byKey, key)
+	}
+}
--- /dev/null
+++ b/plugins/gateway/routes.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net"
+	"strings"
+	"sync/atomic"
+
+	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/objects"
+)
+
+// routeIndex finds routes and callers of the revision in force.
+type routeIndex struct{ table atomic.Pointer[routeTable] }
+
+// routeTable is the index of one revision; it is not modified.
+type routeTable struct {
+	revision uint64
+	set      *objects.Set
+	byHost   map[string]map[string]*objects.Route // host, prefix
+	callers  map[[sha256.Size]byte]*objects.Caller
+}
+
+type routeChanges struct{ added, removed int }
+
+// apply takes over a revision and counts the routes that came and went.
+func (x *routeIndex) apply(p *core.Published) routeChanges {
+	t := &routeTable{revision: p.Revision, set: p.Set, byHost: map[string]map[string]*objects.Route{}, callers: map[[sha256.Size]byte]*objects.Caller{}}
+	for _, r := range p.Set.Routes {
+		host := strings.ToLower(r.Host)
+		if t.byHost[host] == nil {
+			t.byHost[host] = map[string]*objects.Route{}
+		}
+		t.byHost[host][r.Prefix] = r
+	}
+	for _, c := range p.Set.Callers {
+		for _, key := range c.Keys() {
+			if sum, err := hex.DecodeString(key); err == nil && len(sum) == sha256.Size {
+				t.callers[[sha256.Size]byte(sum)] = c
+			}
+		}
+	}
+	old := x.table.Swap(t)
+	var changes routeChanges
+	if old == nil {
+		changes.added = len(p.Set.Routes)
+		return changes
+	}
+	for name := range p.Set.Routes {
+		if old.set.Routes[name] == nil {
+			changes.added++
+		}
+	}
+	changes.removed = len(old.set.Routes) + changes.added - len(p.Set.Routes)
+	return changes
+}
+
+// match returns the route with the longest prefix of the path, nil for none.
+func (t *routeTable) match(hostport, path string) *objects.Route {
+	prefixes := t.byHost[hostName(hostport)]
+	for end := len(path); end > 0; {
+		end = strings.LastIndexByte(path[:end], '/')
+		if end < 0 {
+			return nil
+		}
+		if r := prefixes[path[:end+1]]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// caller returns the owner of a key, nil for an unknown one. Keys are looked
+// up by digest, so the time of a look-up says nothing about similar keys.
+func (t *routeTable) caller(key string) *objects.Caller {
+	return t.callers[sha256.Sum256([]byte(key))]
+}
+
+func hostName(hostport string) string {
+	if host, _, err := net.SplitHostPort(hostport); err == nil {
+		hostport = host
+	}
+	return strings.ToLower(hostport)
+}
+
+// destination picks the upstream of a request; r in [0, 1) decides among the
+// weights.
+func destination(route *objects.Route, r float64) string {
+	total := 0
+	for _, d := range route.Destinations {
+		total += d.Weight
+	}
+	at := int(r * float64(total))
+	for _, d := range route.Destinations {
+		if at < d.Weight {
+			return d.Upstream
+		}
+		at -= d.Weight
+	}
+	return ""
+}
--- /dev/null
+++ b/plugins/gateway/server.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gorilla/mux"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/auburnlead/auburnlead/internal/metrics"
+)
+
+// server has the listeners for callers, for the load balancer and for metrics.
+type server struct {
+	g        *Gateway
+	stopping atomic.Bool
+	callers  *http.Server
+	side     []*http.Server
+}
+
+// stopMargin is kept of the time for a stop, so that the process ends by
+// itself.
+const stopMargin = 300 * time.Millisecond
+
+func newServer(g *Gateway) *server {
+	s := &server{g: g}
+	s.callers = &http.Server{
+		Handler:           http.HandlerFunc(g.serveRequest),
+		ReadHeaderTimeout: g.settings.HeaderTimeout,
+		IdleTimeout:       g.settings.IdleTimeout,
+		MaxHeaderBytes:    g.settings.HeaderBytes,
+		ErrorLog:          g.decisions.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+	}
+	return s
+}
+
+func (s *server) start(ctx context.Context) error {
+	if err := s.listen(ctx, "readiness", s.g.settings.Readiness, s.sideServer(s.g.settings.ReadinessPath, s.readyz)); err != nil {
+		return err
+	}
+	if s.g.settings.Metrics != "" {
+		if err := s.listen(ctx, "metrics", s.g.settings.Metrics, s.sideServer("/metrics", s.metrics)); err != nil {
+			return err
+		}
+	}
+	if err := s.listen(ctx, part, s.g.settings.Listen, s.callers); err != nil {
+		return err
+	}
+	s.g.readiness.SetReady(part, true, "")
+	return nil
+}
+
+// listen serves on an address in the background.
+func (s *server) listen(ctx context.Context, name, address string, h *http.Server) error {
+	var config net.ListenConfig
+	l, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("gateway: %s: %w; set the address to a free one of this VM", name, err)
+	}
+	s.g.addresses.Set(name, l.Addr().String())
+	s.g.decisions.change("listening", "for", name, "address", l.Addr().String())
+	go func() {
+		if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			s.g.decisions.trouble("listener failed", "for", name, "error", err)
+			s.g.readiness.SetReady(name, false, "listener failed")
+		}
+	}()
+	return nil
+}
+
+func (s *server) sideServer(path string, handler http.HandlerFunc) *http.Server {
+	r := mux.NewRouter()
+	r.HandleFunc(path, handler).Methods(http.MethodGet)
+	h := &http.Server{Handler: r, ReadHeaderTimeout: s.g.settings.HeaderTimeout, IdleTimeout: s.g.settings.IdleTimeout}
+	s.side = append(s.side, h)
+	return h
+}
+
+func (s *server) readyz(w http.ResponseWriter, _ *http.Request) {
+	ready, reason := s.g.readiness.Ready()
+	if !ready {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
+
+func (s *server) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	if source, ok := s.g.scope.(tally.TestScope); ok {
+		fmt.Fprint(w, metrics.Text(source.Snapshot()))
+	}
+}
+
+// stop reports not ready, serves on for the drain delay, then takes no more
+// connections and waits for the requests in flight.
+func (s *server) stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, s.g.settings.StopWithin-stopMargin)
+	defer cancel()
+	s.stopping.Store(true)
+	s.g.readiness.SetReady(part, false, "stopping")
+	s.g.decisions.change("stopping", "in_flight", s.g.decisions.inFlight(), "drain_delay", s.g.settings.DrainDelay)
+	timer := time.NewTimer(s.g.settings.DrainDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	err := s.callers.Shutdown(ctx)
+	s.g.decisions.change("stopped", "in_flight", s.g.decisions.inFlight())
+	for _, h := range append(s.side, s.callers) {
+		_ = h.Close() // the process ends; nothing is left to save
+	}
+	s.g.upstream.transport.CloseIdleConnections()
+	if err != nil {
+		return fmt.Errorf("gateway: requests in flight did not end in time: %w", err)
+	}
+	return nil
+}
--- a/plugins/node/setup.go
+++ b/plugins/node/setup.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -27,13 +28,19 @@
 }
 
 func init() {
+	register("router.node", fx.Provide(NewLogger))
+	register("gateway.node", fx.Provide(newStdoutLogger))
+}
+
+func register(id string, logger fx.Option) {
 	kernel.Register(kernel.Plugin{
-		ID:       "router.node",
+		ID:       id,
 		Settings: func() any { return &Settings{} },
 		Options: func(s any) fx.Option {
 			return fx.Module("node",
 				fx.Supply(s.(*Settings)),
-				fx.Provide(NewIdentity, NewLogger, core.NewAddresses, core.NewReadiness, core.NewBackground),
+				logger,
+				fx.Provide(NewIdentity, core.NewAddresses, core.NewReadiness, core.NewBackground),
 			)
 		},
 	})
@@ -45,13 +52,23 @@
 	return core.Identity{Router: s.ID, FailureDomain: s.FailureDomain, Incarnation: uint64(time.Now().UnixNano())}
 }
 
-// NewLogger returns the process's logger. Each part logs through
-// logger.WithPrefix(part).
-func NewLogger(s *Settings) (*log.Logger, error) {
+// newStdoutLogger returns a logger that writes to standard output and never
+// blocks: what the reader of the output is too slow for is dropped and counted.
+func newStdoutLogger(s *Settings, lc fx.Lifecycle) (*log.Logger, error) {
+	q := newLineQueue(os.Stdout)
+	lc.Append(fx.Hook{OnStop: q.flush})
+	return newLogger(s, q)
+}
+
+// NewLogger returns the process's logger on standard error. Each part logs
+// through logger.WithPrefix(part).
+func NewLogger(s *Settings) (*log.Logger, error) { return newLogger(s, os.Stderr) }
+
+func newLogger(s *Settings, out io.Writer) (*log.Logger, error) {
 	level, err := log.ParseLevel(s.LogLevel)
 	if err != nil {
 		return nil, fmt.Errorf("node: %w; set log_level to debug, info, warn or error", err)
 	}
 	format := map[string]log.Formatter{"text": log.TextFormatter, "logfmt": log.LogfmtFormatter, "json": log.JSONFormatter}[s.LogFormat]
-	return log.NewWithOptions(os.Stderr, log.Options{Level: level, Formatter: format, ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Fields: []any{"router", s.ID}}), nil
+	return log.NewWithOptions(out, log.Options{Level: level, Formatter: format, ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Fields: []any{"router", s.ID}}), nil
 }
