--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -2,6 +2,13 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/fx"
 
 	"github.com/auburnlead/auburnlead/kernel"
 	"github.com/auburnlead/auburnlead/settings"
@@ -10,6 +17,10 @@
 // gatewayRole is the role whose plug-ins make up the gateway daemon.
 const gatewayRole = "gateway"
 
+// settingsPeriod is the period at which the settings file is compared with
+// what was read of it, for changes without a signal.
+const settingsPeriod = 2 * time.Second
+
 type gatewayCmd struct {
 	Settings string   `help:"Settings file (INI)." type:"path" env:"AUBURNLEAD_SETTINGS" placeholder:"FILE"`
 	Set      []string `help:"Override one setting; may be repeated." sep:"none" placeholder:"SECTION.KEY=VALUE"`
@@ -17,18 +28,35 @@
 
 // Help is the text below the usage of the command.
 func (gatewayCmd) Help() string {
-	return "Example:\n\n  auburnlead gateway --settings /etc/auburnlead/settings.conf\n\nServes the routes of the desired state in the platform's store. Stops gracefully on SIGTERM."
+	return "Example:\n\n  auburnlead gateway --settings /etc/auburnlead/settings.conf\n\nServes the routes of the desired state in the platform's store. Reads its settings again on SIGHUP and when the file changes. Stops gracefully on SIGTERM."
 }
 
 // Run runs the daemon until SIGTERM.
 func (c *gatewayCmd) Run(ctx context.Context) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	src, err := settings.Open(c.Settings, c.Set)
 	if err != nil {
 		return err
 	}
-	app, err := kernel.New(gatewayRole, src)
+	reloader := kernel.NewReloader(gatewayRole, c.Settings, c.Set)
+	watch := func(logger *log.Logger) {
+		go reloader.Watch(ctx, settingsPeriod, hangups, reportReload(logger.WithPrefix("settings")))
+	}
+	app, err := kernel.New(gatewayRole, src, fx.Supply(reloader), fx.Invoke(watch))
 	if err != nil {
 		return err
 	}
 	return kernel.Run(ctx, app)
 }
+
+func reportReload(l *log.Logger) func([]string, error) {
+	return func(changed []string, err error) {
+		if err != nil {
+			l.Error("settings refused; those before stay in force", "error", err)
+			return
+		}
+		l.Info("settings read again", "changed", changed)
+	}
+}
--- a/plugins/gateway/decision.go
+++ b/plugins/gateway/decision.go
@@ -16,10 +16,10 @@
 	log     *log.Logger
 	scope   tally.Scope
 	active  atomic.Int64
-	most    int
 	counted counters
 
 	mu     sync.Mutex // level 90
+	most   int
 	second int64
 	lines  map[string]int
 	left   map[string]int // lines left out in this second
@@ -31,6 +31,13 @@
 
 func (d *decisions) inFlight() int64 { return d.active.Load() }
 
+// setLines changes the bound of lines of one kind in a second.
+func (d *decisions) setLines(most int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.most = most
+}
+
 // change logs a change of what the process believes or does.
 func (d *decisions) change(message string, fields ...any) {
 	d.count("changes", "what", message)
--- a/plugins/gateway/fleet.go
+++ b/plugins/gateway/fleet.go
@@ -144,9 +144,8 @@
 func (f *fleet) pool(upstream string) *pool {
 	p := f.pools[upstream]
 	if p == nil {
-		share := f.settings.RetrySlack / float64(f.settings.Routers)
 		p = &pool{
-			budget:  retry.NewBudget(f.settings.RetryRatio, share/budgetWindow),
+			budget:  newBudget(f.settings),
 			ejector: retry.NewEjector(retry.EjectorConfig{MaxShare: ejectShare, Threshold: ejectAfter, Base: ejectFirst, Max: ejectLongest, ForgetAfter: ejectForgotten}),
 		}
 		f.pools[upstream] = p
@@ -154,6 +153,22 @@
 	return p
 }
 
+func newBudget(s *Settings) *retry.Budget {
+	share := s.RetrySlack / float64(s.Routers)
+	return retry.NewBudget(s.RetryRatio, share/budgetWindow)
+}
+
+// setBudget changes the retry budgets where the settings differ. What was sent
+// before counts on.
+func (f *fleet) setBudget(s *Settings) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settings = s
+	for _, p := range f.pools {
+		p.budget.Set(s.RetryRatio, s.RetrySlack/float64(s.Routers)/budgetWindow)
+	}
+}
+
 // ended records the end of an attempt.
 func (f *fleet) ended(w *worker, ok bool) {
 	f.mu.Lock()
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -22,6 +22,9 @@
 // part is the name of the plug-in in readiness, addresses and logs.
 const part = "gateway"
 
+// pluginID is the dotted ID of the plug-in.
+const pluginID = "gateway.gateway"
+
 // Settings is the section [gateway].
 type Settings struct {
 	// Listen is the address for callers. Required.
@@ -79,7 +82,7 @@
 
 func init() {
 	kernel.Register(kernel.Plugin{
-		ID:       "gateway.gateway",
+		ID:       pluginID,
 		Settings: func() any { return &Settings{} },
 		Options: func(s any) fx.Option {
 			return fx.Module(part, fx.Supply(s.(*Settings)), fx.Provide(New, newScope), fx.Invoke(start))
@@ -100,6 +103,7 @@
 	Addresses *core.Addresses
 	Logger    *log.Logger
 	Scope     tally.Scope
+	Reloader  *kernel.Reloader `optional:"true"`
 }
 
 // Gateway serves the routes of the configuration in force.
@@ -137,6 +141,9 @@
 	p.Config.Subscribe(g.applyConfig)
 	p.Workers.SubscribeWorkers(g.applyWorkers)
 	g.server = newServer(g)
+	if p.Reloader != nil {
+		p.Reloader.Subscribe(pluginID, func(s any) { g.reload(s.(*Settings)) })
+	}
 	return g
 }
 
@@ -146,6 +153,14 @@
 	partWorkers = "workers"
 )
 
+// reload takes over the settings that can change while requests run: those of
+// the retry budget and of the log. The others take a restart.
+func (g *Gateway) reload(s *Settings) {
+	g.fleet.setBudget(s)
+	g.decisions.setLines(s.LogLines)
+	g.decisions.change("settings in force", "retry_ratio", s.RetryRatio, "retry_slack", s.RetrySlack, "routers", s.Routers, "log_lines", s.LogLines)
+}
+
 func (g *Gateway) applyConfig(p *core.Published) {
 	changes := g.routes.apply(p)
 	g.readiness.SetReady(partConfig, true, "")
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -44,6 +44,13 @@
 	return &Budget{ratio: ratio, minimum: minPerSecond * budgetWindow}
 }
 
+// Set changes ratio and minPerSecond, see NewBudget. What was counted stays.
+func (b *Budget) Set(ratio, minPerSecond float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.minimum = ratio, minPerSecond*budgetWindow
+}
+
 // Success records that an attempt succeeded.
 func (b *Budget) Success(now time.Time) {
 	b.mu.Lock()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -86,16 +86,17 @@
 // overrides only. Each override has the form section.key=value.
 func Open(path string, overrides []string) (*Source, error) {
 	if path == "" {
-		return parse("(no file)", nil, overrides)
+		return Parse("(no file)", nil, overrides)
 	}
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w; name an existing file with --settings", err)
 	}
-	return parse(path, data, overrides)
+	return Parse(path, data, overrides)
 }
 
-func parse(name string, data []byte, overrides []string) (*Source, error) {
+// Parse reads settings from the text of a file of that name. Errors: *Error.
+func Parse(name string, data []byte, overrides []string) (*Source, error) {
 	f, err := ini.LoadSources(ini.LoadOptions{SkipUnrecognizableLines: false, SpaceBeforeInlineComment: true}, append([]byte{}, data...))
 	if err != nil {
 		return nil, &Error{Problems: []Problem{{File: name, Section: "", Detail: err.Error(), Remedy: "write each line as [section], key = value or a comment"}}}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -18,7 +18,7 @@
 
 func bind(text string, env map[string]string, overrides ...string) (section, error) {
 	var s section
-	src, err := parse("test.ini", []byte(text), overrides)
+	src, err := Parse("test.ini", []byte(text), overrides)
 	if err != nil {
 		return s, err
 	}
