Skip workers that cannot be reached and check their failure domain

Ejection is bounded to a third of an upstream, while a cut takes two thirds or more. A worker that cannot be connected to, or does not acknowledge for 0.7 s, now gets nothing until a connection opens again; the others of its domain are checked at once; a request for which all are lost is tried once and refused. A setup is tried twice at 120 ms, since a lost packet is repeated only after a second.

--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -190,6 +190,7 @@
 		x.ranOn++
 	}
 	if x.r.Context().Err() == nil && f.reason != failRefused {
+		g.reach.failed(c.worker, f.err)
 		if g.fleet.failed(c.worker) {
 			g.decisions.change("worker ejected", "worker", c.worker.ID, "upstream", c.worker.Upstream, "reason", f.reason)
 		}
--- a/plugins/gateway/choose.go
+++ b/plugins/gateway/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/auburnlead/auburnlead/placement"
@@ -12,6 +13,8 @@
 	worker    *worker
 	fetchFrom string // address of a worker that may keep the prompt's parts
 	reason    string
+	key       uint64        // part of the prompt that decided, 0 for none
+	shared    int           // tokens of the prompt up to that part
 	rank      int           // position in the preference of the prompt, 0 is first
 	busy      int           // estimated requests on the worker
 	age       time.Duration // of the worker's load report
@@ -24,7 +27,7 @@
 	choseHome     = "home"       // first choice of the prompt
 	choseNext     = "next"       // a later choice, the ones before are busy
 	choseIdle     = "least busy" // no prompt to place by
-	choseAnyone   = "all ejected"
+	choseAnyone   = "all lost"
 	choseLoaded   = "all busy"
 	loadFactor    = 1.5 // times the mean load that a prompt's first choice may carry
 	loadAllowed   = 2   // requests that it may carry beyond
@@ -43,7 +46,7 @@
 		return choice{}, false
 	}
 	g.decisions.count("choices", "reason", c.reason)
-	g.decisions.request("worker chosen", "request", x.in.ID, "upstream", x.destination, "worker", c.worker.ID, "reason", c.reason, "rank", c.rank, "busy", c.busy, "fetch_from", c.fetchFrom, "load_age_ms", c.age.Milliseconds(), "list", c.list, "list_age_ms", c.listAge.Milliseconds(), "attempt", len(x.tried))
+	g.decisions.request("worker chosen", "request", x.in.ID, "upstream", x.destination, "worker", c.worker.ID, "reason", c.reason, "key", strconv.FormatUint(c.key, 16), "shared_tokens", c.shared, "rank", c.rank, "busy", c.busy, "fetch_from", c.fetchFrom, "load_age_ms", c.age.Milliseconds(), "list", c.list, "list_age_ms", c.listAge.Milliseconds(), "attempt", len(x.tried))
 	return c, true
 }
 
@@ -70,8 +73,11 @@
 }
 
 func (f *fleet) pick(p *pool, x *exchange, now time.Time) (choice, bool) {
-	free, hashes := p.candidates(x.tried, func(w *worker) bool { return !p.ejector.Ejected(now, w.ID) })
-	anyone := len(free) == 0
+	free, hashes := p.candidates(x.tried, func(w *worker) bool { return !w.lost && !p.ejector.Ejected(now, w.ID) })
+	if len(free) == 0 {
+		free, hashes = p.candidates(x.tried, func(w *worker) bool { return !w.lost })
+	}
+	anyone := len(free) == 0 && len(x.tried) == 0
 	if anyone {
 		free, hashes = p.candidates(x.tried, func(*worker) bool { return true })
 	}
@@ -79,8 +85,9 @@
 		return choice{}, false
 	}
 	var c choice
-	if key, ok := placementKey(x); ok {
+	if key, shared, ok := placementKey(x); ok {
 		c = f.byPrompt(key, free, hashes, now)
+		c.key, c.shared = key, shared
 	} else {
 		c = f.leastBusy(free, now)
 	}
@@ -104,17 +111,20 @@
 	return workers, hashes
 }
 
-// placementKey is the last part of the prompt that other requests share. The
-// parts before it follow it to the same worker.
-func placementKey(x *exchange) (uint64, bool) {
+// placementKey is the last part of the prompt that other requests share, with
+// the tokens up to its end. The parts before it follow it to the same worker.
+func placementKey(x *exchange) (key uint64, shared int, ok bool) {
 	parts := x.in.Prompt
 	if !x.route.Sticky || len(parts) == 0 {
-		return 0, false
+		return 0, 0, false
+	}
+	if len(parts) >= sharedAtLeast {
+		parts = parts[:len(parts)-1]
 	}
-	if len(parts) < sharedAtLeast {
-		return parts[0].ID, true
+	for _, p := range parts {
+		shared += p.Tokens
 	}
-	return parts[len(parts)-sharedAtLeast].ID, true
+	return parts[len(parts)-1].ID, shared, true
 }
 
 // byPrompt takes the first choice of the key that is not too busy.
@@ -175,9 +185,9 @@
 // reachable reports whether a worker may still answer.
 func (f *fleet) reachable(w *worker, now time.Time) bool {
 	if f.byID[w.ID] == w {
-		return true
+		return !w.lost
 	}
-	return !w.left.IsZero() && now.Sub(w.left) <= departedMemory
+	return !w.lost && !w.left.IsZero() && now.Sub(w.left) <= departedMemory
 }
 
 // departed returns the address of a worker that left lately and was the first
--- a/plugins/gateway/fleet.go
+++ b/plugins/gateway/fleet.go
@@ -44,6 +44,7 @@
 	load     core.WorkerLoad
 	loadAt   time.Time
 	left     time.Time // when it began to leave
+	lost     bool      // cannot be reached
 }
 
 // Times and sizes of the fleet's memory.
@@ -190,6 +191,36 @@
 	return !before && e.Ejected(now, w.ID)
 }
 
+// setLost records whether a worker can be reached, and reports a change.
+func (f *fleet) setLost(w *worker, lost bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := w.lost != lost
+	w.lost = lost
+	return changed
+}
+
+// lists reports whether a worker is still on the list.
+func (f *fleet) lists(w *worker) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.byID[w.ID] == w
+}
+
+// neighbours returns the other workers of a worker's failure domain that are
+// not lost.
+func (f *fleet) neighbours(w *worker) []*worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []*worker
+	for _, other := range f.byID {
+		if other != w && other.FailureDomain == w.FailureDomain && !other.lost {
+			list = append(list, other)
+		}
+	}
+	return list
+}
+
 // loaded records what a worker says of its load.
 func (f *fleet) loaded(w *worker, l core.WorkerLoad) {
 	f.mu.Lock()
--- /dev/null
+++ b/plugins/gateway/harness_test.go
@@ -0,0 +1,379 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/smartystreets/goconvey/convey"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/objects"
+)
+
+// Header names of the tests' wire.
+const (
+	testID       = "X-Id"
+	testDeadline = "X-Deadline"
+	testKey      = "X-Key"
+	testWorker   = "X-Worker"
+	testLeft     = "X-Left"
+	testCaller   = "X-Caller"
+	testPriority = "X-Priority"
+	testFetch    = "X-Fetch"
+	testLast     = "Last-Event-Id"
+	testPrompt   = "X-Prompt"
+	testSeal     = "X-Seal"
+	testNotRun   = "X-Not-Run"
+)
+
+// testWire is a core.Wire with header names of its own.
+type testWire struct{}
+
+func (testWire) Request(h http.Header) (core.RouteRequest, error) {
+	r := core.RouteRequest{ID: h.Get(testID), Key: h.Get(testKey)}
+	if v := h.Get(testDeadline); v != "" {
+		d, err := time.ParseDuration(v)
+		if err != nil {
+			return r, err
+		}
+		r.Deadline = d
+	}
+	r.LastEventID, _ = strconv.ParseUint(h.Get(testLast), 10, 64)
+	for part := range strings.FieldsSeq(h.Get(testPrompt)) {
+		id, err := strconv.ParseUint(part, 10, 64)
+		if err != nil {
+			return r, err
+		}
+		r.Prompt = append(r.Prompt, core.PromptPart{ID: id, Tokens: 100})
+	}
+	return r, nil
+}
+
+func (testWire) Attempt(h http.Header, a core.AttemptHeader) {
+	h.Del(testKey)
+	h.Set(testWorker, a.Worker)
+	h.Set(testLeft, a.Left.String())
+	h.Set(testCaller, a.Caller)
+	h.Set(testPriority, strconv.Itoa(a.Priority))
+	h.Set(testFetch, a.FetchFrom)
+	if a.LastEventID > 0 {
+		h.Set(testLast, strconv.FormatUint(a.LastEventID, 10))
+	}
+}
+
+func (testWire) Answer(_ int, h http.Header) core.AnswerHeader {
+	return core.AnswerHeader{ID: h.Get(testID), Sealed: h.Get(testSeal) != "", NotRun: h.Get(testNotRun) != ""}
+}
+
+// network connects the gateway to workers in memory, so that tests run in
+// virtual time.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*memoryListener
+	dark      map[string]bool // addresses that answer nothing
+	dials     int
+}
+
+// setupTime is the time after which the tests' network gives up a setup.
+const setupTime = 120 * time.Millisecond
+
+func (n *network) open(ctx context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l, dark := n.listeners[address], n.dark[address]
+	n.dials++
+	n.mu.Unlock()
+	if dark {
+		select {
+		case <-time.After(setupTime):
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	if l == nil {
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: fmt.Errorf("connection refused")}
+	}
+	ours, theirs := net.Pipe()
+	select {
+	case l.conns <- theirs:
+		return ours, nil
+	case <-l.done:
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: net.ErrClosed}
+	}
+}
+
+func (n *network) setDark(address string, dark bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dark[address] = dark
+}
+
+type memoryListener struct {
+	address string
+	conns   chan net.Conn
+	done    chan struct{}
+	once    sync.Once
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error {
+	l.once.Do(func() { close(l.done) })
+	return nil
+}
+
+func (l *memoryListener) Addr() net.Addr { return memoryAddr(l.address) }
+
+type memoryAddr string
+
+func (memoryAddr) Network() string  { return "memory" }
+func (a memoryAddr) String() string { return string(a) }
+
+// testWorkerProcess is a worker that answers with a handler and counts what
+// reached it.
+type testWorkerProcess struct {
+	core.ListedWorker
+	mu      sync.Mutex
+	arrived []*http.Request
+	handle  http.HandlerFunc
+}
+
+func (w *testWorkerProcess) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	w.mu.Lock()
+	w.arrived = append(w.arrived, r)
+	handle := w.handle
+	w.mu.Unlock()
+	rw.Header().Set(testID, r.Header.Get(testID))
+	handle(rw, r)
+}
+
+func (w *testWorkerProcess) arrivals() []*http.Request {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]*http.Request(nil), w.arrived...)
+}
+
+// world is a gateway with workers.
+type world struct {
+	*Gateway
+	network *network
+	workers map[string]*testWorkerProcess
+	servers []*http.Server
+}
+
+// Names of the tests' upstreams.
+const (
+	testEngine = "engine"
+	testDesk   = "desk"
+)
+
+func newWorld(workers ...core.ListedWorker) *world {
+	w := &world{network: &network{listeners: map[string]*memoryListener{}, dark: map[string]bool{}}, workers: map[string]*testWorkerProcess{}}
+	s := &Settings{ConnectTimeout: setupTime, SilenceTimeout: 700 * time.Millisecond, IdlePerWorker: 4, WorkerIdleTimeout: 2 * time.Second, HeaderBytes: 1 << 16, BodyBytes: 1 << 20, AnswerBytes: 1 << 16, EventBytes: 1 << 12, RetryRatio: 0.2, RetrySlack: 160, Routers: 16, LogLines: 100}
+	w.Gateway = New(Params{
+		Settings: s, Identity: core.Identity{Router: "r1", FailureDomain: "a"}, Config: testConfig{testSet()}, Workers: testList{workers},
+		Wire: testWire{}, Readiness: core.NewReadiness(), Addresses: core.NewAddresses(), Logger: log.New(io.Discard), Scope: tally.NewTestScope("", nil),
+	})
+	w.upstream.open = w.network.open
+	for _, l := range workers {
+		w.startWorker(l)
+	}
+	return w
+}
+
+func (w *world) startWorker(l core.ListedWorker) {
+	p := &testWorkerProcess{ListedWorker: l, handle: serveOK}
+	listener := &memoryListener{address: l.Address, conns: make(chan net.Conn), done: make(chan struct{})}
+	server := &http.Server{Handler: p, ErrorLog: log.New(io.Discard).StandardLog()}
+	w.workers[l.ID] = p
+	w.servers = append(w.servers, server)
+	w.network.listeners[l.Address] = listener
+	go func() { _ = server.Serve(listener) }() // ends with the test
+}
+
+func (w *world) close() {
+	w.reach.stop()
+	w.upstream.transport.CloseIdleConnections()
+	for _, s := range w.servers {
+		_ = s.Close()
+	}
+	pass(time.Minute) // handlers that wait on purpose end
+}
+
+func (w *world) arrivals() int {
+	n := 0
+	for _, p := range w.workers {
+		n += len(p.arrivals())
+	}
+	return n
+}
+
+func (w *world) setHandlers(h http.HandlerFunc) {
+	for _, p := range w.workers {
+		p.mu.Lock()
+		p.handle = h
+		p.mu.Unlock()
+	}
+}
+
+// call sends a request through the gateway. cut says that the connection was
+// closed without an end of the answer.
+func (w *world) call(method, path string, header ...string) (answer *httptest.ResponseRecorder, cut bool) {
+	return w.callContext(context.Background(), method, path, header...)
+}
+
+func (w *world) callContext(ctx context.Context, method, path string, header ...string) (answer *httptest.ResponseRecorder, cut bool) {
+	r := httptest.NewRequestWithContext(ctx, method, "http://desk.example"+path, strings.NewReader("body of the request"))
+	r.Header.Set(testID, "id-1")
+	r.Header.Set(testKey, "secret")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	answer = httptest.NewRecorder()
+	defer func() {
+		if recovered := recover(); recovered != nil {
+			cut = recovered == http.ErrAbortHandler
+		}
+	}()
+	w.serveRequest(answer, r)
+	return answer, false
+}
+
+func serveOK(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(testSeal, "s")
+	fmt.Fprint(w, "answer")
+}
+
+// events writes events first to last of a stream and flushes each.
+func events(w http.ResponseWriter, first, last int) {
+	for i := first; i <= last; i++ {
+		fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", i, i)
+		_ = http.NewResponseController(w).Flush() // the caller may be gone
+	}
+}
+
+func testSet() *objects.Set {
+	set, err := objects.Load("set.ini", []byte(`
+[rank.normal]
+priority = 5
+[model.m]
+weights = m
+[caller.clerks]
+key_sha256 = 2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b
+priority = 1
+ranks = normal
+default_rank = normal
+[upstream.engine]
+kind = engine
+models = m
+worker = e1 a http://10.0.0.1:1
+[upstream.desk]
+kind = service
+worker = s1 a http://10.0.0.1:2
+[route.read]
+host = desk.example
+prefix = /read/
+kind = idempotent
+timeout = 2s
+max_attempts = 2
+destination = desk 1
+[route.book]
+host = desk.example
+prefix = /book/
+kind = once
+timeout = 2s
+max_attempts = 2
+destination = desk 1
+[route.chat]
+host = desk.example
+prefix = /chat/
+kind = stream
+timeout = 10s
+gap_target = 800ms
+sticky = true
+max_attempts = 2
+resumable = true
+destination = engine 1
+[route.once-chat]
+host = desk.example
+prefix = /chat/once/
+kind = stream
+timeout = 10s
+sticky = true
+destination = engine 1
+[route.open]
+host = desk.example
+prefix = /open/
+kind = idempotent
+public = true
+destination = desk 1
+`))
+	if err != nil {
+		panic(err)
+	}
+	return set
+}
+
+// desks returns n workers of the service, all in the router's domain.
+func desks(n int) []core.ListedWorker { return listed(testDesk, n, func(int) string { return "a" }) }
+
+// engines returns n engine workers, all in the router's domain.
+func engines(n int) []core.ListedWorker {
+	return listed(testEngine, n, func(int) string { return "a" })
+}
+
+func listed(upstream string, n int, domain func(i int) string) []core.ListedWorker {
+	list := make([]core.ListedWorker, n)
+	for i := range list {
+		list[i] = core.ListedWorker{ID: fmt.Sprintf("%s-%d", upstream, i), Upstream: upstream, Address: fmt.Sprintf("%s-%d:1", upstream, i), FailureDomain: domain(i), Slots: 8}
+	}
+	return list
+}
+
+type testConfig struct{ set *objects.Set }
+
+func (c testConfig) Current() *core.Published { return &core.Published{Revision: 1, Set: c.set} }
+func (c testConfig) Subscribe(fn func(*core.Published)) {
+	fn(c.Current())
+}
+
+type testList struct{ workers []core.ListedWorker }
+
+func (l testList) Workers() *core.WorkerSnapshot {
+	return &core.WorkerSnapshot{Version: 1, At: time.Now(), Workers: l.workers}
+}
+func (l testList) SubscribeWorkers(fn func(*core.WorkerSnapshot)) { fn(l.Workers()) }
+
+// pass lets virtual time pass.
+func pass(d time.Duration) { <-time.After(d) }
+
+// inBubble runs a test of a world in virtual time.
+func inBubble(t *testing.T, name string, workers []core.ListedWorker, body func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey(name, t, func() {
+			w := newWorld(workers...)
+			defer w.close()
+			body(w)
+		})
+	})
+}
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -49,12 +49,14 @@
 	DrainDelay time.Duration `ini:"drain_delay" default:"3s" min:"0s" max:"5m"`
 	// StopWithin bounds a stop; what is in flight then is cut. Default 8s.
 	StopWithin time.Duration `ini:"stop_within" default:"8s" min:"1s" max:"1h"`
-	// ConnectTimeout bounds a connection setup to a worker. A worker of the
-	// same region answers within a few ms. Default 300ms.
-	ConnectTimeout time.Duration `ini:"connect_timeout" default:"300ms" min:"10ms" max:"30s"`
-	// SilenceTimeout ends a connection to a worker whose machine acknowledges
-	// nothing for so long. Default 2s.
-	SilenceTimeout time.Duration `ini:"silence_timeout" default:"2s" min:"100ms" max:"5m"`
+	// ConnectTimeout bounds one try of a connection setup to a worker; there
+	// are two. A worker of the same region answers within a few ms. Default
+	// 120ms.
+	ConnectTimeout time.Duration `ini:"connect_timeout" default:"120ms" min:"10ms" max:"30s"`
+	// SilenceTimeout ends a connection to a worker whose machine does not
+	// acknowledge what was sent for so long: two losses in a row and their
+	// repeats, which start at 200 ms. Default 700ms.
+	SilenceTimeout time.Duration `ini:"silence_timeout" default:"700ms" min:"100ms" max:"5m"`
 	// IdlePerWorker bounds the idle connections kept to one worker. Default 16.
 	IdlePerWorker int `ini:"idle_per_worker" default:"16" min:"1" max:"256"`
 	// WorkerIdleTimeout closes idle connections to workers. It has to be
@@ -119,6 +121,7 @@
 	routes   routeIndex
 	fleet    *fleet
 	upstream *upstream
+	reach    *reach
 	server   *server
 }
 
@@ -141,6 +144,7 @@
 	p.Config.Subscribe(g.applyConfig)
 	p.Workers.SubscribeWorkers(g.applyWorkers)
 	g.server = newServer(g)
+	g.reach = newReach(g)
 	if p.Reloader != nil {
 		p.Reloader.Subscribe(pluginID, func(s any) { g.reload(s.(*Settings)) })
 	}
