--- a/plugins/gateway/choose.go
+++ b/plugins/gateway/choose.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/placement"
 )
 
@@ -22,6 +23,15 @@
 	listAge   time.Duration
 }
 
+const (
+	// boundMargin is the share of the load bound that a router uses, since
+	// reports of load are some hundred ms old.
+	boundMargin = 0.9
+	// loadAllowed is the number of requests that a worker may carry beyond the
+	// bound, so that prompts stay together while there is little load.
+	loadAllowed = 3
+)
+
 // Reasons of choices.
 const (
 	choseHome     = "home"       // first choice of the prompt
@@ -29,8 +39,6 @@
 	choseIdle     = "least busy" // no prompt to place by
 	choseAnyone   = "all lost"
 	choseLoaded   = "all busy"
-	loadFactor    = 1.5 // times the mean load that a prompt's first choice may carry
-	loadAllowed   = 2   // requests that it may carry beyond
 	otherDomain   = 0.5 // requests by which a worker of another domain must be less busy
 	preferences   = 4   // choices of a prompt that are looked at
 	sharedAtLeast = 2   // parts of a prompt of which the last is the request's own
@@ -85,9 +93,8 @@
 		return choice{}, false
 	}
 	var c choice
-	if key, shared, ok := placementKey(x); ok {
-		c = f.byPrompt(key, free, hashes, now)
-		c.key, c.shared = key, shared
+	if parts := sharedParts(x); len(parts) > 0 {
+		c = f.byPrompt(parts, free, hashes, now)
 	} else {
 		c = f.leastBusy(free, now)
 	}
@@ -111,27 +118,25 @@
 	return workers, hashes
 }
 
-// placementKey is the last part of the prompt that other requests share, with
-// the tokens up to its end. The parts before it follow it to the same worker.
-func placementKey(x *exchange) (key uint64, shared int, ok bool) {
+// sharedParts returns the parts of the prompt that other requests share. The
+// last of them decides where the request goes; the parts before it follow.
+func sharedParts(x *exchange) []core.PromptPart {
 	parts := x.in.Prompt
 	if !x.route.Sticky || len(parts) == 0 {
-		return 0, 0, false
+		return nil
 	}
 	if len(parts) >= sharedAtLeast {
-		parts = parts[:len(parts)-1]
+		return parts[:len(parts)-1]
 	}
-	for _, p := range parts {
-		shared += p.Tokens
-	}
-	return parts[len(parts)-1].ID, shared, true
+	return parts
 }
 
-// byPrompt takes the first choice of the key that is not too busy.
-func (f *fleet) byPrompt(key uint64, free []*worker, hashes []uint64, now time.Time) choice {
+// byPrompt takes the first choice of the last shared part that is not too busy.
+func (f *fleet) byPrompt(parts []core.PromptPart, free []*worker, hashes []uint64, now time.Time) choice {
+	key := parts[len(parts)-1].ID
 	var order [preferences]int
 	ranked := placement.Choose(order[:], key, hashes)
-	limit := loadLimit(free, now)
+	limit := f.loadLimit(free, now)
 	best := choice{worker: free[ranked[0]], reason: choseLoaded}
 	for rank, i := range ranked {
 		w := free[i]
@@ -146,30 +151,51 @@
 	if best.rank > 0 && best.reason == choseHome {
 		best.reason = choseNext
 	}
-	best.fetchFrom = f.fetchSource(key, best, free, ranked, now)
-	f.homes.put(key, best.worker, now)
+	best.key = key
+	best.fetchFrom = f.fetchSource(parts, best, free, ranked, now)
+	for _, p := range parts {
+		best.shared += p.Tokens
+		f.homes.put(p.ID, best.worker, now)
+	}
 	return best
 }
 
-// loadLimit is the load above which a prompt goes to its next choice.
-func loadLimit(free []*worker, now time.Time) float64 {
+// loadLimit is the load above which a prompt goes to its next choice: below the
+// bound on a worker's load by the margin for loads that are known late.
+func (f *fleet) loadLimit(free []*worker, now time.Time) float64 {
 	sum := 0
 	for _, w := range free {
 		sum += w.busy(now)
 	}
-	return loadFactor*float64(sum)/float64(len(free)) + loadAllowed
+	return boundMargin*f.settings.LoadBound*float64(sum)/float64(len(free)) + loadAllowed
 }
 
-// fetchSource names a worker that probably keeps the prompt's parts when the
-// chosen one probably does not: the worker that had the key before by this
-// router's memory, or else by its rank.
-func (f *fleet) fetchSource(key uint64, c choice, free []*worker, ranked []int, now time.Time) string {
-	if home := f.homes.get(key, now); home != nil {
-		if home == c.worker || !f.reachable(home, now) {
+// fetchSource names a worker that probably keeps more of the prompt than the
+// chosen one: the worker that had the last shared part before, by this router's
+// memory or else by its rank, or one that has the parts before it.
+func (f *fleet) fetchSource(parts []core.PromptPart, c choice, free []*worker, ranked []int, now time.Time) string {
+	last := len(parts) - 1
+	if home := f.homes.get(parts[last].ID, now); home != nil {
+		if home == c.worker {
 			return ""
 		}
-		return home.Address
+		if f.reachable(home, now) {
+			return home.Address
+		}
+	} else if address := f.formerHome(parts[last].ID, c, free, ranked, now); address != "" {
+		return address
+	}
+	for i := last - 1; i >= 0; i-- {
+		if home := f.homes.get(parts[i].ID, now); home != nil && home != c.worker && f.reachable(home, now) {
+			return home.Address
+		}
 	}
+	return ""
+}
+
+// formerHome names the worker that was the first choice of a part before the
+// chosen one, if the list of workers changed lately.
+func (f *fleet) formerHome(key uint64, c choice, free []*worker, ranked []int, now time.Time) string {
 	if c.rank > 0 {
 		return free[ranked[0]].Address
 	}
--- /dev/null
+++ b/plugins/gateway/choose_test.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/objects"
+)
+
+// chooser is a fleet whose workers are in the router's domain.
+func chooser(n int) (*fleet, time.Time) {
+	now := time.Unix(1_000_000, 0)
+	f := newFleet("a", &Settings{LoadBound: 2, RetryRatio: 0.2, RetrySlack: 10, Routers: 1})
+	f.apply(&core.WorkerSnapshot{Version: 1, At: now, Workers: engines(n)})
+	return f, now
+}
+
+func promptExchange(parts ...uint64) *exchange {
+	x := &exchange{route: &objects.Route{Sticky: true}, destination: testEngine}
+	for _, id := range parts {
+		x.in.Prompt = append(x.in.Prompt, core.PromptPart{ID: id, Tokens: 100})
+	}
+	return x
+}
+
+// Guards against prompts that leave the worker that has their parts although
+// it is within the load bound, and against workers above the bound.
+func TestLoadBound(t *testing.T) {
+	Convey("A prompt leaves its first choice only above 0.9 times the bound and 3", t, func() {
+		f, now := chooser(4)
+		first, _ := f.choose(promptExchange(1, 2, 3), now)
+		home := first.worker
+		for _, w := range f.byID {
+			w.inFlight = 5
+		}
+		// 0.9 * 2 * mean + 3 with the others at 5.
+		home.inFlight = 17
+		c, _ := f.choose(promptExchange(1, 2, 4), now)
+		So(c.worker, ShouldEqual, home)
+		So(c.reason, ShouldEqual, choseHome)
+		home.inFlight = 19
+		c, _ = f.choose(promptExchange(1, 2, 5), now)
+		So(c.worker, ShouldNotEqual, home)
+		So(c.reason, ShouldEqual, choseNext)
+		So(c.fetchFrom, ShouldEqual, home.Address)
+	})
+	Convey("A prompt whose session is new fetches the parts that another worker has", t, func() {
+		f, now := chooser(9)
+		first, _ := f.choose(promptExchange(1, 2, 3), now)
+		for id := uint64(10); id < 40; id++ {
+			c, _ := f.choose(promptExchange(1, id, 1000+id), now)
+			if c.worker == first.worker {
+				continue
+			}
+			So(c.fetchFrom, ShouldNotBeEmpty)
+			So(c.fetchFrom, ShouldNotEqual, c.worker.Address)
+			return
+		}
+	})
+	Convey("A report of load counts for 3 s, own requests always", t, func() {
+		f, now := chooser(2)
+		w := f.byID["engine-0"]
+		w.load, w.loadAt, w.inFlight = core.WorkerLoad{Running: 4, Waiting: 2}, now, 1
+		So(w.busy(now.Add(loadMemory)), ShouldEqual, 6)
+		So(w.busy(now.Add(loadMemory+1)), ShouldEqual, 1)
+	})
+}
--- a/plugins/gateway/harness_test.go
+++ b/plugins/gateway/harness_test.go
@@ -189,7 +189,7 @@
 
 func newWorld(workers ...core.ListedWorker) *world {
 	w := &world{network: &network{listeners: map[string]*memoryListener{}, dark: map[string]bool{}}, workers: map[string]*testWorkerProcess{}}
-	s := &Settings{ConnectTimeout: setupTime, SilenceTimeout: 700 * time.Millisecond, IdlePerWorker: 4, WorkerIdleTimeout: 2 * time.Second, HeaderBytes: 1 << 16, BodyBytes: 1 << 20, AnswerBytes: 1 << 16, EventBytes: 1 << 12, RetryRatio: 0.2, RetrySlack: 160, Routers: 16, LogLines: 100}
+	s := &Settings{ConnectTimeout: setupTime, SilenceTimeout: 700 * time.Millisecond, IdlePerWorker: 4, WorkerIdleTimeout: 2 * time.Second, HeaderBytes: 1 << 16, BodyBytes: 1 << 20, AnswerBytes: 1 << 16, EventBytes: 1 << 12, LoadBound: 2, RetryRatio: 0.2, RetrySlack: 160, Routers: 16, LogLines: 100}
 	w.Gateway = New(Params{
 		Settings: s, Identity: core.Identity{Router: "r1", FailureDomain: "a"}, Config: testConfig{testSet()}, Workers: testList{workers},
 		Wire: testWire{}, Readiness: core.NewReadiness(), Addresses: core.NewAddresses(), Logger: log.New(io.Discard), Scope: tally.NewTestScope("", nil),
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -68,6 +68,9 @@
 	AnswerBytes int `ini:"answer_bytes" default:"262144" min:"1024" max:"67108864"`
 	// EventBytes bounds one event of a stream. Default 65536 bytes.
 	EventBytes int `ini:"event_bytes" default:"65536" min:"1024" max:"16777216"`
+	// LoadBound is the multiple of the mean load of an upstream's workers that
+	// no worker should exceed. Default 2.
+	LoadBound float64 `ini:"load_bound" default:"2" min:"1.05" max:"100"`
 	// RetryRatio is the share of the requests of an upstream that may be sent
 	// once more in 10 s. Default 0.1.
 	RetryRatio float64 `ini:"retry_ratio" default:"0.1" min:"0" max:"1"`
