--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -24,6 +25,7 @@
 type gatewayCmd struct {
 	Settings string   `help:"Settings file (INI)." type:"path" env:"AUBURNLEAD_SETTINGS" placeholder:"FILE"`
 	Set      []string `help:"Override one setting; may be repeated." sep:"none" placeholder:"SECTION.KEY=VALUE"`
+	Check    bool     `help:"Report all problems of the settings and exit."`
 }
 
 // Help is the text below the usage of the command.
@@ -32,7 +34,7 @@
 }
 
 // Run runs the daemon until SIGTERM.
-func (c *gatewayCmd) Run(ctx context.Context) error {
+func (c *gatewayCmd) Run(ctx context.Context, s *Streams) error {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
@@ -40,6 +42,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Check {
+		return checkSettings(src, s)
+	}
 	reloader := kernel.NewReloader(gatewayRole, c.Settings, c.Set)
 	watch := func(logger *log.Logger) {
 		go reloader.Watch(ctx, settingsPeriod, hangups, reportReload(logger.WithPrefix("settings")))
@@ -51,6 +56,15 @@
 	return kernel.Run(ctx, app)
 }
 
+// checkSettings reports every problem of the settings.
+func checkSettings(src *settings.Source, s *Streams) error {
+	if _, err := kernel.Bind(gatewayRole, src); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(s.Out, "settings are valid")
+	return err
+}
+
 func reportReload(l *log.Logger) func([]string, error) {
 	return func(changed []string, err error) {
 		if err != nil {
