--- a/plugins/gateway/choose.go
+++ b/plugins/gateway/choose.go
@@ -51,6 +51,14 @@
 	sharedAtLeast = 2   // parts of a prompt of which the last is the request's own
 )
 
+// loadAge is the age of the worker's load report in ms, -1 for none.
+func (c choice) loadAge() int64 {
+	if c.worker.loadAt.IsZero() {
+		return -1
+	}
+	return c.age.Milliseconds()
+}
+
 // choose picks a worker that the request has not been sent to, and counts the
 // attempt. It returns false when there is none.
 func (g *Gateway) choose(x *exchange) (choice, bool) {
@@ -61,7 +69,7 @@
 		return choice{}, false
 	}
 	g.decisions.count("choices", "reason", c.reason)
-	g.decisions.request("worker chosen", "request", x.in.ID, "upstream", x.destination, "worker", c.worker.ID, "reason", c.reason, "key", strconv.FormatUint(c.key, 16), "shared_tokens", c.shared, "rank", c.rank, "busy", c.busy, "fetch_from", c.fetchFrom, "load_age_ms", c.age.Milliseconds(), "list", c.list, "list_age_ms", c.listAge.Milliseconds(), "attempt", len(x.tried))
+	g.decisions.request("worker chosen", "request", x.in.ID, "upstream", x.destination, "worker", c.worker.ID, "reason", c.reason, "key", strconv.FormatUint(c.key, 16), "shared_tokens", c.shared, "rank", c.rank, "busy", c.busy, "fetch_from", c.fetchFrom, "load_age_ms", c.loadAge(), "list", c.list, "list_age_ms", c.listAge.Milliseconds(), "attempt", len(x.tried))
 	return c, true
 }
 
--- a/plugins/gateway/decision.go
+++ b/plugins/gateway/decision.go
@@ -8,15 +8,18 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
+
+	"github.com/auburnlead/auburnlead/objects"
 )
 
 // decisions logs what was decided, bounded for each kind of line, and counts
 // it. Lines have neither keys nor bodies.
 type decisions struct {
-	log     *log.Logger
-	scope   tally.Scope
-	active  atomic.Int64
-	counted counters
+	log       *log.Logger
+	scope     tally.Scope
+	active    atomic.Int64
+	counted   counters
+	firstByte map[bool]tally.Histogram // by whether the route is a stream
 
 	mu     sync.Mutex // level 90
 	most   int
@@ -25,8 +28,18 @@
 	left   map[string]int // lines left out in this second
 }
 
+// firstByteBuckets run from 1 ms to about 16 s, each twice the one before.
+var firstByteBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
+
 func newDecisions(l *log.Logger, scope tally.Scope, most int) *decisions {
-	return &decisions{log: l, scope: scope.SubScope(part), most: most, lines: map[string]int{}, left: map[string]int{}, counted: counters{known: map[counterKey]tally.Counter{}}}
+	s := scope.SubScope(part)
+	return &decisions{
+		log: l, scope: s, most: most, lines: map[string]int{}, left: map[string]int{}, counted: counters{known: map[counterKey]tally.Counter{}},
+		firstByte: map[bool]tally.Histogram{
+			false: s.Tagged(map[string]string{"answer": "whole"}).Histogram("first_byte", firstByteBuckets),
+			true:  s.Tagged(map[string]string{"answer": "stream"}).Histogram("first_byte", firstByteBuckets),
+		},
+	}
 }
 
 func (d *decisions) inFlight() int64 { return d.active.Load() }
@@ -112,6 +125,9 @@
 	d.count("requests", "status", strconv.Itoa(x.status))
 	d.count("outcomes", "outcome", x.outcome)
 	took := time.Since(x.start)
+	if x.firstByte > 0 {
+		d.firstByte[x.route.Kind == objects.RouteStream].RecordDuration(x.firstByte)
+	}
 	fields := []any{"request", x.in.ID, "route", x.routeName(), "upstream", x.destination, "caller", x.callerName(), "status", x.status, "outcome", x.outcome, "reason", x.reason, "attempts", len(x.tried), "worker", x.lastWorker(), "revision", x.revision, "events", x.events, "ms", took.Milliseconds(), "limit_ms", x.limit.Milliseconds()}
 	if x.firstByte > 0 {
 		fields = append(fields, "first_ms", x.firstByte.Milliseconds())
