Give repeatable requests that stall before their first byte to another worker

The patience follows the upstream's times to the first byte (RFC 6298), at least 0.5 s and twice the route's target; the repeat is taken from the budget before the attempt is cancelled. TestStall fails before.

--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -20,12 +20,15 @@
 	*http.Response
 	header core.AnswerHeader
 	cancel context.CancelFunc // ends the attempt and closes its connection
+	watch  *watch
+	sentAt time.Time
 }
 
 // failure says why an attempt gave no answer to pass on.
 type failure struct {
 	outcome core.Outcome
 	sent    bool   // bytes of the request may have left
+	paid    bool   // the repeat was taken from the budget
 	reason  string // bounded set, for log and metrics
 	err     error
 }
@@ -61,21 +64,33 @@
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	req := g.attemptRequest(httptrace.WithClientTrace(ctx, trace), x, c, lastEvent)
+	watch := g.watch(x, c, cancel)
+	start := time.Now()
 	resp, err := g.upstream.transport.RoundTrip(req)
 	if err != nil {
 		cancel()
-		return nil, sendFailure(err, connected)
+		f := sendFailure(err, connected)
+		f.stalled(watch)
+		return nil, f
 	}
 	h := g.wire.Answer(resp.StatusCode, resp.Header)
 	if h.Load != nil && h.ID == x.in.ID {
 		g.fleet.loaded(c.worker, *h.Load)
 	}
 	if f := checkHeader(x.in.ID, resp.StatusCode, h); f != nil {
+		watch.stop()
 		cancel()
 		_ = resp.Body.Close() // the connection is not used again
 		return nil, f
 	}
-	return &reply{resp, h, cancel}, nil
+	return &reply{resp, h, cancel, watch, start}, nil
+}
+
+// stalled marks a failure that the watch caused; its repeat is paid for.
+func (f *failure) stalled(w *watch) {
+	if w.stop() {
+		f.outcome, f.sent, f.reason, f.paid = core.OutcomeUnknown, true, failStall, true
+	}
 }
 
 func sendFailure(err error, connected bool) *failure {
@@ -173,7 +188,7 @@
 	if f.outcome != core.OutcomeNotRun && (!x.route.Repeatable() || x.ranOn >= x.route.MaxAttempts) {
 		return false
 	}
-	if !g.fleet.allowRepeat(x.destination) {
+	if !f.paid && !g.fleet.allowRepeat(x.destination) {
 		g.decisions.count("repeats_refused", "reason", f.reason)
 		return false
 	}
--- a/plugins/gateway/fleet.go
+++ b/plugins/gateway/fleet.go
@@ -34,6 +34,7 @@
 	hashes  []uint64  // of the workers' IDs, in the same order
 	ejector *retry.Ejector
 	budget  *retry.Budget
+	delay   delay
 	routers int     // that send to the upstream, this one included
 	recent  float64 // requests of this router over rateMemory, at counted
 	counted time.Time
@@ -192,6 +193,20 @@
 	}
 }
 
+// answered records the time to the first byte of an answer.
+func (f *fleet) answered(w *worker, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pool(w.Upstream).delay.took(took)
+}
+
+// patience is the time after which a worker without a first byte has stalled.
+func (f *fleet) patience(w *worker) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pool(w.Upstream).delay.patience()
+}
+
 // failed records a failure of a worker and reports whether it ejected it.
 func (f *fleet) failed(w *worker) bool {
 	f.mu.Lock()
--- a/plugins/gateway/gateway_test.go
+++ b/plugins/gateway/gateway_test.go
@@ -111,6 +111,55 @@
 	})
 }
 
+// Guards against requests that wait for a worker which took them and is silent
+// until their deadline, and against repeats of all requests when an upstream
+// is slow.
+func TestStall(t *testing.T) {
+	silent := func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // the end of the connection shows after it
+		<-r.Context().Done()
+	}
+	warm := func(w *world, path string) {
+		for range 20 {
+			w.call("GET", path)
+		}
+	}
+	inBubble(t, "A repeatable request goes to another worker", desks(2), func(w *world) {
+		warm(w, "/read/x")
+		before := w.arrivals()
+		w.workers["desk-0"].handle = silent
+		for range 4 {
+			start := time.Now()
+			a, _ := w.call("GET", "/read/x")
+			So(a.Code, ShouldEqual, 200)
+			So(time.Since(start), ShouldBeLessThanOrEqualTo, 500*time.Millisecond)
+		}
+		So(w.arrivals()-before, ShouldBeBetween, 4, 9)
+	})
+	inBubble(t, "One that may not be repeated is left to its worker", desks(1), func(w *world) {
+		warm(w, "/book/x")
+		w.setHandlers(func(rw http.ResponseWriter, r *http.Request) {
+			pass(1500 * time.Millisecond)
+			serveOK(rw, r)
+		})
+		a, _ := w.call("POST", "/book/x")
+		So(a.Code, ShouldEqual, 200)
+	})
+	inBubble(t, "An upstream that turns slow is waited for longer", desks(2), func(w *world) {
+		warm(w, "/read/x")
+		w.setHandlers(func(rw http.ResponseWriter, r *http.Request) {
+			pass(700 * time.Millisecond)
+			serveOK(rw, r)
+		})
+		before := w.arrivals()
+		for range 40 {
+			a, _ := w.call("GET", "/read/x")
+			So(a.Code, ShouldEqual, 200)
+		}
+		So(w.arrivals()-before-40, ShouldBeLessThanOrEqualTo, 4)
+	})
+}
+
 // Guards against headers and bodies that change on the way, and against what
 // a caller may not set itself.
 func TestForwarding(t *testing.T) {
--- a/plugins/gateway/harness_test.go
+++ b/plugins/gateway/harness_test.go
@@ -295,6 +295,7 @@
 prefix = /read/
 kind = idempotent
 timeout = 2s
+target = 150ms
 max_attempts = 2
 destination = desk 1
 [route.book]
--- a/plugins/gateway/stream.go
+++ b/plugins/gateway/stream.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/auburnlead/auburnlead/answer"
@@ -79,11 +78,11 @@
 		return nil, f
 	}
 	if r.StatusCode < 200 || r.StatusCode > 299 {
-		return g.readWhole(r)
+		return g.readWhole(c, r)
 	}
 	defer r.cancel()
 	defer r.Body.Close()
-	return nil, g.pump(x, s, r)
+	return nil, g.pump(x, s, c, r)
 }
 
 // stallFactor times the longest pause of a stream that is on time is the
@@ -91,39 +90,38 @@
 const stallFactor = 2
 
 // pump passes events on until the end of the stream.
-func (g *Gateway) pump(x *exchange, s *streaming, r *reply) *failure {
+func (g *Gateway) pump(x *exchange, s *streaming, c choice, r *reply) *failure {
 	events := answer.NewRawEvents(r.Body, g.settings.EventBytes)
-	var stalled atomic.Bool
-	stall := time.AfterFunc(time.Hour, func() { stalled.Store(true); r.cancel() })
-	defer stall.Stop()
+	defer r.watch.stop()
+	first := true
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			return g.finish(x, s, r)
 		}
 		if err != nil {
-			return streamFailure(err, stalled.Load())
+			return streamFailure(err, r.watch)
+		}
+		if first {
+			first = false
+			g.fleet.answered(c.worker, time.Since(r.sentAt))
 		}
 		if e.ID != s.last+1 {
 			return &failure{outcome: core.OutcomeUnknown, sent: true, reason: failOrder, err: &answer.OrderError{Got: e.ID, Want: s.last + 1}}
 		}
+		r.watch.again(stallFactor * x.route.GapTarget)
 		if err := g.pass(x, s, r, e, events.Buffered() == 0); err != nil {
 			return &failure{outcome: core.OutcomeUnknown, sent: true, reason: failLeft, err: err}
 		}
-		if x.route.Resumable && x.ranOn+1 < x.route.MaxAttempts {
-			stall.Reset(stallFactor * x.route.GapTarget)
-		}
 	}
 }
 
-func streamFailure(err error, stalled bool) *failure {
+func streamFailure(err error, w *watch) *failure {
 	f := &failure{outcome: core.OutcomeUnknown, sent: true, reason: failBody, err: err}
-	switch {
-	case stalled:
-		f.reason = failStall
-	case errors.Is(err, context.DeadlineExceeded):
+	if errors.Is(err, context.DeadlineExceeded) {
 		f.reason = failDeadline
 	}
+	f.stalled(w)
 	return f
 }
 
--- a/plugins/gateway/whole.go
+++ b/plugins/gateway/whole.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/auburnlead/auburnlead/internal/core"
 )
@@ -54,21 +55,27 @@
 	if f != nil {
 		return nil, f
 	}
-	return g.readWhole(r)
+	return g.readWhole(c, r)
 }
 
-func (g *Gateway) readWhole(r *reply) (*wholeAnswer, *failure) {
+func (g *Gateway) readWhole(c choice, r *reply) (*wholeAnswer, *failure) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, int64(g.settings.AnswerBytes)))
+	took := time.Since(r.sentAt)
 	a := &wholeAnswer{status: r.StatusCode, header: r.Header, body: body}
 	if err == nil && len(body) == g.settings.AnswerBytes {
+		r.watch.stop()
 		a.rest = r
 		return a, nil
 	}
 	_ = r.Body.Close() // read to its end or broken
 	r.cancel()
 	if err != nil {
-		return nil, &failure{outcome: core.OutcomeUnknown, sent: true, reason: failBody, err: err}
+		f := &failure{outcome: core.OutcomeUnknown, sent: true, reason: failBody, err: err}
+		f.stalled(r.watch)
+		return nil, f
 	}
+	r.watch.stop()
+	g.fleet.answered(c.worker, took)
 	return a, nil
 }
 
