Compress tables between routers and let the router with the widest link read

Pages are compressed and kept encoded, and the first router of a domain is the one with the widest link.

--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -122,6 +122,19 @@
 		}
 		So(firsts(), ShouldHaveLength, 3)
 	})
+	Convey("The router with the most capacity goes first", t, func() {
+		f := fleet(30, 3)
+		strong := f.views[f.order[4]]
+		strong.cfg.Capacity = 200
+		for range 12 {
+			f.round()
+		}
+		for _, a := range f.order {
+			if v := f.views[a]; v.domain == strong.domain {
+				So(v.First(f.now), ShouldEqual, v == strong)
+			}
+		}
+	})
 	Convey("Parts that were cut off know their own routers, and meet again", t, func() {
 		f := fleet(30, 3)
 		for range 12 {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -28,9 +28,11 @@
 	leaving bool
 	router  uint64 // hash of the sender's ID
 	domain  uint32 // hash of its failure domain
-	tables  []tableStatus
-	members []memberStatus
-	loads   []loadStatus
+	// capacity of the sender in a unit that all routers share
+	capacity uint16
+	tables   []tableStatus
+	members  []memberStatus
+	loads    []loadStatus
 }
 
 type tableStatus struct {
@@ -41,10 +43,11 @@
 }
 
 type memberStatus struct {
-	address netip.AddrPort
-	router  uint64
-	domain  uint32
-	age     uint64 // in memberAgeUnit
+	address  netip.AddrPort
+	router   uint64
+	domain   uint32
+	capacity uint16
+	age      uint64 // in memberAgeUnit
 }
 
 type loadStatus struct {
@@ -55,10 +58,10 @@
 
 // Sizes of the parts of a message in bytes, at most.
 const (
-	memberBytes = 4 + 2 + 8 + 4 + 2
+	memberBytes = 4 + 2 + 8 + 4 + 2 + 2
 	loadBytes   = 4 + 2 + 1
 	tableBytes  = 3*binary.MaxVarintLen64 + 4 + 2
-	headBytes   = 2 + 8 + 4 + 3
+	headBytes   = 2 + 8 + 4 + 2 + 3
 )
 
 // errMalformed says that a message cannot be read.
@@ -73,6 +76,7 @@
 	b = append(b, messageFormat, flags)
 	b = binary.BigEndian.AppendUint64(b, m.router)
 	b = binary.BigEndian.AppendUint32(b, m.domain)
+	b = binary.BigEndian.AppendUint16(b, m.capacity)
 	b = append(b, byte(len(m.tables)), byte(len(m.members)), byte(len(m.loads)))
 	for _, t := range m.tables {
 		b = binary.AppendUvarint(b, t.newest)
@@ -84,6 +88,7 @@
 		b = appendAddress(b, p.address)
 		b = binary.BigEndian.AppendUint64(b, p.router)
 		b = binary.BigEndian.AppendUint32(b, p.domain)
+		b = binary.BigEndian.AppendUint16(b, p.capacity)
 		b = binary.AppendUvarint(b, p.age)
 	}
 	for _, l := range m.loads {
@@ -144,13 +149,13 @@
 	if format := d.byte(); format != messageFormat {
 		return nil, fmt.Errorf("%w: format %d", errMalformed, format)
 	}
-	m := &message{leaving: d.byte()&flagLeaving != 0, router: d.uint64(), domain: d.uint32()}
+	m := &message{leaving: d.byte()&flagLeaving != 0, router: d.uint64(), domain: d.uint32(), capacity: d.uint16()}
 	tables, members, loads := int(d.byte()), int(d.byte()), int(d.byte())
 	for range tables {
 		m.tables = append(m.tables, tableStatus{newest: d.uvarint(), holder: d.address(), ageMs: d.uvarint(), have: d.uvarint()})
 	}
 	for range members {
-		m.members = append(m.members, memberStatus{address: d.address(), router: d.uint64(), domain: d.uint32(), age: d.uvarint()})
+		m.members = append(m.members, memberStatus{address: d.address(), router: d.uint64(), domain: d.uint32(), capacity: d.uint16(), age: d.uvarint()})
 	}
 	for range loads {
 		m.loads = append(m.loads, loadStatus{worker: d.uint32(), busy: d.uvarint(), age: d.byte()})
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -22,6 +22,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -48,6 +49,9 @@
 	Address netip.AddrPort
 	// Seeds are addresses to begin with; some may be out of date.
 	Seeds []netip.AddrPort
+	// Capacity orders the routers of a failure domain, most first, in a unit
+	// that all share.
+	Capacity int
 	// Tables is the number of tables whose versions are told.
 	Tables int
 	// Live is the silence after which a router counts as gone.
@@ -70,11 +74,12 @@
 }
 
 type member struct {
-	address netip.AddrPort
-	router  uint64
-	domain  uint32
-	heard   time.Time
-	have    []uint64 // versions of its tables, nil if not told by itself
+	address  netip.AddrPort
+	router   uint64
+	domain   uint32
+	capacity uint16
+	heard    time.Time
+	have     []uint64 // versions of its tables, nil if not told by itself
 }
 
 type load struct {
@@ -177,13 +182,18 @@
 // order that all routers share.
 func (v *View) First(now time.Time) bool {
 	for _, m := range v.members {
-		if m.domain == v.domain && v.isLive(now, m) && m.router < v.router {
+		if m.domain != v.domain || !v.isLive(now, m) {
+			continue
+		}
+		if m.capacity > v.capacity() || m.capacity == v.capacity() && m.router < v.router {
 			return false
 		}
 	}
 	return true
 }
 
+func (v *View) capacity() uint16 { return uint16(min(max(v.cfg.Capacity, 0), math.MaxUint16)) }
+
 // Update is what a message brought.
 type Update struct {
 	Tables bool   // some table has a newer version or a younger contact
@@ -212,14 +222,14 @@
 	} else {
 		known := v.members[from]
 		u.Reply = known == nil || !v.isLive(now, known)
-		sender := v.heard(from, m.router, m.domain, now)
+		sender := v.heard(memberStatus{address: from, router: m.router, domain: m.domain, capacity: m.capacity}, now)
 		sender.have = nil
 		for _, t := range m.tables {
 			sender.have = append(sender.have, t.have)
 		}
 	}
 	for _, p := range m.members {
-		v.heard(p.address, p.router, p.domain, now.Add(-time.Duration(p.age)*memberAgeUnit))
+		v.heard(p, now.Add(-time.Duration(p.age)*memberAgeUnit))
 	}
 	for i, t := range m.tables[:min(len(m.tables), len(v.tables))] {
 		u.Tables = v.mergeTable(now, &v.tables[i], t) || u.Tables
@@ -247,20 +257,20 @@
 }
 
 // heard records that a router was alive at a time.
-func (v *View) heard(address netip.AddrPort, router uint64, domain uint32, at time.Time) *member {
-	if address == v.cfg.Address {
+func (v *View) heard(p memberStatus, at time.Time) *member {
+	if p.address == v.cfg.Address {
 		return &member{}
 	}
-	m := v.members[address]
+	m := v.members[p.address]
 	if m == nil {
-		m = &member{address: address}
-		v.members[address] = m
+		m = &member{address: p.address}
+		v.members[p.address] = m
 	}
 	if at.After(m.heard) {
-		if m.router != router {
+		if m.router != p.router {
 			m.have = nil
 		}
-		m.router, m.domain, m.heard = router, domain, at
+		m.router, m.domain, m.capacity, m.heard = p.router, p.domain, p.capacity, at
 	}
 	return m
 }
@@ -348,13 +358,13 @@
 
 // Message returns the next message of this router.
 func (v *View) Message(now time.Time) []byte {
-	m := &message{leaving: v.leaving, router: v.router, domain: v.domain}
+	m := &message{leaving: v.leaving, router: v.router, domain: v.domain, capacity: v.capacity()}
 	for _, t := range v.tables {
 		m.tables = append(m.tables, tableStatus{newest: t.newest, holder: t.holder, ageMs: age(now, t.contact), have: t.have})
 	}
 	near, far := v.live(now)
 	for _, p := range append(near[:min(len(near), nearSent)], far[:min(len(far), farSent)]...) {
-		m.members = append(m.members, memberStatus{p.address, p.router, p.domain, uint64(now.Sub(p.heard) / memberAgeUnit)})
+		m.members = append(m.members, memberStatus{p.address, p.router, p.domain, p.capacity, uint64(now.Sub(p.heard) / memberAgeUnit)})
 	}
 	m.loads = v.youngestLoads(now, (MessageBytes-headBytes-len(m.tables)*tableBytes-len(m.members)*memberBytes)/loadBytes)
 	return m.encode()
--- a/plugins/gossip/gossip_test.go
+++ b/plugins/gossip/gossip_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -79,6 +80,11 @@
 		page, err = source.Read(ctx, "workers")
 		So(err, ShouldBeNil)
 		So(page.Rows, ShouldBeEmpty)
+		// 400 routes in 100 KB go to each router of a domain over small links.
+		large := replica.Page{Version: 9, Rows: []replica.Row{{Key: "config", Value: []byte(strings.Repeat(`{"name":"r","host":"h.example","prefix":"/p/"},`, 2000))}}}
+		body, err := g.pages.encode("workers", "since=1", large)
+		So(err, ShouldBeNil)
+		So(len(body), ShouldBeLessThan, len(large.Rows[0].Value)/4)
 		_, err = source.Read(ctx, "nothing")
 		So(err, ShouldNotBeNil)
 		So(errors.Is(err, errGone), ShouldBeFalse)
--- a/plugins/gossip/setup.go
+++ b/plugins/gossip/setup.go
@@ -35,6 +35,10 @@
 	Listen string `ini:"listen" required:"true" check:"hostport"`
 	// Seeds are addresses of routers to begin with. Only the IP counts.
 	Seeds []string `ini:"seeds"`
+	// Capacity orders the routers of a failure domain: the first one reads the
+	// store for the others and sends them what it read. Bandwidth in Mbit/s,
+	// since a large desired state goes to all. Default 0.
+	Capacity float64 `ini:"capacity" default:"0" min:"0" max:"1000000"`
 	// Period is the time between two messages. Default 250ms.
 	Period time.Duration `ini:"period" default:"250ms" min:"10ms" max:"1m"`
 	// Live is the silence after which a router counts as gone: twelve
@@ -98,6 +102,7 @@
 	log      *log.Logger
 	started  time.Time
 	peers    *peers
+	pages    *pages
 	sent     tally.Counter
 	received tally.Counter
 	refused  tally.Counter
@@ -132,12 +137,12 @@
 	names := p.Tables.Names()
 	scope := p.Scope.SubScope(part)
 	g := &Gossip{
-		settings: p.Settings, tables: p.Tables, names: names, log: p.Logger.WithPrefix(part), started: time.Now(), peers: newPeers(),
+		settings: p.Settings, tables: p.Tables, names: names, log: p.Logger.WithPrefix(part), started: time.Now(), peers: newPeers(), pages: &pages{last: map[pageKey][]byte{}},
 		sent: scope.Counter("sent"), received: scope.Counter("received"), refused: scope.Counter("refused"), routers: scope.Gauge("routers"),
 		changed: make(chan struct{}),
 		view: lib.New(lib.Config{
 			Router: p.Identity.Router, Domain: p.Identity.FailureDomain, Address: self, Seeds: seeds,
-			Tables: len(names), Live: p.Settings.Live, LoadMemory: loadMemory,
+			Capacity: int(p.Settings.Capacity), Tables: len(names), Live: p.Settings.Live, LoadMemory: loadMemory,
 		}),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/plugins/gossip/tables.go
+++ b/plugins/gossip/tables.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
@@ -10,6 +12,7 @@
 	"net/netip"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -54,15 +57,57 @@
 			return
 		}
 	}
+	body, err := g.pages.encode(mux.Vars(r)["table"], r.URL.RawQuery, page)
+	if err != nil {
+		g.log.Error("table not encoded", "table", mux.Vars(r)["table"], "error", err)
+		http.Error(w, "table not encoded", http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(page) // the peer may be gone
+	w.Header().Set("Content-Encoding", "gzip")
+	_, _ = w.Write(body) // the peer may be gone
+}
+
+// pages keeps the last encoded pages. After a change all peers of a failure
+// domain ask for the same one; a desired state of 400 routes has 100 KB, which
+// fill a link of 10 Mbit/s for seconds unless they are compressed.
+type pages struct {
+	mu   sync.Mutex // level 90
+	last map[pageKey][]byte
+}
+
+type pageKey struct {
+	table, query string
+	version      int64
+}
+
+// pagesKept bounds the pages that are kept.
+const pagesKept = 8
+
+func (p *pages) encode(table, query string, page replica.Page) ([]byte, error) {
+	key := pageKey{table, query, page.Version}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if body, ok := p.last[key]; ok {
+		return body, nil
+	}
+	var b bytes.Buffer
+	z := gzip.NewWriter(&b)
+	if err := errors.Join(json.NewEncoder(z).Encode(page), z.Close()); err != nil {
+		return nil, err
+	}
+	if len(p.last) >= pagesKept {
+		clear(p.last)
+	}
+	p.last[key] = b.Bytes()
+	return b.Bytes(), nil
 }
 
 // peers reads tables from other routers.
 type peers struct{ http *http.Client }
 
 func newPeers() *peers {
-	return &peers{http: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdle, MaxIdleConnsPerHost: 1, DisableCompression: true}}}
+	return &peers{http: &http.Client{Timeout: peerTimeout, Transport: &http.Transport{IdleConnTimeout: peerIdle, MaxIdleConnsPerHost: 1}}}
 }
 
 func (p *peers) source(a netip.AddrPort) replica.Source { return peerSource{p, a} }
