Divide the slack of the retry budget among the routers that are seen

Cause, found by reading: the slack was divided by 16, whatever the fleet. 86 routers could send 1,139 repeats in 10 s where 212 are allowed. It is now divided by the most routers ever seen alive at a time, at least 16, so that the parts of a cut fleet do not take more than all together. TestSlackShare fails before (13 instead of 2).

--- a/plugins/gateway/choose_test.go
+++ b/plugins/gateway/choose_test.go
@@ -86,3 +86,33 @@
 		So(w.busy(now.Add(loadMemory+1)), ShouldEqual, 1)
 	})
 }
+
+// fakeShare is a fleet of a number of routers.
+type fakeShare struct{ routers int }
+
+func (s *fakeShare) ReportLoad(uint32, int, time.Time)      {}
+func (s *fakeShare) Routers() int                           { return s.routers }
+func (s *fakeShare) SubscribeLoads(func([]core.SharedLoad)) {}
+
+// Guards against repeats of many routers that together exceed the budget, and
+// against parts of a cut fleet that each take the whole slack.
+func TestSlackShare(t *testing.T) {
+	Convey("The slack is divided among the most routers seen", t, func() {
+		f, _ := chooser(3)
+		f.settings = &Settings{RetrySlack: 212, Routers: 16}
+		share := &fakeShare{routers: 86}
+		f.share = share
+		f.setBudget(f.settings)
+		repeats := func() int {
+			n := 0
+			for f.allowRepeat(testEngine) {
+				n++
+			}
+			return n
+		}
+		f.sharedLoads(nil)
+		share.routers = 30
+		f.sharedLoads(nil)
+		So(repeats(), ShouldEqual, 212/86)
+	})
+}
--- a/plugins/gateway/fleet.go
+++ b/plugins/gateway/fleet.go
@@ -17,15 +17,16 @@
 	domain   string
 	settings *Settings
 
-	mu      sync.Mutex // level 60
-	byID    map[string]*worker
-	pools   map[string]*pool
-	leaving []*worker // departed or draining lately, oldest first
-	version int64
-	read    time.Time // when the list was read
-	homes   homes
-	share   core.LoadShare // nil for none
-	byHash  map[uint32]*worker
+	mu          sync.Mutex // level 60
+	byID        map[string]*worker
+	pools       map[string]*pool
+	leaving     []*worker // departed or draining lately, oldest first
+	version     int64
+	read        time.Time // when the list was read
+	homes       homes
+	share       core.LoadShare // nil for none
+	mostRouters int            // ever seen alive at a time
+	byHash      map[uint32]*worker
 }
 
 // pool is one upstream.
@@ -159,7 +160,7 @@
 	if p == nil {
 		p = &pool{
 			routers: 1,
-			budget:  newBudget(f.settings),
+			budget:  retry.NewBudget(f.settings.RetryRatio, f.slackShare()),
 			ejector: retry.NewEjector(retry.EjectorConfig{MaxShare: ejectShare, Threshold: ejectAfter, Base: ejectFirst, Max: ejectLongest, ForgetAfter: ejectForgotten}),
 		}
 		f.pools[upstream] = p
@@ -167,9 +168,12 @@
 	return p
 }
 
-func newBudget(s *Settings) *retry.Budget {
-	share := s.RetrySlack / float64(s.Routers)
-	return retry.NewBudget(s.RetryRatio, share/budgetWindow)
+// slackShare is this router's share of the slack in repeats a second. The most
+// routers ever seen count: in a cut each part sees fewer, and the parts
+// together must not take more than all.
+func (f *fleet) slackShare() float64 {
+	routers := max(f.settings.Routers, f.mostRouters)
+	return f.settings.RetrySlack / float64(routers) / budgetWindow
 }
 
 // setBudget changes the retry budgets where the settings differ. What was sent
@@ -178,8 +182,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.settings = s
+	f.shareBudgets()
+}
+
+func (f *fleet) shareBudgets() {
 	for _, p := range f.pools {
-		p.budget.Set(s.RetryRatio, s.RetrySlack/float64(s.Routers)/budgetWindow)
+		p.budget.Set(f.settings.RetryRatio, f.slackShare())
 	}
 }
 
@@ -267,6 +275,10 @@
 	for _, p := range f.pools {
 		p.routers = routers
 	}
+	if routers > f.mostRouters {
+		f.mostRouters = routers
+		f.shareBudgets()
+	}
 	for _, l := range list {
 		w := f.byHash[l.Worker]
 		if w != nil && l.At.After(w.loadAt) {
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -77,8 +77,8 @@
 	// RetrySlack is the number of repeats in 10 s that all routers together
 	// may send beyond the ratio. Default 10.
 	RetrySlack float64 `ini:"retry_slack" default:"10" min:"0" max:"100000"`
-	// Routers is the number of routers among which RetrySlack is divided.
-	// Default 16.
+	// Routers is the least number of routers among which RetrySlack is
+	// divided, until more are seen. Default 16.
 	Routers int `ini:"routers" default:"16" min:"1" max:"100000"`
 	// LogLines bounds the lines of one kind in a second; further ones are
 	// counted and reported. Default 100.
