--- a/plugins/node/setup.go
+++ b/plugins/node/setup.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -25,6 +26,9 @@
 	LogLevel string `ini:"log_level" default:"info" oneof:"debug info warn error"`
 	// LogFormat is the format of log lines. Default logfmt.
 	LogFormat string `ini:"log_format" default:"logfmt" oneof:"text logfmt json"`
+	// GCPercent is the growth of the heap, in percent, at which garbage is
+	// collected. Less saves memory and takes processor time. Default 100.
+	GCPercent int `ini:"gc_percent" default:"100" min:"5" max:"1000"`
 }
 
 func init() {
@@ -41,6 +45,7 @@
 				fx.Supply(s.(*Settings)),
 				logger,
 				fx.Provide(NewIdentity, core.NewAddresses, core.NewReadiness, core.NewBackground),
+				fx.Invoke(func(s *Settings) { debug.SetGCPercent(s.GCPercent) }),
 			)
 		},
 	})
