Keep gossip from rejuvenating old loads

The estimated mean was 25 where routers had 13 in flight, and so was the limit (48 instead of 26). Reports now have a number, and the same one is not taken twice. Half of a message's loads are any, so that none is left out for long. Ruled out: ejected workers (none at that time) and stale lists. TestSpread (a load that is not reported again) fails before. The chosen worker's limit is logged.

--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -17,6 +17,7 @@
 	order []netip.AddrPort
 	cut   func(from, to netip.AddrPort) bool
 	rnd   *rand.Rand
+	delay time.Duration // of each message on its way
 	bytes int
 }
 
@@ -50,7 +51,7 @@
 			if f.views[to] == nil || f.cut(from, to) {
 				continue
 			}
-			u, err := f.views[to].Merge(f.now, from, b)
+			u, err := f.views[to].Merge(f.now.Add(f.delay), from, b)
 			if err != nil {
 				panic(err)
 			}
@@ -163,6 +164,22 @@
 		}
 		So(f.all(func(v *View) bool { return v.Routers(f.now) == 30 }), ShouldBeTrue)
 	})
+	Convey("A load that is not reported again is forgotten, however slow messages are", t, func() {
+		f := fleet(30, 3)
+		f.delay = 60 * time.Millisecond
+		for range 12 {
+			f.round()
+		}
+		f.views[f.order[3]].SetLoad(5, 40, f.now)
+		for range 6 {
+			f.round()
+		}
+		So(f.all(func(v *View) bool { return v.loads[5].busy == 40 }), ShouldBeTrue)
+		for range 10 {
+			f.round()
+		}
+		So(f.all(func(v *View) bool { return len(v.loads) == 0 }), ShouldBeTrue)
+	})
 	Convey("A leaving router is gone at once, and an old load does not replace a young one", t, func() {
 		f := fleet(2, 1)
 		for range 4 {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -51,6 +51,7 @@
 }
 
 type loadStatus struct {
+	report uint16 // tells reports of the same worker apart
 	worker uint32 // hash of the worker's ID
 	busy   uint64 // requests on it
 	age    uint8  // in loadAgeUnit
@@ -59,7 +60,7 @@
 // Sizes of the parts of a message in bytes, at most.
 const (
 	memberBytes = 4 + 2 + 8 + 4 + 2 + 2
-	loadBytes   = 4 + 2 + 1
+	loadBytes   = 4 + 2 + 2 + 1
 	tableBytes  = 3*binary.MaxVarintLen64 + 4 + 2
 	headBytes   = 2 + 8 + 4 + 2 + 3
 )
@@ -93,6 +94,7 @@
 	}
 	for _, l := range m.loads {
 		b = binary.BigEndian.AppendUint32(b, l.worker)
+		b = binary.BigEndian.AppendUint16(b, l.report)
 		b = binary.AppendUvarint(b, l.busy)
 		b = append(b, l.age)
 	}
@@ -158,7 +160,7 @@
 		m.members = append(m.members, memberStatus{address: d.address(), router: d.uint64(), domain: d.uint32(), capacity: d.uint16(), age: d.uvarint()})
 	}
 	for range loads {
-		m.loads = append(m.loads, loadStatus{worker: d.uint32(), busy: d.uvarint(), age: d.byte()})
+		m.loads = append(m.loads, loadStatus{worker: d.uint32(), report: d.uint16(), busy: d.uvarint(), age: d.byte()})
 	}
 	if d.bad || len(d.rest) > 0 {
 		return nil, errMalformed
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -83,8 +83,9 @@
 }
 
 type load struct {
-	busy int
-	at   time.Time
+	busy   int
+	at     time.Time
+	report uint16
 }
 
 type table struct {
@@ -129,7 +130,7 @@
 	if !at.After(v.loads[worker].at) {
 		return false
 	}
-	v.loads[worker] = load{busy, at}
+	v.loads[worker] = load{busy, at, uint16(v.cfg.Random(math.MaxUint16 + 1))}
 	return true
 }
 
@@ -236,9 +237,10 @@
 	}
 	for _, l := range m.loads {
 		at := now.Add(-time.Duration(l.age) * loadAgeUnit)
-		// The age is rounded, so the same report seems younger by a unit.
-		if known := v.loads[l.worker]; at.Sub(known.at) > loadAgeUnit {
-			v.loads[l.worker] = load{int(l.busy), at}
+		// A report seems younger by the time of each message on its way. If it
+		// counted as a new one for that, it would go round forever.
+		if known := v.loads[l.worker]; l.report != known.report && at.After(known.at) {
+			v.loads[l.worker] = load{int(l.busy), at, l.report}
 			u.Loads = append(u.Loads, Load{l.worker, int(l.busy), at})
 		}
 	}
@@ -366,7 +368,7 @@
 	for _, p := range append(near[:min(len(near), nearSent)], far[:min(len(far), farSent)]...) {
 		m.members = append(m.members, memberStatus{p.address, p.router, p.domain, p.capacity, uint64(now.Sub(p.heard) / memberAgeUnit)})
 	}
-	m.loads = v.youngestLoads(now, (MessageBytes-headBytes-len(m.tables)*tableBytes-len(m.members)*memberBytes)/loadBytes)
+	m.loads = v.loadsToTell(now, (MessageBytes-headBytes-len(m.tables)*tableBytes-len(m.members)*memberBytes)/loadBytes)
 	return m.encode()
 }
 
@@ -379,17 +381,23 @@
 	return min(uint64(max(now.Sub(at), 0).Milliseconds()), never)
 }
 
-// youngestLoads returns the loads that are worth telling, youngest first.
-func (v *View) youngestLoads(now time.Time, most int) []loadStatus {
+// loadsToTell returns the youngest loads and some others.
+func (v *View) loadsToTell(now time.Time, most int) []loadStatus {
 	var list []loadStatus
 	for worker, l := range v.loads {
 		units := now.Sub(l.at) / loadAgeUnit
 		if units <= loadAgeMost && now.Sub(l.at) <= v.cfg.LoadMemory {
-			list = append(list, loadStatus{worker, uint64(l.busy), uint8(units)})
+			list = append(list, loadStatus{worker: worker, report: l.report, busy: uint64(l.busy), age: uint8(units)})
 		}
 	}
 	slices.SortFunc(list, func(a, b loadStatus) int {
 		return cmp.Or(cmp.Compare(a.age, b.age), cmp.Compare(a.worker, b.worker))
 	})
-	return list[:min(len(list), most, 255)]
+	most = min(len(list), most, 255)
+	// Half the room is for any others, so that none is left out for long.
+	for i := most / 2; i < most; i++ {
+		j := i + v.cfg.Random(len(list)-i)
+		list[i], list[j] = list[j], list[i]
+	}
+	return list[:most]
 }
--- a/plugins/gateway/choose.go
+++ b/plugins/gateway/choose.go
@@ -19,6 +19,7 @@
 	shared    int           // tokens of the prompt up to that part
 	rank      int           // position in the preference of the prompt, 0 is first
 	busy      int           // estimated requests on the worker
+	limit     int           // load at which a prompt leaves the worker, 0 for none
 	age       time.Duration // of the worker's load report
 	list      int64         // version of the list of workers
 	listAge   time.Duration
@@ -69,7 +70,7 @@
 		return choice{}, false
 	}
 	g.decisions.count("choices", "reason", c.reason)
-	g.decisions.request("worker chosen", "request", x.in.ID, "upstream", x.destination, "worker", c.worker.ID, "reason", c.reason, "key", strconv.FormatUint(c.key, 16), "shared_tokens", c.shared, "rank", c.rank, "busy", c.busy, "fetch_from", c.fetchFrom, "load_age_ms", c.loadAge(), "list", c.list, "list_age_ms", c.listAge.Milliseconds(), "attempt", len(x.tried))
+	g.decisions.request("worker chosen", "request", x.in.ID, "upstream", x.destination, "worker", c.worker.ID, "reason", c.reason, "key", strconv.FormatUint(c.key, 16), "shared_tokens", c.shared, "rank", c.rank, "busy", c.busy, "limit", c.limit, "fetch_from", c.fetchFrom, "load_age_ms", c.loadAge(), "list", c.list, "list_age_ms", c.listAge.Milliseconds(), "attempt", len(x.tried))
 	return c, true
 }
 
@@ -162,7 +163,7 @@
 	if best.rank > 0 && best.reason == choseHome {
 		best.reason = choseNext
 	}
-	best.key = key
+	best.key, best.limit = key, int(limit)
 	best.fetchFrom = f.fetchSource(parts, best, free, ranked, now)
 	for _, p := range parts {
 		best.shared += p.Tokens
