--- a/plugins/gateway/choose.go
+++ b/plugins/gateway/choose.go
@@ -36,7 +36,7 @@
 	// others send between two reports are allowed for.
 	manyRouters = 16
 	// unseenDeviations is the number of standard deviations allowed for.
-	unseenDeviations = 2
+	unseenDeviations = 1
 	// rateMemory is the time over which the rate of requests is averaged.
 	rateMemory = 2 * time.Second
 )
