--- a/plugins/gateway/refuse.go
+++ b/plugins/gateway/refuse.go
@@ -33,7 +33,15 @@
 // deny answers a request that the configuration does not allow.
 func (g *Gateway) deny(x *exchange, status int, reason string, err error) {
 	x.end(endDenied, reason, err)
-	g.answer(x, status, core.KindInvalidRequest, core.OutcomeNotRun)
+	g.answer(x, status, denialKinds[status], core.OutcomeNotRun)
+}
+
+// denialKinds are the kinds of problems by the status of a denial.
+var denialKinds = map[int]core.ProblemKind{
+	http.StatusBadRequest:            core.KindInvalidRequest,
+	http.StatusUnauthorized:          core.KindUnauthorized,
+	http.StatusNotFound:              core.KindNotFound,
+	http.StatusRequestEntityTooLarge: core.KindBodyTooLarge,
 }
 
 // fail answers a request that may have run, before anything of its answer was
