--- a/plugins/gateway/choose.go
+++ b/plugins/gateway/choose.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -25,31 +24,23 @@
 	listAge   time.Duration
 }
 
+// Reasons of choices.
 const (
-	// loadAllowed is the number of requests that a worker may carry beyond the
-	// bound, so that prompts stay together while there is little load.
-	loadAllowed = 3
-	// boundMargin is the share of the bound that a router uses, since reports
-	// of load are some hundred ms old.
-	boundMargin = 0.9
-	// manyRouters is the number of routers from which on the requests that
-	// others send between two reports are allowed for.
-	manyRouters = 16
-	// unseenDeviations is the number of standard deviations allowed for.
-	unseenDeviations = 1
-	// rateMemory is the time over which the rate of requests is averaged.
-	rateMemory = 2 * time.Second
+	choseHome   = "home"       // first choice of the prompt
+	choseNext   = "next"       // a later choice, the ones before are busy
+	choseIdle   = "least busy" // no prompt to place by
+	choseLoaded = "all busy"
 )
 
-// Reasons of choices.
 const (
-	choseHome     = "home"       // first choice of the prompt
-	choseNext     = "next"       // a later choice, the ones before are busy
-	choseIdle     = "least busy" // no prompt to place by
-	choseLoaded   = "all busy"
-	otherDomain   = 0.5 // requests by which a worker of another domain must be less busy
-	preferences   = 4   // choices of a prompt that are looked at
-	sharedAtLeast = 2   // parts of a prompt of which the last is the request's own
+	// preferences is the number of choices of a prompt that are looked at.
+	preferences = 4
+	// sharedAtLeast is the number of parts of a prompt from which on the last
+	// one is the request's own.
+	sharedAtLeast = 2
+	// otherDomain is the number of requests by which a worker of another
+	// failure domain must be less busy.
+	otherDomain = 0.5
 )
 
 // loadAge is the age of the worker's load report in ms, -1 for none.
@@ -172,98 +163,6 @@
 	return best
 }
 
-// loadLimit is the load above which a prompt goes to its next choice.
-func (f *fleet) loadLimit(free []*worker, now time.Time) float64 {
-	sum := 0
-	for _, w := range free {
-		sum += w.busy(now)
-	}
-	return boundMargin*f.settings.LoadBound*float64(sum)/float64(len(free)) + loadAllowed
-}
-
-// arrived counts a request of this router in the average rate.
-func (p *pool) arrived(now time.Time) {
-	p.recent = p.recentAt(now) + 1
-	p.counted = now
-}
-
-func (p *pool) recentAt(now time.Time) float64 {
-	return p.recent * math.Exp(-now.Sub(p.counted).Seconds()/rateMemory.Seconds())
-}
-
-// unseen is the number of requests by which a worker's load may have risen
-// since it was reported. Requests of other routers begin and end at the same
-// rate, so the load wanders by the square root of their number.
-func (p *pool) unseen(w *worker, now time.Time) float64 {
-	age := now.Sub(w.loadAt)
-	if p.routers < manyRouters || age > loadMemory {
-		return 0 // others are few, or the worker does not report
-	}
-	rate := p.recentAt(now) / rateMemory.Seconds() * float64(p.routers-1) / float64(len(p.workers))
-	return unseenDeviations * math.Sqrt(2*rate*age.Seconds())
-}
-
-// fetchSource names a worker that probably keeps more of the prompt than the
-// chosen one: the worker that had the last shared part before, by this router's
-// memory or else by its rank, or one that has the parts before it.
-func (f *fleet) fetchSource(parts []core.PromptPart, c choice, free []*worker, ranked []int, now time.Time) string {
-	last := len(parts) - 1
-	if home := f.homes.get(parts[last].ID, now); home != nil {
-		if home == c.worker {
-			return ""
-		}
-		if f.reachable(home, now) {
-			return home.Address
-		}
-	} else if address := f.formerHome(parts[last].ID, c, free, ranked, now); address != "" {
-		return address
-	}
-	for i := last - 1; i >= 0; i-- {
-		if home := f.homes.get(parts[i].ID, now); home != nil && home != c.worker && f.reachable(home, now) {
-			return home.Address
-		}
-	}
-	return ""
-}
-
-// formerHome names the worker that was the first choice of a part before the
-// chosen one, if the list of workers changed lately.
-func (f *fleet) formerHome(key uint64, c choice, free []*worker, ranked []int, now time.Time) string {
-	if c.rank > 0 {
-		return free[ranked[0]].Address
-	}
-	if c.worker.joined.IsZero() || now.Sub(c.worker.joined) > youngWorker {
-		return f.departed(key, c.worker, now)
-	}
-	if len(ranked) > 1 {
-		return free[ranked[1]].Address
-	}
-	return ""
-}
-
-// reachable reports whether a worker may still answer.
-func (f *fleet) reachable(w *worker, now time.Time) bool {
-	if f.byID[w.ID] == w {
-		return !w.lost
-	}
-	return !w.lost && !w.left.IsZero() && now.Sub(w.left) <= departedMemory
-}
-
-// departed returns the address of a worker that left lately and was the first
-// choice of the key before.
-func (f *fleet) departed(key uint64, chosen *worker, now time.Time) string {
-	top, address := placement.Score(key, chosen.hash), ""
-	for _, w := range f.leaving {
-		if w.Upstream != chosen.Upstream || now.Sub(w.left) > departedMemory {
-			continue
-		}
-		if score := placement.Score(key, w.hash); score > top {
-			top, address = score, w.Address
-		}
-	}
-	return address
-}
-
 // leastBusy takes the least busy worker, preferring the router's own failure
 // domain by a margin.
 func (f *fleet) leastBusy(free []*worker, now time.Time) choice {
--- /dev/null
+++ b/plugins/gateway/load.go
@@ -0,0 +1,57 @@
+package gateway
+
+import (
+	"math"
+	"time"
+)
+
+// A prompt stays with the worker that has its parts while that one is within
+// the bound. Load pattern: many routers that each see a sliver of the traffic
+// and learn of a worker's load some hundred ms late.
+
+const (
+	// loadAllowed is the number of requests that a worker may carry beyond the
+	// bound, so that prompts stay together while there is little load.
+	loadAllowed = 3
+	// boundMargin is the share of the bound that a router uses, since reports
+	// of load are some hundred ms old.
+	boundMargin = 0.9
+	// manyRouters is the number of routers from which on the requests that
+	// others send between two reports are allowed for.
+	manyRouters = 16
+	// unseenDeviations is the number of standard deviations allowed for.
+	unseenDeviations = 1
+	// rateMemory is the time over which the rate of requests is averaged.
+	rateMemory = 2 * time.Second
+)
+
+// loadLimit is the load above which a prompt goes to its next choice.
+func (f *fleet) loadLimit(free []*worker, now time.Time) float64 {
+	sum := 0
+	for _, w := range free {
+		sum += w.busy(now)
+	}
+	return boundMargin*f.settings.LoadBound*float64(sum)/float64(len(free)) + loadAllowed
+}
+
+// arrived counts a request of this router in the average rate.
+func (p *pool) arrived(now time.Time) {
+	p.recent = p.recentAt(now) + 1
+	p.counted = now
+}
+
+func (p *pool) recentAt(now time.Time) float64 {
+	return p.recent * math.Exp(-now.Sub(p.counted).Seconds()/rateMemory.Seconds())
+}
+
+// unseen is the number of requests by which a worker's load may have risen
+// since it was reported. Requests of other routers begin and end at the same
+// rate, so the load wanders by the square root of their number.
+func (p *pool) unseen(w *worker, now time.Time) float64 {
+	age := now.Sub(w.loadAt)
+	if p.routers < manyRouters || age > loadMemory {
+		return 0 // others are few, or the worker does not report
+	}
+	rate := p.recentAt(now) / rateMemory.Seconds() * float64(p.routers-1) / float64(len(p.workers))
+	return unseenDeviations * math.Sqrt(2*rate*age.Seconds())
+}
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -3,9 +3,10 @@
 // route's upstream and passes the answer on.
 //
 // A request moves through the files in this order: server.go (listeners and
-// stop), handler.go (route, key, body), choose.go (worker), attempt.go (one
-// try on a worker), whole.go or stream.go (the answer), refuse.go (answers of
-// the router's own), decision.go (log and metrics).
+// stop), handler.go (route, key, body), choose.go with load.go and fetch.go
+// (worker), attempt.go and stall.go (one try on a worker), whole.go or
+// stream.go (the answer), refuse.go (answers of the router's own), decision.go
+// (log and metrics). fleet.go and reach.go keep what is known of workers.
 package gateway
 
 import (
