Lower the load bound while overloaded workers drain

No router sends to a worker above the bound, so none heard that its load fell from 90 to 10 within 4 s; for 3 s its last report kept the estimated mean at 25 to 28 where it was 10 to 14, and a worker with 38 stayed below the limit.

Ruled out: reports that gossip delays (workers in use had reports of 0 to 0.7 s); too few routers (7, each with a seventh of the requests).

Change: the limit is taken a second time with what can be left on workers above it, their load shrunk by the average time of a request.

TestLoadBound fails before with a limit of 58.8.

--- a/plugins/gateway/choose.go
+++ b/plugins/gateway/choose.go
@@ -12,6 +12,7 @@
 // choice is a worker for an attempt, with what decided.
 type choice struct {
 	worker    *worker
+	at        time.Time
 	fetchFrom string // address of a worker that may keep the prompt's parts
 	reason    string
 	key       uint64        // part of the prompt that decided, 0 for none
@@ -80,6 +81,7 @@
 	if !ok {
 		return choice{}, false
 	}
+	c.at = now
 	c.busy = c.worker.busy(now)
 	c.age = now.Sub(c.worker.loadAt)
 	c.list, c.listAge = f.version, now.Sub(f.read)
--- a/plugins/gateway/choose_test.go
+++ b/plugins/gateway/choose_test.go
@@ -78,6 +78,27 @@
 		c, _ = f.choose(promptExchange(1, 2, 5), now)
 		So(c.worker, ShouldNotEqual, home)
 	})
+	Convey("The bound falls with the load after a flood, before the workers above it report again", t, func() {
+		f, now := chooser(10)
+		p := f.pools[testEngine]
+		p.held = time.Second
+		workers := p.workers
+		for _, w := range workers {
+			w.load, w.loadAt = 10, now
+		}
+		// Nobody sends to these, so nothing reports that their requests end.
+		for _, w := range workers[:3] {
+			w.load, w.loadAt = 80, now.Add(-2*time.Second)
+		}
+		// What was there 2 s ago has shrunk to 80/e^2 = 10.8 with requests that
+		// take 1 s: the mean is 10.2, and 0.9 * 2 * mean + 3 is 21.
+		So(f.loadLimit(workers, now), ShouldBeBetween, 19, 23)
+		for key := uint64(1); key < 50; key++ {
+			c, _ := f.choose(promptExchange(key, 2), now)
+			So(c.busy, ShouldBeLessThan, 23)
+			c.worker.inFlight, c.worker.added = 0, 0
+		}
+	})
 	Convey("A report of load counts for 3 s, own requests always", t, func() {
 		f, now := chooser(2)
 		w := f.byID["engine-0"]
--- a/plugins/gateway/fleet.go
+++ b/plugins/gateway/fleet.go
@@ -39,6 +39,7 @@
 	routers int     // that send to the upstream, this one included
 	recent  float64 // requests of this router over rateMemory, at counted
 	counted time.Time
+	held    time.Duration // average time of a request on a worker, 0 if not known
 }
 
 // worker is one process of an upstream. Fields after the blank line are
@@ -192,12 +193,15 @@
 }
 
 // ended records the end of an attempt.
-func (f *fleet) ended(w *worker, ok bool) {
+func (f *fleet) ended(c choice, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w.inFlight--
+	now := time.Now()
+	c.worker.inFlight--
 	if ok {
-		f.pool(w.Upstream).ejector.Success(time.Now(), w.ID)
+		p := f.pool(c.worker.Upstream)
+		p.took(now.Sub(c.at))
+		p.ejector.Success(now, c.worker.ID)
 	}
 }
 
--- a/plugins/gateway/load.go
+++ b/plugins/gateway/load.go
@@ -23,15 +23,48 @@
 	unseenDeviations = 1
 	// rateMemory is the time over which the rate of requests is averaged.
 	rateMemory = 2 * time.Second
+	// heldShare is the part of the average, one of so many, that a new time on
+	// a worker makes up: lengths of answers differ widely.
+	heldShare = 16
 )
 
-// loadLimit is the load above which a prompt goes to its next choice.
+// loadLimit is the load above which a prompt goes to its next choice. Nobody
+// sends to workers above it, so nothing reports how their load falls: the
+// limit is taken again with what can be left of it.
 func (f *fleet) loadLimit(free []*worker, now time.Time) float64 {
 	sum := 0
 	for _, w := range free {
 		sum += w.busy(now)
 	}
-	return boundMargin*f.settings.LoadBound*float64(sum)/float64(len(free)) + loadAllowed
+	limit := f.limitAt(sum, len(free))
+	for _, w := range free {
+		if busy := w.busy(now); float64(busy) > limit {
+			sum += f.pool(w.Upstream).left(w, now) - busy
+		}
+	}
+	return f.limitAt(sum, len(free))
+}
+
+func (f *fleet) limitAt(sum, workers int) float64 {
+	return boundMargin*f.settings.LoadBound*float64(sum)/float64(workers) + loadAllowed
+}
+
+// left estimates the requests on a worker that gets no new ones.
+func (p *pool) left(w *worker, now time.Time) int {
+	busy := w.busy(now)
+	age := now.Sub(w.loadAt)
+	if p.held == 0 || age > loadMemory {
+		return busy
+	}
+	return max(w.inFlight, int(float64(busy)*math.Exp(-age.Seconds()/p.held.Seconds())))
+}
+
+// took takes the time that a request spent on a worker into the average.
+func (p *pool) took(t time.Duration) {
+	if p.held == 0 {
+		p.held = t
+	}
+	p.held += (t - p.held) / heldShare
 }
 
 // arrived counts a request of this router in the average rate.
--- a/plugins/gateway/stream.go
+++ b/plugins/gateway/stream.go
@@ -30,7 +30,7 @@
 			return
 		}
 		a, f := g.attemptStream(x, s, c)
-		g.fleet.ended(c.worker, f == nil)
+		g.fleet.ended(c, f == nil)
 		if f == nil && a == nil {
 			x.end(endServed, "", nil)
 			return
--- a/plugins/gateway/whole.go
+++ b/plugins/gateway/whole.go
@@ -24,7 +24,7 @@
 		}
 		a, f := g.attemptWhole(x, c)
 		if f == nil && a.status < http.StatusInternalServerError {
-			g.fleet.ended(c.worker, true)
+			g.fleet.ended(c, true)
 			g.deliver(x, a, endServed)
 			return
 		}
@@ -32,7 +32,7 @@
 			failed = a
 			f = &failure{outcome: core.OutcomeRan, sent: true, reason: failStatus, err: errors.New(strconv.Itoa(a.status))}
 		}
-		g.fleet.ended(c.worker, false)
+		g.fleet.ended(c, false)
 		g.attemptFailed(x, c, f)
 		last = f
 		if !g.mayRepeat(x, f) {
