Report not ready on the smaller side of a partition

Cause: in a zone cut the routers of the zone went on taking the zone's callers.

Change: a router that reaches no worker of another failure domain, although these have most workers, reports not ready, and closes callers' connections after the drain delay. The loss of a worker by silence has one worker of each other domain checked.

TestIsolation fails before.

--- a/plugins/gateway/fleet.go
+++ b/plugins/gateway/fleet.go
@@ -260,6 +260,22 @@
 	return list
 }
 
+// samples returns one worker that is not lost of each failure domain that is
+// neither the router's nor the worker's.
+func (f *fleet) samples(w *worker) []*worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	seen := map[string]bool{f.domain: true, w.FailureDomain: true}
+	var list []*worker
+	for _, other := range f.byID {
+		if !seen[other.FailureDomain] && !other.lost {
+			seen[other.FailureDomain] = true
+			list = append(list, other)
+		}
+	}
+	return list
+}
+
 // loaded records what a worker says of its load.
 func (f *fleet) loaded(w *worker, l core.WorkerLoad) {
 	now := time.Now()
--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -89,6 +89,7 @@
 	if g.server.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	g.redirect(w.Header())
 	g.serve(x)
 	g.decisions.ended(x)
 	if x.abort {
--- a/plugins/gateway/reach.go
+++ b/plugins/gateway/reach.go
@@ -10,7 +10,8 @@
 
 // A worker that cannot be reached gets no requests until a connection to it
 // can be opened again. A partition cuts off whole failure domains, so the loss
-// of one worker has the others of its domain checked at once.
+// of one worker has the others of its domain checked at once, and one worker of
+// each other domain, which requests may reach rarely.
 
 // reach opens connections to lost workers until one succeeds.
 type reach struct {
@@ -61,14 +62,17 @@
 		return
 	}
 	for _, other := range r.g.fleet.neighbours(w) {
-		go r.check(other)
+		go r.check(other, func(err error) { r.lose(other, err) })
+	}
+	for _, other := range r.g.fleet.samples(w) {
+		go r.check(other, func(err error) { r.failed(other, err) })
 	}
 }
 
-// check loses a worker that cannot be reached.
-func (r *reach) check(w *worker) {
+// check calls lost if a worker cannot be reached.
+func (r *reach) check(w *worker, lost func(error)) {
 	if err := r.dial(r.ctx, w.Address); err != nil && r.ctx.Err() == nil {
-		r.lose(w, err)
+		lost(err)
 	}
 }
 
@@ -78,6 +82,7 @@
 		return false
 	}
 	r.g.decisions.change("worker lost", "worker", w.ID, "upstream", w.Upstream, "failure_domain", w.FailureDomain, "error", err)
+	r.g.noteReach()
 	go r.regain(w)
 	return true
 }
@@ -93,6 +98,7 @@
 		if r.dial(r.ctx, w.Address) == nil {
 			r.g.fleet.setLost(w, false)
 			r.g.decisions.change("worker regained", "worker", w.ID, "upstream", w.Upstream)
+			r.g.noteReach()
 			return
 		}
 	}
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -6,7 +6,8 @@
 // stop), handler.go (route, key, body), choose.go with load.go and fetch.go
 // (worker), attempt.go and stall.go (one try on a worker), whole.go or
 // stream.go (the answer), refuse.go (answers of the router's own), decision.go
-// (log and metrics). fleet.go and reach.go keep what is known of workers.
+// (log and metrics). fleet.go, reach.go and isolation.go keep what is known of
+// workers.
 package gateway
 
 import (
@@ -127,7 +128,9 @@
 	fleet    *fleet
 	upstream *upstream
 	reach    *reach
-	server   *server
+
+	isolation isolation
+	server    *server
 }
 
 // New returns a gateway that does not listen yet.
@@ -187,6 +190,7 @@
 	for _, c := range changes {
 		g.decisions.change("worker "+c.what, "worker", c.worker, "upstream", c.upstream, "version", s.Version, "workers", len(s.Workers))
 	}
+	g.noteReach()
 }
 
 // newScope returns the scope whose snapshot the metrics address prints.
