--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -3,14 +3,9 @@
 import (
 	"net/http"
 	"time"
-)
 
-// PromptPart is one part of a prompt. Requests share parts; a part is cached
-// for another request only if all parts before it are the same.
-type PromptPart struct {
-	ID     uint64
-	Tokens int
-}
+	"github.com/auburnlead/auburnlead/routing"
+)
 
 // RouteRequest is what a request on a route says of itself.
 type RouteRequest struct {
@@ -20,7 +15,7 @@
 	// LastEventID is the number of the last event that the caller has of a
 	// stream that it resumes, 0 for a stream from its start.
 	LastEventID  uint64
-	Prompt       []PromptPart
+	Prompt       []routing.Part
 	PromptTokens int // 0 if not said
 	OutputTokens int // the most that may be generated, 0 if not said
 }
@@ -44,13 +39,6 @@
 	Running, Waiting, Slots int
 }
 
-// SharedLoad is a worker's load as some router saw it.
-type SharedLoad struct {
-	Worker uint32 // gossip.WorkerHash of its ID
-	Busy   int    // requests on it
-	At     time.Time
-}
-
 // LoadShare tells the other routers of workers' loads. Implemented by
 // plugins/gossip.
 type LoadShare interface {
@@ -60,7 +48,7 @@
 	Routers() int
 	// SubscribeLoads calls fn with loads younger than those before. fn must
 	// not block.
-	SubscribeLoads(fn func([]SharedLoad))
+	SubscribeLoads(fn func([]routing.Load))
 }
 
 // AnswerHeader is what the header of a worker's answer says.
@@ -82,30 +70,11 @@
 	Answer(status int, h http.Header) AnswerHeader
 }
 
-// ListedWorker is a worker as the list of workers has it.
-type ListedWorker struct {
-	ID            string
-	Upstream      string
-	Address       string // IP:port
-	FailureDomain string
-	Slots         int   // requests that it runs at a time
-	Born          int64 // start of the process in ms since the epoch, 0 if not said
-	Draining      bool
-}
-
-// WorkerSnapshot is the list of workers at a moment. It is not modified after
-// it has been published.
-type WorkerSnapshot struct {
-	Version int64
-	At      time.Time // when it was read
-	Workers []ListedWorker
-}
-
 // WorkerList follows the workers of all upstreams.
 type WorkerList interface {
 	// Workers returns the newest list, nil before the first one.
-	Workers() *WorkerSnapshot
+	Workers() *routing.List
 	// SubscribeWorkers calls fn with each newer list, one call at a time, and
 	// once at once if there is one. fn must not block.
-	SubscribeWorkers(fn func(*WorkerSnapshot))
+	SubscribeWorkers(fn func(*routing.List))
 }
--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/routing"
 )
 
 // reply is a worker's answer whose header has been read and belongs to the
@@ -59,7 +60,7 @@
 
 // send gives the request to a worker and reads the header of its answer. The
 // caller closes the body of the reply and calls cancel.
-func (g *Gateway) send(x *exchange, c choice, lastEvent uint64) (*reply, *failure) {
+func (g *Gateway) send(x *exchange, c routing.Choice, lastEvent uint64) (*reply, *failure) {
 	ctx, cancel := context.WithCancel(x.ctx)
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
@@ -75,7 +76,7 @@
 	}
 	h := g.wire.Answer(resp.StatusCode, resp.Header)
 	if h.Load != nil && h.ID == x.in.ID {
-		g.fleet.loaded(c.worker, *h.Load)
+		g.loaded(c.Worker, *h.Load)
 	}
 	if f := checkHeader(x.in.ID, resp.StatusCode, h); f != nil {
 		watch.stop()
@@ -117,14 +118,14 @@
 
 // attemptRequest builds the request to a worker: the caller's method, path,
 // query and body, with the header of an attempt.
-func (g *Gateway) attemptRequest(ctx context.Context, x *exchange, c choice, lastEvent uint64) *http.Request {
+func (g *Gateway) attemptRequest(ctx context.Context, x *exchange, c routing.Choice, lastEvent uint64) *http.Request {
 	u := *x.r.URL
-	u.Scheme, u.Host = "http", c.worker.Address
+	u.Scheme, u.Host = "http", c.Worker.Address
 	h := x.r.Header.Clone()
 	dropHopHeaders(h)
 	a := core.AttemptHeader{
-		Worker: c.worker.ID, Left: time.Until(x.deadline), Caller: x.callerName(),
-		Priority: x.priority(), FetchFrom: c.fetchFrom, LastEventID: lastEvent,
+		Worker: c.Worker.ID, Left: time.Until(x.deadline), Caller: x.callerName(),
+		Priority: x.priority(), FetchFrom: c.FetchFrom, LastEventID: lastEvent,
 	}
 	g.wire.Attempt(h, a)
 	if _, ok := h["User-Agent"]; !ok {
@@ -188,7 +189,7 @@
 	if f.outcome != core.OutcomeNotRun && (!x.route.Repeatable() || x.ranOn >= x.route.MaxAttempts) {
 		return false
 	}
-	if !f.paid && !g.fleet.allowRepeat(x.destination) {
+	if !f.paid && !g.fleet.AllowRepeat(x.destination, time.Now()) {
 		g.decisions.count("repeats_refused", "reason", f.reason)
 		return false
 	}
@@ -200,16 +201,16 @@
 const maxTries = 4
 
 // attemptFailed records a failed attempt.
-func (g *Gateway) attemptFailed(x *exchange, c choice, f *failure) {
+func (g *Gateway) attemptFailed(x *exchange, c routing.Choice, f *failure) {
 	if f.outcome != core.OutcomeNotRun {
 		x.ranOn++
 	}
 	if x.r.Context().Err() == nil && f.reason != failRefused {
-		g.reach.failed(c.worker, f.err)
-		if g.fleet.failed(c.worker) {
-			g.decisions.change("worker ejected", "worker", c.worker.ID, "upstream", c.worker.Upstream, "reason", f.reason)
+		g.reach.failed(c.Worker, f.err)
+		if g.fleet.Failed(c.Worker, time.Now()) {
+			g.decisions.change("worker ejected", "worker", c.Worker.ID, "upstream", c.Worker.Upstream, "reason", f.reason)
 		}
 	}
 	g.decisions.count("attempt_failures", "reason", f.reason)
-	g.decisions.request("attempt failed", "request", x.in.ID, "worker", c.worker.ID, "attempt", len(x.tried), "reason", f.reason, "outcome", f.outcome, "error", f.err)
+	g.decisions.request("attempt failed", "request", x.in.ID, "worker", c.Worker.ID, "attempt", len(x.tried), "reason", f.reason, "outcome", f.outcome, "error", f.err)
 }
--- a/plugins/gateway/gateway_test.go
+++ b/plugins/gateway/gateway_test.go
@@ -11,7 +11,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/routing"
 )
 
 // Guards against requests that wait for workers behind a partition, one after
@@ -34,14 +34,13 @@
 			}
 			pass(100 * time.Millisecond)
 		}
-		for id, p := range w.workers {
+		for _, p := range w.workers {
 			w.network.setDark(p.Address, false)
-			_ = id
 		}
 		pass(2 * reachLongest)
-		for id := range w.workers {
-			So(w.fleet.byID[id].lost, ShouldBeFalse)
-		}
+		listed, reached, _ := w.fleet.Elsewhere()
+		So(listed, ShouldBeGreaterThan, 0)
+		So(reached, ShouldEqual, listed)
 	})
 	inBubble(t, "A request without a worker that can be reached is refused at once", desks(3), func(w *world) {
 		for _, p := range w.workers {
@@ -339,7 +338,7 @@
 			rw.Header().Set(testSeal, "s")
 			events(rw, 1, 1)
 		})
-		w.applyWorkers(&core.WorkerSnapshot{Version: 2, At: time.Now(), Workers: joined})
+		w.applyWorkers(&routing.List{Version: 2, At: time.Now(), Workers: joined})
 		moved := 0
 		for i := range 60 {
 			r := place(i)
--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -11,6 +11,7 @@
 
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/objects"
+	"github.com/auburnlead/auburnlead/routing"
 )
 
 // exchange is one request of a caller on its way.
@@ -29,8 +30,8 @@
 	limit       time.Duration // the caller's deadline or the route's timeout
 	deadline    time.Time
 
-	tried     []*worker // workers to which the request was given, in order
-	ranOn     int       // workers that ran it or may have
+	tried     []*routing.Worker // workers to which the request was given, in order
+	ranOn     int               // workers that ran it or may have
 	status    int
 	outcome   string // how it ended, for log and metrics
 	reason    string // why it ended so
--- a/plugins/gateway/harness_test.go
+++ b/plugins/gateway/harness_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/objects"
+	"github.com/auburnlead/auburnlead/routing"
 )
 
 // Header names of the tests' wire.
@@ -57,7 +58,7 @@
 		if err != nil {
 			return r, err
 		}
-		r.Prompt = append(r.Prompt, core.PromptPart{ID: id, Tokens: 100})
+		r.Prompt = append(r.Prompt, routing.Part{ID: id, Tokens: 100})
 	}
 	return r, nil
 }
@@ -152,7 +153,7 @@
 // testWorkerProcess is a worker that answers with a handler and counts what
 // reached it.
 type testWorkerProcess struct {
-	core.ListedWorker
+	routing.Listing
 	mu      sync.Mutex
 	arrived []*http.Request
 	handle  http.HandlerFunc
@@ -187,7 +188,7 @@
 	testDesk   = "desk"
 )
 
-func newWorld(workers ...core.ListedWorker) *world {
+func newWorld(workers ...routing.Listing) *world {
 	w := &world{network: &network{listeners: map[string]*memoryListener{}, dark: map[string]bool{}}, workers: map[string]*testWorkerProcess{}}
 	s := &Settings{ConnectTimeout: setupTime, SilenceTimeout: 700 * time.Millisecond, IdlePerWorker: 4, WorkerIdleTimeout: 2 * time.Second, HeaderBytes: 1 << 16, BodyBytes: 1 << 20, AnswerBytes: 1 << 16, EventBytes: 1 << 12, LoadBound: 2, RetryRatio: 0.2, RetrySlack: 160, Routers: 16, LogLines: 100}
 	w.Gateway = New(Params{
@@ -201,8 +202,8 @@
 	return w
 }
 
-func (w *world) startWorker(l core.ListedWorker) {
-	p := &testWorkerProcess{ListedWorker: l, handle: serveOK}
+func (w *world) startWorker(l routing.Listing) {
+	p := &testWorkerProcess{Listing: l, handle: serveOK}
 	listener := &memoryListener{address: l.Address, conns: make(chan net.Conn), done: make(chan struct{})}
 	server := &http.Server{Handler: p, ErrorLog: log.New(io.Discard).StandardLog()}
 	w.workers[l.ID] = p
@@ -336,17 +337,17 @@
 }
 
 // desks returns n workers of the service, all in the router's domain.
-func desks(n int) []core.ListedWorker { return listed(testDesk, n, func(int) string { return "a" }) }
+func desks(n int) []routing.Listing { return listed(testDesk, n, func(int) string { return "a" }) }
 
 // engines returns n engine workers, all in the router's domain.
-func engines(n int) []core.ListedWorker {
+func engines(n int) []routing.Listing {
 	return listed(testEngine, n, func(int) string { return "a" })
 }
 
-func listed(upstream string, n int, domain func(i int) string) []core.ListedWorker {
-	list := make([]core.ListedWorker, n)
+func listed(upstream string, n int, domain func(i int) string) []routing.Listing {
+	list := make([]routing.Listing, n)
 	for i := range list {
-		list[i] = core.ListedWorker{ID: fmt.Sprintf("%s-%d", upstream, i), Upstream: upstream, Address: fmt.Sprintf("%s-%d:1", upstream, i), FailureDomain: domain(i), Slots: 8}
+		list[i] = routing.Listing{ID: fmt.Sprintf("%s-%d", upstream, i), Upstream: upstream, Address: fmt.Sprintf("%s-%d:1", upstream, i), FailureDomain: domain(i), Slots: 8}
 	}
 	return list
 }
@@ -358,18 +359,18 @@
 	fn(c.Current())
 }
 
-type testList struct{ workers []core.ListedWorker }
+type testList struct{ workers []routing.Listing }
 
-func (l testList) Workers() *core.WorkerSnapshot {
-	return &core.WorkerSnapshot{Version: 1, At: time.Now(), Workers: l.workers}
+func (l testList) Workers() *routing.List {
+	return &routing.List{Version: 1, At: time.Now(), Workers: l.workers}
 }
-func (l testList) SubscribeWorkers(fn func(*core.WorkerSnapshot)) { fn(l.Workers()) }
+func (l testList) SubscribeWorkers(fn func(*routing.List)) { fn(l.Workers()) }
 
 // pass lets virtual time pass.
 func pass(d time.Duration) { <-time.After(d) }
 
 // inBubble runs a test of a world in virtual time.
-func inBubble(t *testing.T, name string, workers []core.ListedWorker, body func(w *world)) {
+func inBubble(t *testing.T, name string, workers []routing.Listing, body func(w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		Convey(name, t, func() {
 			w := newWorld(workers...)
--- a/plugins/gateway/isolation.go
+++ b/plugins/gateway/isolation.go
@@ -28,23 +28,6 @@
 // a failure domain's restart.
 const isolationMemory = time.Minute
 
-// elsewhere counts the workers of other failure domains and those of them that
-// can be reached, and all workers.
-func (f *fleet) elsewhere() (listed, reached, all int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, w := range f.byID {
-		if w.FailureDomain == f.domain {
-			continue
-		}
-		listed++
-		if !w.lost {
-			reached++
-		}
-	}
-	return listed, reached, len(f.byID)
-}
-
 // noteReach takes over a change of what can be reached. Isolated is a router
 // that reaches no worker of another failure domain although these have more
 // than half of the workers; of two sides of a partition at most one is.
@@ -52,7 +35,7 @@
 	g.isolation.mu.Lock()
 	defer g.isolation.mu.Unlock()
 	now := time.Now()
-	listed, reached, all := g.fleet.elsewhere()
+	listed, reached, all := g.fleet.Elsewhere()
 	was := !g.isolation.since.IsZero()
 	isolated := reached == 0 && 2*listed > all
 	if isolated {
--- a/plugins/gateway/isolation_test.go
+++ b/plugins/gateway/isolation_test.go
@@ -9,7 +9,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/routing"
 )
 
 // Guards against callers that stay with a router which a partition leaves with
@@ -30,7 +30,7 @@
 			w.network.setDark(w.workers[id].Address, true)
 		}
 		// One request meets the partition; the rest is found by checks.
-		w.reach.failed(w.fleet.byID[ids[0]], &dialError{os.ErrDeadlineExceeded})
+		w.reach.failed(w.fleet.Worker(ids[0]), &dialError{os.ErrDeadlineExceeded})
 		pass(time.Second)
 	}
 	inBubble(t, "A router that reaches only its own failure domain is not ready, serves on and sends callers away", listed(testDesk, 4, spread(4)), func(w *world) {
@@ -55,7 +55,7 @@
 	inBubble(t, "A router stays isolated while the registrations behind a partition lapse, for a minute", listed(testDesk, 4, spread(4)), func(w *world) {
 		lose(w, "desk-1", "desk-2", "desk-3")
 		So(ready(w), ShouldBeFalse)
-		w.applyWorkers(&core.WorkerSnapshot{Version: 2, At: time.Now(), Workers: listed(testDesk, 2, spread(4))})
+		w.applyWorkers(&routing.List{Version: 2, At: time.Now(), Workers: listed(testDesk, 2, spread(4))})
 		pass(isolationMemory - time.Second)
 		So(ready(w), ShouldBeFalse)
 		pass(2 * time.Second)
--- a/plugins/gateway/reach.go
+++ b/plugins/gateway/reach.go
@@ -6,6 +6,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/auburnlead/auburnlead/routing"
 )
 
 // A worker that cannot be reached gets no requests until a connection to it
@@ -54,31 +56,31 @@
 }
 
 // failed takes the error of an attempt.
-func (r *reach) failed(w *worker, err error) {
+func (r *reach) failed(w *routing.Worker, err error) {
 	if !isLoss(err) || !r.lose(w, err) {
 		return
 	}
 	if !isSilence(err) {
 		return
 	}
-	for _, other := range r.g.fleet.neighbours(w) {
+	for _, other := range r.g.fleet.Neighbours(w) {
 		go r.check(other, func(err error) { r.lose(other, err) })
 	}
-	for _, other := range r.g.fleet.samples(w) {
+	for _, other := range r.g.fleet.Samples(w) {
 		go r.check(other, func(err error) { r.failed(other, err) })
 	}
 }
 
 // check calls lost if a worker cannot be reached.
-func (r *reach) check(w *worker, lost func(error)) {
+func (r *reach) check(w *routing.Worker, lost func(error)) {
 	if err := r.dial(r.ctx, w.Address); err != nil && r.ctx.Err() == nil {
 		lost(err)
 	}
 }
 
 // lose marks a worker as lost and reports whether it was not before.
-func (r *reach) lose(w *worker, err error) bool {
-	if !r.g.fleet.setLost(w, true) {
+func (r *reach) lose(w *routing.Worker, err error) bool {
+	if !r.g.fleet.SetLost(w, true) {
 		return false
 	}
 	r.g.decisions.change("worker lost", "worker", w.ID, "upstream", w.Upstream, "failure_domain", w.FailureDomain, "error", err)
@@ -88,15 +90,15 @@
 }
 
 // regain checks a lost worker until it can be reached or is gone.
-func (r *reach) regain(w *worker) {
-	for wait := reachFirst; r.g.fleet.lists(w); wait = min(2*wait, reachLongest) {
+func (r *reach) regain(w *routing.Worker) {
+	for wait := reachFirst; r.g.fleet.Lists(w); wait = min(2*wait, reachLongest) {
 		select {
 		case <-r.ctx.Done():
 			return
 		case <-time.After(wait):
 		}
 		if r.dial(r.ctx, w.Address) == nil {
-			r.g.fleet.setLost(w, false)
+			r.g.fleet.SetLost(w, false)
 			r.g.decisions.change("worker regained", "worker", w.ID, "upstream", w.Upstream)
 			r.g.noteReach()
 			return
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -3,11 +3,10 @@
 // route's upstream and passes the answer on.
 //
 // A request moves through the files in this order: server.go (listeners and
-// stop), handler.go (route, key, body), choose.go with load.go and fetch.go
-// (worker), attempt.go and stall.go (one try on a worker), whole.go or
+// stop), handler.go (route, key, body), choose.go (worker, by package routing), attempt.go and stall.go (one try on a worker), whole.go or
 // stream.go (the answer), refuse.go (answers of the router's own), decision.go
-// (log and metrics). fleet.go, reach.go and isolation.go keep what is known of
-// workers.
+// (log and metrics). reach.go and isolation.go find out which
+// workers can be reached.
 package gateway
 
 import (
@@ -19,6 +18,7 @@
 
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/kernel"
+	"github.com/auburnlead/auburnlead/routing"
 )
 
 // part is the name of the plug-in in readiness, addresses and logs.
@@ -123,9 +123,10 @@
 	addresses *core.Addresses
 	decisions *decisions
 	scope     tally.Scope
+	loads     core.LoadShare // nil for none
 
 	routes   routeIndex
-	fleet    *fleet
+	fleet    *routing.Fleet
 	upstream *upstream
 	reach    *reach
 
@@ -144,15 +145,15 @@
 		decisions: newDecisions(p.Logger.WithPrefix(part), p.Scope, p.Settings.LogLines),
 		scope:     p.Scope,
 		routes:    routeIndex{first: make(chan struct{})},
-		fleet:     newFleet(p.Identity.FailureDomain, p.Settings),
+		fleet:     routing.New(fleetConfig(p.Identity.FailureDomain, p.Settings)),
 		upstream:  newUpstream(p.Settings),
 	}
 	g.readiness.Require(partConfig)
 	g.readiness.Require(partWorkers)
 	g.readiness.Require(part)
 	if p.Loads != nil {
-		g.fleet.share = p.Loads
-		p.Loads.SubscribeLoads(g.fleet.sharedLoads)
+		g.loads = p.Loads
+		p.Loads.SubscribeLoads(func(l []routing.Load) { g.fleet.SharedLoads(g.loads.Routers(), l) })
 	}
 	p.Config.Subscribe(g.applyConfig)
 	p.Workers.SubscribeWorkers(g.applyWorkers)
@@ -170,10 +171,14 @@
 	partWorkers = "workers"
 )
 
+func fleetConfig(domain string, s *Settings) routing.Config {
+	return routing.Config{Domain: domain, LoadBound: s.LoadBound, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, Routers: s.Routers}
+}
+
 // reload takes over the settings that can change while requests run: those of
 // the retry budget and of the log. The others take a restart.
 func (g *Gateway) reload(s *Settings) {
-	g.fleet.setBudget(s)
+	g.fleet.Configure(fleetConfig(g.identity.FailureDomain, s))
 	g.decisions.setLines(s.LogLines)
 	g.decisions.change("settings in force", "retry_ratio", s.RetryRatio, "retry_slack", s.RetrySlack, "routers", s.Routers, "log_lines", s.LogLines)
 }
@@ -184,11 +189,11 @@
 	g.decisions.change("configuration in force", "revision", p.Revision, "routes", len(p.Set.Routes), "callers", len(p.Set.Callers), "upstreams", len(p.Set.Upstreams), "added", changes.added, "removed", changes.removed)
 }
 
-func (g *Gateway) applyWorkers(s *core.WorkerSnapshot) {
-	changes := g.fleet.apply(s)
+func (g *Gateway) applyWorkers(s *routing.List) {
+	changes := g.fleet.Apply(s)
 	g.readiness.SetReady(partWorkers, true, "")
 	for _, c := range changes {
-		g.decisions.change("worker "+c.what, "worker", c.worker, "upstream", c.upstream, "version", s.Version, "workers", len(s.Workers))
+		g.decisions.change("worker "+c.What, "worker", c.Worker, "upstream", c.Upstream, "version", s.Version, "workers", len(s.Workers))
 	}
 	g.noteReach()
 }
--- a/plugins/gateway/stall.go
+++ b/plugins/gateway/stall.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/auburnlead/auburnlead/routing"
 )
 
 // A worker can take a request and never answer, while its health check and its
@@ -10,46 +12,9 @@
 // after a fixed time repeats requests whenever a flood makes all workers slow.
 // The patience therefore follows the times that the upstream takes.
 
-// delay is the time that an upstream takes to its first byte: an average and
-// the average deviation from it, as for the retransmission of packets
-// (RFC 6298). It is guarded by fleet.mu.
-type delay struct {
-	known           bool
-	mean, deviation time.Duration
-}
-
-// Weights of a new time in the averages, and bounds of the patience.
-const (
-	meanShare      = 8 // one of so many
-	deviationShare = 4
-	// deviations above the mean are waited for: prompts differ in length by
-	// more than packets do in their way.
-	deviations = 8
-	// patienceLeast keeps single slow answers from being given up.
-	patienceLeast = 500 * time.Millisecond
-	// targetFactor times the route's target is waited for at least, since
-	// another worker may have to read a long prompt again.
-	targetFactor = 2
-	// patienceFirst applies until a time is known.
-	patienceFirst = 2 * time.Second
-)
-
-func (d *delay) took(t time.Duration) {
-	if !d.known {
-		d.known, d.mean, d.deviation = true, t, t/2
-		return
-	}
-	off := t - d.mean
-	d.mean += off / meanShare
-	d.deviation += (off.Abs() - d.deviation) / deviationShare
-}
-
-func (d *delay) patience() time.Duration {
-	if !d.known {
-		return patienceFirst
-	}
-	return max(d.mean+deviations*d.deviation, patienceLeast)
-}
+// targetFactor times the route's target is waited for at least, since another
+// worker may have to read a long prompt again.
+const targetFactor = 2
 
 // watch ends an attempt that stalls, if the request may go to another worker.
 type watch struct {
@@ -58,14 +23,14 @@
 }
 
 // watch starts to watch an attempt whose first byte is due. cancel ends it.
-func (g *Gateway) watch(x *exchange, c choice, cancel func()) *watch {
+func (g *Gateway) watch(x *exchange, c routing.Choice, cancel func()) *watch {
 	w := &watch{}
-	patience := max(g.fleet.patience(c.worker), targetFactor*x.route.Target)
+	patience := max(g.fleet.Patience(c.Worker), targetFactor*x.route.Target)
 	w.timer = time.AfterFunc(patience, func() {
-		g.decisions.count("stalls", "upstream", c.worker.Upstream)
+		g.decisions.count("stalls", "upstream", c.Worker.Upstream)
 		// The repeat is taken from the budget first: without it, the answer
 		// may still come.
-		if x.maySwitch() && g.fleet.allowRepeat(x.destination) {
+		if x.maySwitch() && g.fleet.AllowRepeat(x.destination, time.Now()) {
 			w.fired.Store(true)
 			cancel()
 		}
--- a/plugins/gateway/stream.go
+++ b/plugins/gateway/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/auburnlead/auburnlead/answer"
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/routing"
 )
 
 // streaming is the state of a stream over its attempts.
@@ -30,7 +31,7 @@
 			return
 		}
 		a, f := g.attemptStream(x, s, c)
-		g.fleet.ended(c, f == nil)
+		g.fleet.Ended(c, f == nil, time.Now())
 		if f == nil && a == nil {
 			x.end(endServed, "", nil)
 			return
@@ -68,7 +69,7 @@
 
 // attemptStream runs one attempt. It returns nothing after the end of the
 // stream, or the worker's whole answer if that is no stream.
-func (g *Gateway) attemptStream(x *exchange, s *streaming, c choice) (*wholeAnswer, *failure) {
+func (g *Gateway) attemptStream(x *exchange, s *streaming, c routing.Choice) (*wholeAnswer, *failure) {
 	resumeAfter := uint64(0)
 	if s.committed {
 		resumeAfter = s.last
@@ -90,7 +91,7 @@
 const stallFactor = 2
 
 // pump passes events on until the end of the stream.
-func (g *Gateway) pump(x *exchange, s *streaming, c choice, r *reply) *failure {
+func (g *Gateway) pump(x *exchange, s *streaming, c routing.Choice, r *reply) *failure {
 	events := answer.NewRawEvents(r.Body, g.settings.EventBytes)
 	defer r.watch.stop()
 	first := true
@@ -104,7 +105,7 @@
 		}
 		if first {
 			first = false
-			g.fleet.answered(c.worker, time.Since(r.sentAt))
+			g.fleet.Answered(c.Worker, time.Since(r.sentAt))
 		}
 		if e.ID != s.last+1 {
 			return &failure{outcome: core.OutcomeUnknown, sent: true, reason: failOrder, err: &answer.OrderError{Got: e.ID, Want: s.last + 1}}
--- a/plugins/gateway/whole.go
+++ b/plugins/gateway/whole.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/routing"
 )
 
 // serveWhole answers a request whose answer is read whole before it is passed
@@ -24,7 +25,7 @@
 		}
 		a, f := g.attemptWhole(x, c)
 		if f == nil && a.status < http.StatusInternalServerError {
-			g.fleet.ended(c, true)
+			g.fleet.Ended(c, true, time.Now())
 			g.deliver(x, a, endServed)
 			return
 		}
@@ -32,7 +33,7 @@
 			failed = a
 			f = &failure{outcome: core.OutcomeRan, sent: true, reason: failStatus, err: errors.New(strconv.Itoa(a.status))}
 		}
-		g.fleet.ended(c, false)
+		g.fleet.Ended(c, false, time.Now())
 		g.attemptFailed(x, c, f)
 		last = f
 		if !g.mayRepeat(x, f) {
@@ -50,7 +51,7 @@
 	rest   *reply
 }
 
-func (g *Gateway) attemptWhole(x *exchange, c choice) (*wholeAnswer, *failure) {
+func (g *Gateway) attemptWhole(x *exchange, c routing.Choice) (*wholeAnswer, *failure) {
 	r, f := g.send(x, c, 0)
 	if f != nil {
 		return nil, f
@@ -58,7 +59,7 @@
 	return g.readWhole(c, r)
 }
 
-func (g *Gateway) readWhole(c choice, r *reply) (*wholeAnswer, *failure) {
+func (g *Gateway) readWhole(c routing.Choice, r *reply) (*wholeAnswer, *failure) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, int64(g.settings.AnswerBytes)))
 	took := time.Since(r.sentAt)
 	a := &wholeAnswer{status: r.StatusCode, header: r.Header, body: body}
@@ -75,7 +76,7 @@
 		return nil, f
 	}
 	r.watch.stop()
-	g.fleet.answered(c.worker, took)
+	g.fleet.Answered(c.Worker, took)
 	return a, nil
 }
 
--- a/plugins/gossip/exchange.go
+++ b/plugins/gossip/exchange.go
@@ -11,6 +11,7 @@
 	lib "github.com/auburnlead/auburnlead/gossip"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/replica"
+	"github.com/auburnlead/auburnlead/routing"
 )
 
 // run sends messages until ctx ends.
@@ -131,10 +132,10 @@
 	}
 }
 
-func shared(list []lib.Load) []core.SharedLoad {
-	out := make([]core.SharedLoad, len(list))
+func shared(list []lib.Load) []routing.Load {
+	out := make([]routing.Load, len(list))
 	for i, l := range list {
-		out[i] = core.SharedLoad{Worker: l.Worker, Busy: l.Busy, At: l.At}
+		out[i] = routing.Load{Worker: l.Worker, Busy: l.Busy, At: l.At}
 	}
 	return out
 }
@@ -162,7 +163,7 @@
 }
 
 // SubscribeLoads implements core.LoadShare.
-func (g *Gossip) SubscribeLoads(fn func([]core.SharedLoad)) {
+func (g *Gossip) SubscribeLoads(fn func([]routing.Load)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.loads = fn
--- a/plugins/gossip/gossip_test.go
+++ b/plugins/gossip/gossip_test.go
@@ -18,6 +18,7 @@
 	lib "github.com/auburnlead/auburnlead/gossip"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/replica"
+	"github.com/auburnlead/auburnlead/routing"
 )
 
 func newGossip(t *testing.T, router, address string) *Gossip {
@@ -39,8 +40,8 @@
 		b := lib.New(lib.Config{Router: "b", Domain: "a", Address: from, Tables: 1, Live: time.Hour, LoadMemory: time.Hour})
 		b.SetTable(0, 7, time.Now())
 		b.SetLoad(lib.WorkerHash("w"), 3, time.Now())
-		var loads []core.SharedLoad
-		a.SubscribeLoads(func(l []core.SharedLoad) { loads = l })
+		var loads []routing.Load
+		a.SubscribeLoads(func(l []routing.Load) { loads = l })
 		So(a.Reads(), ShouldBeTrue)
 		So(a.ReadsForOthers(), ShouldBeFalse)
 		changed := a.Changed()
--- a/plugins/gossip/setup.go
+++ b/plugins/gossip/setup.go
@@ -23,6 +23,7 @@
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/kernel"
 	"github.com/auburnlead/auburnlead/replica"
+	"github.com/auburnlead/auburnlead/routing"
 )
 
 // part is the name of the plug-in in addresses and logs.
@@ -114,7 +115,7 @@
 	mu      sync.Mutex // level 20
 	view    *lib.View
 	changed chan struct{} // closed at news of a table
-	loads   func([]core.SharedLoad)
+	loads   func([]routing.Load)
 	seeded  time.Time
 	reads   bool // as of the last round
 }
--- /dev/null
+++ b/routing/choose.go
@@ -0,0 +1,173 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/auburnlead/auburnlead/placement"
+)
+
+// Part is one part of a prompt. Requests share parts; a part is cached for
+// another request only if all parts before it are the same.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Request is what decides where a request goes.
+type Request struct {
+	Upstream string
+	Shared   []Part    // parts of the prompt that other requests share, see SharedParts
+	Tried    []*Worker // that it was given to before
+}
+
+// Choice is a worker for an attempt, with what decided.
+type Choice struct {
+	Worker    *Worker
+	FetchFrom string // address of a worker that may keep the prompt's parts, empty for none
+	Reason    string
+	Key       uint64        // part of the prompt that decided, 0 for none
+	Shared    int           // tokens of the prompt up to that part
+	Rank      int           // position in the preference of the prompt, 0 is first
+	Busy      int           // estimated requests on the worker
+	Limit     int           // load at which a prompt leaves the worker, 0 for none
+	LoadAge   time.Duration // of the worker's load report, negative for none
+	List      int64         // version of the list of workers
+	ListAge   time.Duration
+
+	at time.Time
+}
+
+// Reasons of choices.
+const (
+	ChoseHome   = "home"       // first choice of the prompt
+	ChoseNext   = "next"       // a later choice, the ones before are busy
+	ChoseIdle   = "least busy" // no prompt to place by
+	ChoseLoaded = "all busy"
+)
+
+const (
+	// preferences is the number of choices of a prompt that are looked at.
+	preferences = 4
+	// sharedAtLeast is the number of parts of a prompt from which on the last
+	// one is the request's own.
+	sharedAtLeast = 2
+	// otherDomain is the number of requests by which a worker of another
+	// failure domain must be less busy.
+	otherDomain = 0.5
+)
+
+// Choose picks a worker that the request has not been given to, and counts the
+// attempt until Ended. It returns false when there is none.
+func (f *Fleet) Choose(r Request, now time.Time) (Choice, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.pools[r.Upstream]
+	if p == nil {
+		return Choice{}, false
+	}
+	p.arrived(now)
+	if len(r.Tried) == 0 {
+		p.budget.Success(now)
+	}
+	c, ok := f.pick(p, r, now)
+	if !ok {
+		return Choice{}, false
+	}
+	c.at = now
+	c.Busy = c.Worker.busy(now)
+	c.LoadAge = -1
+	if !c.Worker.loadAt.IsZero() {
+		c.LoadAge = now.Sub(c.Worker.loadAt)
+	}
+	c.List, c.ListAge = f.version, now.Sub(f.read)
+	c.Worker.inFlight++
+	c.Worker.added++
+	return c, true
+}
+
+func (f *Fleet) pick(p *pool, r Request, now time.Time) (Choice, bool) {
+	free, hashes := p.candidates(r.Tried, func(w *Worker) bool { return !w.lost && !p.ejector.Ejected(now, w.ID) })
+	if len(free) == 0 {
+		free, hashes = p.candidates(r.Tried, func(w *Worker) bool { return !w.lost })
+	}
+	if len(free) == 0 {
+		return Choice{}, false
+	}
+	if len(r.Shared) > 0 {
+		return f.byPrompt(r.Shared, free, hashes, now), true
+	}
+	return f.leastBusy(free, now), true
+}
+
+// candidates returns the workers that the request has not been sent to and
+// that admit lets through.
+func (p *pool) candidates(tried []*Worker, admit func(*Worker) bool) ([]*Worker, []uint64) {
+	var workers []*Worker
+	var hashes []uint64
+	for i, w := range p.workers {
+		if !slices.Contains(tried, w) && admit(w) {
+			workers = append(workers, w)
+			hashes = append(hashes, p.hashes[i])
+		}
+	}
+	return workers, hashes
+}
+
+// SharedParts returns the parts of a prompt that other requests share. The
+// last of them decides where the request goes; the parts before it follow.
+func SharedParts(prompt []Part) []Part {
+	if len(prompt) >= sharedAtLeast {
+		return prompt[:len(prompt)-1]
+	}
+	return prompt
+}
+
+// byPrompt takes the first choice of the last shared part that is not too busy.
+func (f *Fleet) byPrompt(parts []Part, free []*Worker, hashes []uint64, now time.Time) Choice {
+	key := parts[len(parts)-1].ID
+	var order [preferences]int
+	ranked := placement.Choose(order[:], key, hashes)
+	limit := f.loadLimit(free, now)
+	p := f.pool(free[0].Upstream)
+	best := Choice{Worker: free[ranked[0]], Reason: ChoseLoaded}
+	for rank, i := range ranked {
+		w := free[i]
+		if float64(w.busy(now))+p.unseen(w, now) < limit {
+			best = Choice{Worker: w, Reason: ChoseHome, Rank: rank}
+			break
+		}
+		if w.busy(now) < best.Worker.busy(now) {
+			best = Choice{Worker: w, Reason: ChoseLoaded, Rank: rank}
+		}
+	}
+	if best.Rank > 0 && best.Reason == ChoseHome {
+		best.Reason = ChoseNext
+	}
+	best.Key, best.Limit = key, int(limit)
+	best.FetchFrom = f.fetchSource(parts, best, free, ranked, now)
+	for _, p := range parts {
+		best.Shared += p.Tokens
+		f.homes.put(p.ID, best.Worker, now)
+	}
+	return best
+}
+
+// leastBusy takes the least busy worker, preferring the router's own failure
+// domain by a margin.
+func (f *Fleet) leastBusy(free []*Worker, now time.Time) Choice {
+	var best *Worker
+	least := 0.0
+	offset := int(now.UnixNano() % int64(len(free))) // equals are taken in turn
+	for i := range free {
+		w := free[(i+offset)%len(free)]
+		busy := float64(w.busy(now))
+		if w.FailureDomain != f.cfg.Domain {
+			busy += otherDomain
+		}
+		if best == nil || busy < least {
+			best, least = w, busy
+		}
+	}
+	return Choice{Worker: best, Reason: ChoseIdle}
+}
--- a/plugins/gateway/fetch.go
+++ b/routing/fetch.go
@@ -1,9 +1,8 @@
-package gateway
+package routing
 
 import (
 	"time"
 
-	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/placement"
 )
 
@@ -13,10 +12,10 @@
 // fetchSource names a worker that probably keeps more of the prompt than the
 // chosen one: the worker that had the last shared part before, by this router's
 // memory or else by its rank, or one that has the parts before it.
-func (f *fleet) fetchSource(parts []core.PromptPart, c choice, free []*worker, ranked []int, now time.Time) string {
+func (f *Fleet) fetchSource(parts []Part, c Choice, free []*Worker, ranked []int, now time.Time) string {
 	last := len(parts) - 1
 	if home := f.homes.get(parts[last].ID, now); home != nil {
-		if home == c.worker {
+		if home == c.Worker {
 			return ""
 		}
 		if f.reachable(home, now) {
@@ -26,7 +25,7 @@
 		return address
 	}
 	for i := last - 1; i >= 0; i-- {
-		if home := f.homes.get(parts[i].ID, now); home != nil && home != c.worker && f.reachable(home, now) {
+		if home := f.homes.get(parts[i].ID, now); home != nil && home != c.Worker && f.reachable(home, now) {
 			return home.Address
 		}
 	}
@@ -35,12 +34,12 @@
 
 // formerHome names the worker that was the first choice of a part before the
 // chosen one, if the list of workers changed lately.
-func (f *fleet) formerHome(key uint64, c choice, free []*worker, ranked []int, now time.Time) string {
-	if c.rank > 0 {
+func (f *Fleet) formerHome(key uint64, c Choice, free []*Worker, ranked []int, now time.Time) string {
+	if c.Rank > 0 {
 		return free[ranked[0]].Address
 	}
-	if c.worker.joined.IsZero() || now.Sub(c.worker.joined) > youngWorker {
-		return f.departed(key, c.worker, now)
+	if c.Worker.joined.IsZero() || now.Sub(c.Worker.joined) > youngWorker {
+		return f.departed(key, c.Worker, now)
 	}
 	if len(ranked) > 1 {
 		return free[ranked[1]].Address
@@ -49,7 +48,7 @@
 }
 
 // reachable reports whether a worker may still answer.
-func (f *fleet) reachable(w *worker, now time.Time) bool {
+func (f *Fleet) reachable(w *Worker, now time.Time) bool {
 	if f.byID[w.ID] == w {
 		return !w.lost
 	}
@@ -58,7 +57,7 @@
 
 // departed returns the address of a worker that left lately and was the first
 // choice of the key before.
-func (f *fleet) departed(key uint64, chosen *worker, now time.Time) string {
+func (f *Fleet) departed(key uint64, chosen *Worker, now time.Time) string {
 	top, address := placement.Score(key, chosen.hash), ""
 	for _, w := range f.leaving {
 		if w.Upstream != chosen.Upstream || now.Sub(w.left) > departedMemory {
--- a/plugins/gateway/fleet.go
+++ b/routing/fleet.go
@@ -1,4 +1,4 @@
-package gateway
+package routing
 
 import (
 	"slices"
@@ -7,31 +7,43 @@
 	"time"
 
 	"github.com/auburnlead/auburnlead/gossip"
-	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/placement"
 	"github.com/auburnlead/auburnlead/retry"
 )
 
-// fleet is what this router knows of the workers of all upstreams.
-type fleet struct {
-	domain   string
-	settings *Settings
+// Config configures a Fleet.
+type Config struct {
+	Domain string // failure domain of this router
+	// LoadBound is the multiple of the mean load of an upstream's workers that
+	// no worker should exceed.
+	LoadBound float64
+	// RetryRatio is the share of the requests of an upstream that may be sent
+	// once more, RetrySlack the number of repeats in 10 s that all routers
+	// together may send beyond it.
+	RetryRatio, RetrySlack float64
+	// Routers is the least number of routers among which the slack is divided.
+	Routers int
+}
+
+// Fleet is what one router knows of the workers of all upstreams. It is safe
+// for concurrent use.
+type Fleet struct {
+	cfg Config
 
 	mu          sync.Mutex // level 60
-	byID        map[string]*worker
+	byID        map[string]*Worker
 	pools       map[string]*pool
-	leaving     []*worker // departed or draining lately, oldest first
+	leaving     []*Worker // departed or draining lately, oldest first
 	version     int64
 	read        time.Time // when the list was read
 	homes       homes
-	share       core.LoadShare // nil for none
-	mostRouters int            // ever seen alive at a time
-	byHash      map[uint32]*worker
+	mostRouters int // ever seen alive at a time
+	byHash      map[uint32]*Worker
 }
 
 // pool is one upstream.
 type pool struct {
-	workers []*worker // that take new work, sorted by ID
+	workers []*Worker // that take new work, sorted by ID
 	hashes  []uint64  // of the workers' IDs, in the same order
 	ejector *retry.Ejector
 	budget  *retry.Budget
@@ -42,21 +54,6 @@
 	held    time.Duration // average time of a request on a worker, 0 if not known
 }
 
-// worker is one process of an upstream. Fields after the blank line are
-// guarded by fleet.mu.
-type worker struct {
-	core.ListedWorker
-	hash   uint64
-	joined time.Time // when this router first saw it; zero if it was there at the start
-
-	inFlight int // requests of this router
-	load     int // requests on the worker at loadAt
-	loadAt   time.Time
-	added    int       // requests of this router since then
-	left     time.Time // when it began to leave
-	lost     bool      // cannot be reached
-}
-
 // Times and sizes of the fleet's memory.
 const (
 	// departedMemory is the time for which a worker that left may still be
@@ -81,45 +78,49 @@
 	ejectForgotten = 30 * time.Second
 )
 
-func newFleet(domain string, s *Settings) *fleet {
-	return &fleet{domain: domain, settings: s, byID: map[string]*worker{}, pools: map[string]*pool{}, homes: newHomes()}
+// New returns a fleet without workers.
+func New(cfg Config) *Fleet {
+	return &Fleet{cfg: cfg, byID: map[string]*Worker{}, pools: map[string]*pool{}, homes: newHomes()}
 }
 
-// workerChange is a difference between two lists.
-type workerChange struct{ what, worker, upstream string }
+// Change is a difference between two lists.
+type Change struct {
+	What             string // "joined", "draining" or "left"
+	Worker, Upstream string // ID and name
+}
 
-// apply takes over a list of workers.
-func (f *fleet) apply(s *core.WorkerSnapshot) []workerChange {
+// Apply takes over a list of workers.
+func (f *Fleet) Apply(s *List) []Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var changes []workerChange
+	var changes []Change
 	first := f.version == 0 && len(f.byID) == 0
 	f.version, f.read = s.Version, s.At
-	listed := map[string]*worker{}
+	listed := map[string]*Worker{}
 	for _, l := range s.Workers {
 		w := f.byID[l.ID]
 		if w == nil || w.Born != l.Born || w.Address != l.Address || w.Upstream != l.Upstream {
-			changes = append(changes, workerChange{"joined", l.ID, l.Upstream})
-			w = &worker{hash: placement.Hash(l.ID)}
+			changes = append(changes, Change{"joined", l.ID, l.Upstream})
+			w = &Worker{hash: placement.Hash(l.ID)}
 			if !first {
 				w.joined = s.At
 			}
 		}
 		if l.Draining && !w.Draining {
-			changes = append(changes, workerChange{"draining", l.ID, l.Upstream})
+			changes = append(changes, Change{"draining", l.ID, l.Upstream})
 			f.depart(w, s.At)
 		}
-		w.ListedWorker = l
+		w.Listing = l
 		listed[l.ID] = w
 	}
 	for id, w := range f.byID {
 		if listed[id] == nil {
-			changes = append(changes, workerChange{"left", id, w.Upstream})
+			changes = append(changes, Change{"left", id, w.Upstream})
 			f.depart(w, s.At)
 		}
 	}
 	f.byID = listed
-	f.byHash = map[uint32]*worker{}
+	f.byHash = map[uint32]*Worker{}
 	for id, w := range listed {
 		f.byHash[gossip.WorkerHash(id)] = w
 	}
@@ -127,7 +128,7 @@
 	return changes
 }
 
-func (f *fleet) depart(w *worker, now time.Time) {
+func (f *Fleet) depart(w *Worker, now time.Time) {
 	if w.left.IsZero() {
 		w.left = now
 		f.leaving = append(f.leaving, w)
@@ -135,8 +136,8 @@
 }
 
 // rebuild makes the pools of the workers that take new work.
-func (f *fleet) rebuild(now time.Time) {
-	f.leaving = slices.DeleteFunc(f.leaving, func(w *worker) bool { return now.Sub(w.left) > departedMemory })
+func (f *Fleet) rebuild(now time.Time) {
+	f.leaving = slices.DeleteFunc(f.leaving, func(w *Worker) bool { return now.Sub(w.left) > departedMemory })
 	for _, p := range f.pools {
 		p.workers, p.hashes = nil, nil
 	}
@@ -147,7 +148,7 @@
 		}
 	}
 	for _, p := range f.pools {
-		slices.SortFunc(p.workers, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
+		slices.SortFunc(p.workers, func(a, b *Worker) int { return strings.Compare(a.ID, b.ID) })
 		for _, w := range p.workers {
 			p.hashes = append(p.hashes, w.hash)
 		}
@@ -156,12 +157,12 @@
 }
 
 // pool returns the pool of an upstream.
-func (f *fleet) pool(upstream string) *pool {
+func (f *Fleet) pool(upstream string) *pool {
 	p := f.pools[upstream]
 	if p == nil {
 		p = &pool{
 			routers: 1,
-			budget:  retry.NewBudget(f.settings.RetryRatio, f.slackShare()),
+			budget:  retry.NewBudget(f.cfg.RetryRatio, f.slackShare()),
 			ejector: retry.NewEjector(retry.EjectorConfig{MaxShare: ejectShare, Threshold: ejectAfter, Base: ejectFirst, Max: ejectLongest, ForgetAfter: ejectForgotten}),
 		}
 		f.pools[upstream] = p
@@ -172,66 +173,64 @@
 // slackShare is this router's share of the slack in repeats a second. The most
 // routers ever seen count: in a cut each part sees fewer, and the parts
 // together must not take more than all.
-func (f *fleet) slackShare() float64 {
-	routers := max(f.settings.Routers, f.mostRouters)
-	return f.settings.RetrySlack / float64(routers) / budgetWindow
+func (f *Fleet) slackShare() float64 {
+	routers := max(f.cfg.Routers, f.mostRouters)
+	return f.cfg.RetrySlack / float64(routers) / budgetWindow
 }
 
-// setBudget changes the retry budgets where the settings differ. What was sent
-// before counts on.
-func (f *fleet) setBudget(s *Settings) {
+// Configure takes over changed settings. What was sent before counts on in the
+// retry budgets.
+func (f *Fleet) Configure(cfg Config) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.settings = s
+	f.cfg = cfg
 	f.shareBudgets()
 }
 
-func (f *fleet) shareBudgets() {
+func (f *Fleet) shareBudgets() {
 	for _, p := range f.pools {
-		p.budget.Set(f.settings.RetryRatio, f.slackShare())
+		p.budget.Set(f.cfg.RetryRatio, f.slackShare())
 	}
 }
 
-// ended records the end of an attempt.
-func (f *fleet) ended(c choice, ok bool) {
+// Ended records the end of an attempt and whether it gave an answer.
+func (f *Fleet) Ended(c Choice, ok bool, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
-	c.worker.inFlight--
+	c.Worker.inFlight--
 	if ok {
-		p := f.pool(c.worker.Upstream)
+		p := f.pool(c.Worker.Upstream)
 		p.took(now.Sub(c.at))
-		p.ejector.Success(now, c.worker.ID)
+		p.ejector.Success(now, c.Worker.ID)
 	}
 }
 
-// answered records the time to the first byte of an answer.
-func (f *fleet) answered(w *worker, took time.Duration) {
+// Answered records the time to the first byte of an answer.
+func (f *Fleet) Answered(w *Worker, took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.pool(w.Upstream).delay.took(took)
 }
 
-// patience is the time after which a worker without a first byte has stalled.
-func (f *fleet) patience(w *worker) time.Duration {
+// Patience is the time after which a worker without a first byte has stalled.
+func (f *Fleet) Patience(w *Worker) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.pool(w.Upstream).delay.patience()
 }
 
-// failed records a failure of a worker and reports whether it ejected it.
-func (f *fleet) failed(w *worker) bool {
+// Failed records a failure of a worker and reports whether it ejected it.
+func (f *Fleet) Failed(w *Worker, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.pool(w.Upstream).ejector
-	now := time.Now()
 	before := e.Ejected(now, w.ID)
 	e.Failure(now, w.ID)
 	return !before && e.Ejected(now, w.ID)
 }
 
-// setLost records whether a worker can be reached, and reports a change.
-func (f *fleet) setLost(w *worker, lost bool) bool {
+// SetLost records whether a worker can be reached, and reports a change.
+func (f *Fleet) SetLost(w *Worker, lost bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	changed := w.lost != lost
@@ -239,19 +238,26 @@
 	return changed
 }
 
-// lists reports whether a worker is still on the list.
-func (f *fleet) lists(w *worker) bool {
+// Worker returns a worker of the list, nil if there is none of this ID.
+func (f *Fleet) Worker(id string) *Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.byID[id]
+}
+
+// Lists reports whether a worker is still on the list.
+func (f *Fleet) Lists(w *Worker) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.byID[w.ID] == w
 }
 
-// neighbours returns the other workers of a worker's failure domain that are
+// Neighbours returns the other workers of a worker's failure domain that are
 // not lost.
-func (f *fleet) neighbours(w *worker) []*worker {
+func (f *Fleet) Neighbours(w *Worker) []*Worker {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var list []*worker
+	var list []*Worker
 	for _, other := range f.byID {
 		if other != w && other.FailureDomain == w.FailureDomain && !other.lost {
 			list = append(list, other)
@@ -260,13 +266,13 @@
 	return list
 }
 
-// samples returns one worker that is not lost of each failure domain that is
+// Samples returns one worker that is not lost of each failure domain that is
 // neither the router's nor the worker's.
-func (f *fleet) samples(w *worker) []*worker {
+func (f *Fleet) Samples(w *Worker) []*Worker {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	seen := map[string]bool{f.domain: true, w.FailureDomain: true}
-	var list []*worker
+	seen := map[string]bool{f.cfg.Domain: true, w.FailureDomain: true}
+	var list []*Worker
 	for _, other := range f.byID {
 		if !seen[other.FailureDomain] && !other.lost {
 			seen[other.FailureDomain] = true
@@ -276,20 +282,33 @@
 	return list
 }
 
-// loaded records what a worker says of its load.
-func (f *fleet) loaded(w *worker, l core.WorkerLoad) {
-	now := time.Now()
+// Elsewhere counts the workers of other failure domains and those of them that
+// can be reached, and all workers.
+func (f *Fleet) Elsewhere() (listed, reached, all int) {
 	f.mu.Lock()
-	w.load, w.loadAt, w.added = l.Running+l.Waiting, now, 0
-	f.mu.Unlock()
-	if f.share != nil {
-		f.share.ReportLoad(gossip.WorkerHash(w.ID), l.Running+l.Waiting, now)
+	defer f.mu.Unlock()
+	for _, w := range f.byID {
+		if w.FailureDomain == f.cfg.Domain {
+			continue
+		}
+		listed++
+		if !w.lost {
+			reached++
+		}
 	}
+	return listed, reached, len(f.byID)
+}
+
+// Loaded records the number of requests that a worker says it has.
+func (f *Fleet) Loaded(w *Worker, busy int, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w.load, w.loadAt, w.added = busy, now, 0
 }
 
-// sharedLoads records what workers told other routers of their load.
-func (f *fleet) sharedLoads(list []core.SharedLoad) {
-	routers := f.share.Routers()
+// SharedLoads records what workers told other routers of their load, and the
+// number of routers, this one included.
+func (f *Fleet) SharedLoads(routers int, list []Load) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, p := range f.pools {
@@ -307,18 +326,9 @@
 	}
 }
 
-// allowRepeat takes one repeat from the budget of an upstream.
-func (f *fleet) allowRepeat(upstream string) bool {
+// AllowRepeat takes one repeat from the budget of an upstream.
+func (f *Fleet) AllowRepeat(upstream string, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.pool(upstream).budget.Allow(time.Now())
-}
-
-// busy estimates the requests on a worker from its last report and this
-// router's own requests.
-func (w *worker) busy(now time.Time) int {
-	if now.Sub(w.loadAt) > loadMemory {
-		return w.inFlight
-	}
-	return max(w.inFlight, w.load+w.added)
+	return f.pool(upstream).budget.Allow(now)
 }
--- a/plugins/gateway/homes.go
+++ b/routing/homes.go
@@ -1,4 +1,4 @@
-package gateway
+package routing
 
 import "time"
 
@@ -9,7 +9,7 @@
 }
 
 type home struct {
-	worker *worker
+	worker *Worker
 	at     time.Time
 }
 
@@ -23,7 +23,7 @@
 
 func newHomes() homes { return homes{byKey: map[uint64]home{}} }
 
-func (h homes) get(key uint64, now time.Time) *worker {
+func (h homes) get(key uint64, now time.Time) *Worker {
 	e, ok := h.byKey[key]
 	if !ok || now.Sub(e.at) > homeMemory {
 		return nil
@@ -31,7 +31,7 @@
 	return e.worker
 }
 
-func (h homes) put(key uint64, w *worker, now time.Time) {
+func (h homes) put(key uint64, w *Worker, now time.Time) {
 	if _, known := h.byKey[key]; !known && len(h.byKey) >= homesMost {
 		h.makeRoom(now)
 	}
--- a/plugins/gateway/load.go
+++ b/routing/load.go
@@ -1,4 +1,4 @@
-package gateway
+package routing
 
 import (
 	"math"
@@ -31,7 +31,7 @@
 // loadLimit is the load above which a prompt goes to its next choice. Nobody
 // sends to workers above it, so nothing reports how their load falls: the
 // limit is taken again with what can be left of it.
-func (f *fleet) loadLimit(free []*worker, now time.Time) float64 {
+func (f *Fleet) loadLimit(free []*Worker, now time.Time) float64 {
 	sum := 0
 	for _, w := range free {
 		sum += w.busy(now)
@@ -45,12 +45,12 @@
 	return f.limitAt(sum, len(free))
 }
 
-func (f *fleet) limitAt(sum, workers int) float64 {
-	return boundMargin*f.settings.LoadBound*float64(sum)/float64(workers) + loadAllowed
+func (f *Fleet) limitAt(sum, workers int) float64 {
+	return boundMargin*f.cfg.LoadBound*float64(sum)/float64(workers) + loadAllowed
 }
 
 // left estimates the requests on a worker that gets no new ones.
-func (p *pool) left(w *worker, now time.Time) int {
+func (p *pool) left(w *Worker, now time.Time) int {
 	busy := w.busy(now)
 	age := now.Sub(w.loadAt)
 	if p.held == 0 || age > loadMemory {
@@ -80,7 +80,7 @@
 // unseen is the number of requests by which a worker's load may have risen
 // since it was reported. Requests of other routers begin and end at the same
 // rate, so the load wanders by the square root of their number.
-func (p *pool) unseen(w *worker, now time.Time) float64 {
+func (p *pool) unseen(w *Worker, now time.Time) float64 {
 	age := now.Sub(w.loadAt)
 	if p.routers < manyRouters || age > loadMemory {
 		return 0 // others are few, or the worker does not report
