Bench the choice of workers on routes

make bench had rows for the product's own request path only. New rows run routers of package routing before workers with caches: prompts read again and requests above the load bound while workers are replaced and crash, in a flood about one prompt, with slow workers, and when all routers restart; repeats of all routers together; workers in use when all fail. Baselines: an oracle, the least busy worker, hashing without bound, own loads only.

--- a/internal/bench/rows.go
+++ b/internal/bench/rows.go
@@ -32,6 +32,11 @@
 		b.smallCallers()
 		b.overload()
 	}
+	for _, size := range routeSizes() {
+		if !o.Short || size.routers < 20 {
+			bencher{report: r, seed: o.Seed, short: o.Short}.routes(size)
+		}
+	}
 	decisions(r)
 	return r
 }
--- a/internal/bench/trace.go
+++ b/internal/bench/trace.go
@@ -1,10 +1,10 @@
-// Package bench drives the decision packages (placement, admission, retry) over
-// seeded traces in virtual time and compares them with stated targets and with
-// simpler ways over the same trace. Routers, holders and engines are values in
-// one process; the fakes cover what a decision can see: message delay, prefix
-// caches with limited memory, and service time by tokens. One failure domain is
-// simulated at a time, since placement and the load bound act within a domain;
-// overflow between domains is left out.
+// Package bench drives the decision packages (placement, admission, retry,
+// routing) over seeded traces in virtual time and compares them with stated
+// targets and with simpler ways over the same trace. Routers, holders and
+// engines are values in one process; the fakes cover what a decision can see:
+// message delay, prefix caches with limited memory, and service time by tokens.
+// One failure domain is simulated at a time, since placement and the load bound
+// act within a domain; overflow between domains is left out.
 //
 // Runs are deterministic for a seed, except the printed decision times, which
 // never decide.
