Look at more workers when a prompt's first choices are busy

Cause: a prompt had four choices.

Change: if none of the four is within the limit, the first 64 are looked at.

TestLoadBound fails before. Left: routers that see the same old loads send together.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -47,8 +47,11 @@
 )
 
 const (
-	// preferences is the number of choices of a prompt that are looked at.
-	preferences = 4
+	// preferences is the number of choices of a prompt that are looked at
+	// first, widePreferences the number if these are busy: a prompt that gets
+	// much of the traffic of a large fleet needs more than a few workers.
+	preferences     = 4
+	widePreferences = 64
 	// sharedAtLeast is the number of parts of a prompt from which on the last
 	// one is the request's own.
 	sharedAtLeast = 2
@@ -129,28 +132,40 @@
 	var order [preferences]int
 	ranked := placement.Choose(order[:], key, hashes)
 	limit := f.loadLimit(free, now)
+	best, within := f.withinLimit(free, ranked, limit, now)
+	if !within && len(free) > len(ranked) {
+		var wide [widePreferences]int
+		ranked = placement.Choose(wide[:], key, hashes)
+		best, _ = f.withinLimit(free, ranked, limit, now)
+	}
+	best.Key, best.Limit = key, int(limit)
+	best.FetchFrom = f.fetchSource(parts, best, free, ranked, now)
+	for _, p := range parts {
+		best.Shared += p.Tokens
+		f.homes.put(p.ID, best.Worker, now)
+	}
+	return best
+}
+
+// withinLimit takes the first choice whose load is within the limit. If there
+// is none it takes the least busy one and returns false.
+func (f *Fleet) withinLimit(free []*Worker, ranked []int, limit float64, now time.Time) (Choice, bool) {
 	p := f.pool(free[0].Upstream)
 	best := Choice{Worker: free[ranked[0]], Reason: ChoseLoaded}
 	for rank, i := range ranked {
 		w := free[i]
 		if float64(w.busy(now))+p.unseen(w, now) < limit {
-			best = Choice{Worker: w, Reason: ChoseHome, Rank: rank}
-			break
+			reason := ChoseHome
+			if rank > 0 {
+				reason = ChoseNext
+			}
+			return Choice{Worker: w, Reason: reason, Rank: rank}, true
 		}
 		if w.busy(now) < best.Worker.busy(now) {
 			best = Choice{Worker: w, Reason: ChoseLoaded, Rank: rank}
 		}
 	}
-	if best.Rank > 0 && best.Reason == ChoseHome {
-		best.Reason = ChoseNext
-	}
-	best.Key, best.Limit = key, int(limit)
-	best.FetchFrom = f.fetchSource(parts, best, free, ranked, now)
-	for _, p := range parts {
-		best.Shared += p.Tokens
-		f.homes.put(p.ID, best.Worker, now)
-	}
-	return best
+	return best, false
 }
 
 // leastBusy takes the least busy worker, preferring the router's own failure
--- a/routing/choose_test.go
+++ b/routing/choose_test.go
@@ -108,6 +108,21 @@
 			c.Worker.inFlight, c.Worker.added = 0, 0
 		}
 	})
+	Convey("A prompt whose first choices are above the bound finds one within it in a large fleet", t, func() {
+		f, now := newTestFleet(40)
+		first := map[string]bool{}
+		for range preferences {
+			c, _ := f.Choose(prompt(1, 2), now)
+			first[c.Worker.ID] = true
+			c.Worker.inFlight = 30
+		}
+		So(first, ShouldHaveLength, preferences)
+		for range 10 {
+			c, _ := f.Choose(prompt(1, 2), now)
+			So(first[c.Worker.ID], ShouldBeFalse)
+			So(c.Reason, ShouldEqual, ChoseNext)
+		}
+	})
 	Convey("A report of load counts for 3 s, own requests always", t, func() {
 		f, now := newTestFleet(2)
 		w := f.byID["engine-0"]
