Spread a hot prompt over the workers that its rate needs

Cause: a prompt moved on only when its worker was reported above the limit. Reports are 0.2 to 0.8 s old and a request stays for about 1 s, so routers sent together to a worker that was already full, then together to the next.

Change: a router knows its own rate of a prompt, the number of routers and the average time of a request on a worker. From these it takes the number of workers that carry the prompt beside the mean load, and one of them at random.

--- a/internal/bench/routes.go
+++ b/internal/bench/routes.go
@@ -268,7 +268,7 @@
 func (r *routeRun) startRouters(now time.Duration) {
 	r.fleets = nil
 	for range r.size.routers {
-		f := routing.New(routing.Config{Domain: "d", LoadBound: r.way.bound, RetryRatio: 0.2, RetrySlack: 54, Routers: r.size.routers})
+		f := routing.New(routing.Config{Domain: "d", LoadBound: r.way.bound, RetryRatio: 0.2, RetrySlack: 54, Routers: r.size.routers, Random: r.rnd.IntN})
 		r.fleets = append(r.fleets, f)
 	}
 	r.publish(now)
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -129,14 +129,14 @@
 // byPrompt takes the first choice of the last shared part that is not too busy.
 func (f *Fleet) byPrompt(parts []Part, free []*Worker, hashes []uint64, now time.Time) Choice {
 	key := parts[len(parts)-1].ID
-	var order [preferences]int
-	ranked := placement.Choose(order[:], key, hashes)
+	var order [widePreferences]int
 	limit := f.loadLimit(free, now)
-	best, within := f.withinLimit(free, ranked, limit, now)
+	spread := f.spread(f.pool(free[0].Upstream), key, limit, now)
+	ranked := placement.Choose(order[:max(preferences, min(spread, widePreferences))], key, hashes)
+	best, within := f.withinLimit(free, ranked, spread, limit, now)
 	if !within && len(free) > len(ranked) {
-		var wide [widePreferences]int
-		ranked = placement.Choose(wide[:], key, hashes)
-		best, _ = f.withinLimit(free, ranked, limit, now)
+		ranked = placement.Choose(order[:], key, hashes)
+		best, _ = f.withinLimit(free, ranked, spread, limit, now)
 	}
 	best.Key, best.Limit = key, int(limit)
 	best.FetchFrom = f.fetchSource(parts, best, free, ranked, now)
@@ -147,11 +147,19 @@
 	return best
 }
 
-// withinLimit takes the first choice whose load is within the limit. If there
-// is none it takes the least busy one and returns false.
-func (f *Fleet) withinLimit(free []*Worker, ranked []int, limit float64, now time.Time) (Choice, bool) {
+// withinLimit takes one of the first spread choices at random, or else the
+// first one, whose load is within the limit. If there is none it takes the least
+// busy one and returns false.
+func (f *Fleet) withinLimit(free []*Worker, ranked []int, spread int, limit float64, now time.Time) (Choice, bool) {
 	p := f.pool(free[0].Upstream)
 	best := Choice{Worker: free[ranked[0]], Reason: ChoseLoaded}
+	if spread > 1 {
+		rank := f.cfg.Random(min(spread, len(ranked)))
+		w := free[ranked[rank]]
+		if float64(w.busy(now))+p.unseen(w, now) < limit {
+			return Choice{Worker: w, Reason: ChoseNext, Rank: rank}, true
+		}
+	}
 	for rank, i := range ranked {
 		w := free[i]
 		if float64(w.busy(now))+p.unseen(w, now) < limit {
--- a/routing/choose_test.go
+++ b/routing/choose_test.go
@@ -123,6 +123,33 @@
 			So(c.Reason, ShouldEqual, ChoseNext)
 		}
 	})
+	Convey("A prompt that needs several workers is spread over these before any is above the bound", t, func() {
+		f, now := newTestFleet(10)
+		p := f.pools[testUpstream]
+		p.routers = 10
+		used := map[string]int{}
+		for i := range 400 {
+			// 5 requests a second of each of 10 routers for 1 s each are 50 at a
+			// time; a worker has room for 0.8 * 1 + 3 beside the mean.
+			now = now.Add(200 * time.Millisecond)
+			for _, w := range p.workers {
+				w.load, w.loadAt, w.added, w.inFlight = 1, now, 0, 0
+			}
+			p.held = time.Second
+			c, _ := f.Choose(prompt(1, 2), now)
+			if i >= 200 {
+				used[c.Worker.ID]++
+			}
+		}
+		So(len(used), ShouldEqual, 10)
+		for _, n := range used {
+			So(n, ShouldBeLessThan, 200/3)
+		}
+		for i := range 20 {
+			c, _ := f.Choose(prompt(1, uint64(100+i)), now)
+			So(c.Rank, ShouldEqual, 0)
+		}
+	})
 	Convey("A report of load counts for 3 s, own requests always", t, func() {
 		f, now := newTestFleet(2)
 		w := f.byID["engine-0"]
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -23,6 +24,8 @@
 	RetryRatio, RetrySlack float64
 	// Routers is the least number of routers among which the slack is divided.
 	Routers int
+	// Random returns a number in [0, n); nil for one of math/rand.
+	Random func(n int) int
 }
 
 // Fleet is what one router knows of the workers of all upstreams. It is safe
@@ -80,6 +83,9 @@
 
 // New returns a fleet without workers.
 func New(cfg Config) *Fleet {
+	if cfg.Random == nil {
+		cfg.Random = rand.IntN
+	}
 	return &Fleet{cfg: cfg, byID: map[string]*Worker{}, pools: map[string]*pool{}, homes: newHomes()}
 }
 
@@ -183,6 +189,7 @@
 func (f *Fleet) Configure(cfg Config) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	cfg.Random = f.cfg.Random
 	f.cfg = cfg
 	f.shareBudgets()
 }
--- a/routing/homes.go
+++ b/routing/homes.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // homes remembers to which worker this router last sent a prompt's key. It is
 // guarded by fleet.mu.
@@ -11,6 +14,7 @@
 type home struct {
 	worker *Worker
 	at     time.Time
+	recent float64 // requests of this router over keyMemory, at the time
 }
 
 const (
@@ -19,6 +23,9 @@
 	// homeMemory is the time after which a worker has probably dropped the
 	// parts of a prompt that was not asked for.
 	homeMemory = time.Minute
+	// keyMemory is the time over which the requests for a key are averaged. A
+	// router of many sees a request for a hot key every few seconds.
+	keyMemory = 4 * time.Second
 )
 
 func newHomes() homes { return homes{byKey: map[uint64]home{}} }
@@ -35,7 +42,14 @@
 	if _, known := h.byKey[key]; !known && len(h.byKey) >= homesMost {
 		h.makeRoom(now)
 	}
-	h.byKey[key] = home{w, now}
+	h.byKey[key] = home{w, now, 1 + h.recent(key, now)}
+}
+
+// recent is the number of requests of this router for a key, averaged over
+// keyMemory.
+func (h homes) recent(key uint64, now time.Time) float64 {
+	e := h.byKey[key]
+	return e.recent * math.Exp(-now.Sub(e.at).Seconds()/keyMemory.Seconds())
 }
 
 // makeRoom drops what is out of date, or else any entry.
--- a/routing/load.go
+++ b/routing/load.go
@@ -49,6 +49,15 @@
 	return boundMargin*f.cfg.LoadBound*float64(sum)/float64(workers) + loadAllowed
 }
 
+// spread is the number of workers that carry the requests of all routers for a
+// key, beside the mean load. Loads are reported too late to keep the others
+// from sending to the same worker at the same time.
+func (f *Fleet) spread(p *pool, key uint64, limit float64, now time.Time) int {
+	rate := f.homes.recent(key, now) / keyMemory.Seconds() * float64(p.routers)
+	mean := (limit - loadAllowed) / (boundMargin * f.cfg.LoadBound)
+	return 1 + int(rate*p.held.Seconds()/(limit-mean))
+}
+
 // left estimates the requests on a worker that gets no new ones.
 func (p *pool) left(w *Worker, now time.Time) int {
 	busy := w.busy(now)
