Count unanswered requests for those of the other routers

Nine routers went by a report of 0.6 to 1.4 s, which said 15 to 20 where 40 to 60 requests waited, and kept sending prompts there.

Change: requests of this router that a worker leaves unanswered, beyond one, stand for as many of each other router. A router's own requests since a shared report are counted by time, not dropped with each report.

--- a/internal/bench/routes.go
+++ b/internal/bench/routes.go
@@ -474,6 +474,7 @@
 	r.at(w.reads, func(now time.Duration) {
 		w.keep(prompt, now)
 		r.result.firstTokens = append(r.result.firstTokens, now-asked)
+		f.Answered(c, now-asked)
 		f.Loaded(c.Worker, w.busy(), routeStart.Add(now))
 		w.reported = append(w.reported, routing.Load{Worker: gossip.WorkerHash(w.ID), Busy: w.busy(), At: routeStart.Add(now)})
 		step := time.Duration(w.slow * float64(routeStep+time.Duration(w.running)*routeStepEach))
--- a/plugins/gateway/stream.go
+++ b/plugins/gateway/stream.go
@@ -105,7 +105,7 @@
 		}
 		if first {
 			first = false
-			g.fleet.Answered(c.Worker, time.Since(r.sentAt))
+			g.fleet.Answered(c, time.Since(r.sentAt))
 		}
 		if e.ID != s.last+1 {
 			return &failure{outcome: core.OutcomeUnknown, sent: true, reason: failOrder, err: &answer.OrderError{Got: e.ID, Want: s.last + 1}}
--- a/plugins/gateway/whole.go
+++ b/plugins/gateway/whole.go
@@ -76,7 +76,7 @@
 		return nil, f
 	}
 	r.watch.stop()
-	g.fleet.Answered(c.Worker, took)
+	g.fleet.Answered(c, took)
 	return a, nil
 }
 
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -35,9 +35,13 @@
 	List      int64         // version of the list of workers
 	ListAge   time.Duration
 
-	at time.Time
+	at      time.Time
+	attempt *attempt
 }
 
+// attempt is what is known of a request on a worker. It is guarded by Fleet.mu.
+type attempt struct{ answered bool }
+
 // Reasons of choices.
 const (
 	ChoseHome   = "home"       // first choice of the prompt
@@ -60,6 +64,13 @@
 	otherDomain = 0.5
 )
 
+func (c Choice) answered() {
+	if !c.attempt.answered {
+		c.attempt.answered = true
+		c.Worker.unanswered--
+	}
+}
+
 // Choose picks a worker that the request has not been given to, and counts the
 // attempt until Ended. It returns false when there is none.
 func (f *Fleet) Choose(r Request, now time.Time) (Choice, bool) {
@@ -77,15 +88,14 @@
 	if !ok {
 		return Choice{}, false
 	}
-	c.at = now
+	c.at, c.attempt = now, &attempt{}
 	c.Busy = c.Worker.busy(now)
 	c.LoadAge = -1
 	if !c.Worker.loadAt.IsZero() {
 		c.LoadAge = now.Sub(c.Worker.loadAt)
 	}
 	c.List, c.ListAge = f.version, now.Sub(f.read)
-	c.Worker.inFlight++
-	c.Worker.added++
+	c.Worker.send(now)
 	return c, true
 }
 
@@ -156,20 +166,20 @@
 	if spread > 1 {
 		rank := f.cfg.Random(min(spread, len(ranked)))
 		w := free[ranked[rank]]
-		if float64(w.busy(now))+p.unseen(w, now) < limit {
+		if p.expected(w, now)+p.unseen(w, now) < limit {
 			return Choice{Worker: w, Reason: ChoseNext, Rank: rank}, true
 		}
 	}
 	for rank, i := range ranked {
 		w := free[i]
-		if float64(w.busy(now))+p.unseen(w, now) < limit {
+		if p.expected(w, now)+p.unseen(w, now) < limit {
 			reason := ChoseHome
 			if rank > 0 {
 				reason = ChoseNext
 			}
 			return Choice{Worker: w, Reason: reason, Rank: rank}, true
 		}
-		if w.busy(now) < best.Worker.busy(now) {
+		if p.expected(w, now) < p.expected(best.Worker, now) {
 			best = Choice{Worker: w, Reason: ChoseLoaded, Rank: rank}
 		}
 	}
--- a/routing/choose_test.go
+++ b/routing/choose_test.go
@@ -76,7 +76,7 @@
 		home := first.Worker
 		f.pools[testUpstream].routers = 17
 		for _, w := range f.byID {
-			w.load, w.loadAt, w.added = 5, now.Add(-500*time.Millisecond), 0
+			w.load, w.loadAt, w.sent = 5, now.Add(-500*time.Millisecond), nil
 		}
 		// Two requests in 2 s of each of 16 others on 4 workers are 2 in 500 ms
 		// for each, and as many end: one deviation is 2.
@@ -84,7 +84,7 @@
 		c, _ := f.Choose(prompt(1, 2, 4), now)
 		So(c.Worker, ShouldEqual, home)
 		// Alone, 14 is below 0.9 * 2 * mean + 3 (16.1).
-		home.load, home.added = 14, 0
+		home.load, home.sent = 14, nil
 		c, _ = f.Choose(prompt(1, 2, 5), now)
 		So(c.Worker, ShouldNotEqual, home)
 	})
@@ -105,7 +105,7 @@
 		for key := uint64(1); key < 50; key++ {
 			c, _ := f.Choose(prompt(key, 2), now)
 			So(c.Busy, ShouldBeLessThan, 23)
-			c.Worker.inFlight, c.Worker.added = 0, 0
+			c.Worker.inFlight, c.Worker.sent = 0, nil
 		}
 	})
 	Convey("A prompt whose first choices are above the bound finds one within it in a large fleet", t, func() {
@@ -133,7 +133,7 @@
 			// time; a worker has room for 0.8 * 1 + 3 beside the mean.
 			now = now.Add(200 * time.Millisecond)
 			for _, w := range p.workers {
-				w.load, w.loadAt, w.added, w.inFlight = 1, now, 0, 0
+				w.load, w.loadAt, w.sent, w.inFlight, w.unanswered = 1, now, nil, 0, 0
 			}
 			p.held = time.Second
 			c, _ := f.Choose(prompt(1, 2), now)
@@ -145,10 +145,35 @@
 		for _, n := range used {
 			So(n, ShouldBeLessThan, 200/3)
 		}
+		for _, w := range p.workers {
+			w.unanswered = 0
+		}
 		for i := range 20 {
 			c, _ := f.Choose(prompt(1, uint64(100+i)), now)
 			So(c.Rank, ShouldEqual, 0)
+			f.Ended(c, true, now)
+		}
+	})
+	Convey("A worker that leaves requests unanswered gets none while its old report is below the bound", t, func() {
+		f, now := newTestFleet(4)
+		p := f.pools[testUpstream]
+		p.routers = 9
+		for _, w := range p.workers {
+			w.load, w.loadAt = 10, now
+		}
+		first, _ := f.Choose(prompt(1, 2), now)
+		home := first.Worker
+		f.Answered(first, 50*time.Millisecond)
+		// The limit is 0.9 * 2 * 10.5 + 3 = 22. Three unanswered requests of
+		// this router stand for 8 * 2 of the others.
+		for range 3 {
+			c, _ := f.Choose(prompt(1, 2), now)
+			So(c.Worker, ShouldEqual, home)
 		}
+		c, _ := f.Choose(prompt(1, 2), now)
+		So(c.Worker, ShouldNotEqual, home)
+		f.Ended(c, true, now)
+		So(c.Worker.unanswered, ShouldEqual, 0)
 	})
 	Convey("A report of load counts for 3 s, own requests always", t, func() {
 		f, now := newTestFleet(2)
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -205,6 +205,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c.Worker.inFlight--
+	c.answered()
 	if ok {
 		p := f.pool(c.Worker.Upstream)
 		p.took(now.Sub(c.at))
@@ -213,10 +214,11 @@
 }
 
 // Answered records the time to the first byte of an answer.
-func (f *Fleet) Answered(w *Worker, took time.Duration) {
+func (f *Fleet) Answered(c Choice, took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.pool(w.Upstream).delay.took(took)
+	f.pool(c.Worker.Upstream).delay.took(took)
+	c.answered()
 }
 
 // Patience is the time after which a worker without a first byte has stalled.
@@ -310,7 +312,7 @@
 func (f *Fleet) Loaded(w *Worker, busy int, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w.load, w.loadAt, w.added = busy, now, 0
+	w.load, w.loadAt = busy, now
 }
 
 // SharedLoads records what workers told other routers of their load, and the
@@ -328,7 +330,7 @@
 	for _, l := range list {
 		w := f.byHash[l.Worker]
 		if w != nil && l.At.After(w.loadAt) {
-			w.load, w.loadAt, w.added = l.Busy, l.At, 0
+			w.load, w.loadAt = l.Busy, l.At
 		}
 	}
 }
--- a/routing/load.go
+++ b/routing/load.go
@@ -23,6 +23,9 @@
 	unseenDeviations = 1
 	// rateMemory is the time over which the rate of requests is averaged.
 	rateMemory = 2 * time.Second
+	// unansweredUsual is the number of requests of this router that wait for
+	// the first byte of a worker which is not behind.
+	unansweredUsual = 1
 	// heldShare is the part of the average, one of so many, that a new time on
 	// a worker makes up: lengths of answers differ widely.
 	heldShare = 16
@@ -49,6 +52,17 @@
 	return boundMargin*f.cfg.LoadBound*float64(sum)/float64(workers) + loadAllowed
 }
 
+// expected estimates the requests on a worker now. A worker that is slow to
+// begin answers is slow to report, and what all routers send it meanwhile waits
+// there: this router's own unanswered requests tell of the others'.
+func (p *pool) expected(w *Worker, now time.Time) float64 {
+	busy := float64(w.busy(now))
+	if w.unanswered <= unansweredUsual {
+		return busy
+	}
+	return busy + float64((p.routers-1)*(w.unanswered-unansweredUsual))
+}
+
 // spread is the number of workers that carry the requests of all routers for a
 // key, beside the mean load. Loads are reported too late to keep the others
 // from sending to the same worker at the same time.
--- a/routing/worker.go
+++ b/routing/worker.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Listing is what the list of workers says of one.
 type Listing struct {
@@ -35,12 +38,13 @@
 	hash   uint64
 	joined time.Time // when this router first saw it; zero if it was there at the start
 
-	inFlight int // requests of this router
-	load     int // requests on the worker at loadAt
-	loadAt   time.Time
-	added    int       // requests of this router since then
-	left     time.Time // when it began to leave
-	lost     bool      // cannot be reached
+	inFlight   int // requests of this router
+	unanswered int // of these, without a first byte
+	load       int // requests on the worker at loadAt
+	loadAt     time.Time
+	sent       []time.Time // of this router's requests in the last loadMemory
+	left       time.Time   // when it began to leave
+	lost       bool        // cannot be reached
 }
 
 // busy estimates the requests on a worker from its last report and this
@@ -49,5 +53,25 @@
 	if now.Sub(w.loadAt) > loadMemory {
 		return w.inFlight
 	}
-	return max(w.inFlight, w.load+w.added)
+	return max(w.inFlight, w.load+w.sentSince(w.loadAt))
+}
+
+// sentSince counts this router's requests after a time.
+func (w *Worker) sentSince(t time.Time) int {
+	n := 0
+	for n < len(w.sent) && w.sent[len(w.sent)-1-n].After(t) {
+		n++
+	}
+	return n
+}
+
+// send counts a request.
+func (w *Worker) send(now time.Time) {
+	w.inFlight++
+	w.unanswered++
+	old := 0
+	for old < len(w.sent) && now.Sub(w.sent[old]) > loadMemory {
+		old++
+	}
+	w.sent = append(slices.Delete(w.sent, 0, old), now)
 }
