Hold a request until the first list of workers is there

The wait for the first desired state did not cover the list.

Ruled out: lost workers; the router had none on record.

Change: the wait of at most 100 ms covers both. TestStart fails before.

--- a/plugins/gateway/gateway_test.go
+++ b/plugins/gateway/gateway_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -229,6 +230,20 @@
 		a, _ = w.call("GET", "/read/x")
 		So(a.Code, ShouldEqual, http.StatusOK)
 	})
+	inBubble(t, "A request waits a little for the first list of workers", nil, func(w *world) {
+		l := desks(1)
+		w.startWorker(l[0])
+		w.listed, w.listOnce = make(chan struct{}), sync.Once{}
+		start := time.Now()
+		a, _ := w.call("GET", "/read/x")
+		So(a.Code, ShouldEqual, http.StatusServiceUnavailable)
+		So(time.Since(start), ShouldEqual, startHold)
+		time.AfterFunc(3*time.Millisecond, func() {
+			w.applyWorkers(&routing.List{Version: 2, At: time.Now(), Workers: l})
+		})
+		a, _ = w.call("GET", "/read/x")
+		So(a.Code, ShouldEqual, http.StatusOK)
+	})
 }
 
 // Guards against streams with missing, doubled or mixed events, and against
--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -41,11 +41,27 @@
 	abort     bool // the connection has to be closed without an end
 }
 
-// startHold is the longest wait of a request for the first configuration. A
-// router reads it within some 30 ms of its start, so that a request which came
-// in between need not come back.
+// startHold is the longest wait of a request for the first configuration and
+// list of workers. A router reads them within some 30 ms of its start, so that a
+// request which came in between need not come back.
 const startHold = 100 * time.Millisecond
 
+// await waits until first is closed, at most for what is left of startHold.
+func (x *exchange) await(first <-chan struct{}) {
+	select {
+	case <-first:
+		return
+	default:
+	}
+	timer := time.NewTimer(startHold - time.Since(x.start))
+	defer timer.Stop()
+	select {
+	case <-first:
+	case <-timer.C:
+	case <-x.r.Context().Done():
+	}
+}
+
 // Outcomes of an exchange.
 const (
 	endServed  = "served"  // the worker's answer, whole
@@ -121,7 +137,8 @@
 		g.deny(x, http.StatusBadRequest, "malformed header", err)
 		return false
 	}
-	table := g.routes.wait(x.r.Context(), startHold)
+	x.await(g.routes.first)
+	table := g.routes.table.Load()
 	if table == nil {
 		g.refuse(x, "no configuration yet", retryStarting)
 		return false
@@ -143,6 +160,7 @@
 	}
 	x.deadline = x.start.Add(x.limit)
 	x.destination = destination(x.route, rand.Float64())
+	x.await(g.listed)
 	return g.readBody(x)
 }
 
--- a/plugins/gateway/routes.go
+++ b/plugins/gateway/routes.go
@@ -1,13 +1,11 @@
 package gateway
 
 import (
-	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"net"
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/objects"
@@ -19,22 +17,6 @@
 	first chan struct{} // closed when there is a table
 }
 
-// wait returns the table in force, or waits a while for the first one. It
-// returns nil without one.
-func (x *routeIndex) wait(ctx context.Context, most time.Duration) *routeTable {
-	if t := x.table.Load(); t != nil {
-		return t
-	}
-	timer := time.NewTimer(most)
-	defer timer.Stop()
-	select {
-	case <-x.first:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return x.table.Load()
-}
-
 // routeTable is the index of one revision; it is not modified.
 type routeTable struct {
 	revision uint64
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -10,6 +10,7 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -126,6 +127,8 @@
 	loads     core.LoadShare // nil for none
 
 	routes   routeIndex
+	listed   chan struct{} // closed when there is a list of workers
+	listOnce sync.Once
 	fleet    *routing.Fleet
 	upstream *upstream
 	reach    *reach
@@ -145,6 +148,7 @@
 		decisions: newDecisions(p.Logger.WithPrefix(part), p.Scope, p.Settings.LogLines),
 		scope:     p.Scope,
 		routes:    routeIndex{first: make(chan struct{})},
+		listed:    make(chan struct{}),
 		fleet:     routing.New(fleetConfig(p.Identity.FailureDomain, p.Settings)),
 		upstream:  newUpstream(p.Settings),
 	}
@@ -191,6 +195,7 @@
 
 func (g *Gateway) applyWorkers(s *routing.List) {
 	changes := g.fleet.Apply(s)
+	g.listOnce.Do(func() { close(g.listed) })
 	g.readiness.SetReady(partWorkers, true, "")
 	for _, c := range changes {
 		g.decisions.change("worker "+c.What, "worker", c.Worker, "upstream", c.Upstream, "version", s.Version, "workers", len(s.Workers))
