--- a/plugins/gateway/gateway_test.go
+++ b/plugins/gateway/gateway_test.go
@@ -22,7 +22,7 @@
 	inBubble(t, "After one loss the workers of the cut domains get no requests", workers, func(w *world) {
 		for _, p := range w.workers {
 			if p.FailureDomain != "a" {
-				w.network.setDark(p.Address, true)
+				w.network.setSilent(p.Address, true)
 			}
 		}
 		for i := range 60 {
@@ -36,7 +36,7 @@
 			pass(100 * time.Millisecond)
 		}
 		for _, p := range w.workers {
-			w.network.setDark(p.Address, false)
+			w.network.setSilent(p.Address, false)
 		}
 		pass(2 * reachLongest)
 		listed, reached, _ := w.fleet.Elsewhere()
@@ -45,7 +45,7 @@
 	})
 	inBubble(t, "A request without a worker that can be reached is refused at once", desks(3), func(w *world) {
 		for _, p := range w.workers {
-			w.network.setDark(p.Address, true)
+			w.network.setSilent(p.Address, true)
 		}
 		w.call("GET", "/read/x")
 		start := time.Now()
@@ -53,7 +53,7 @@
 		So(a.Code, ShouldEqual, http.StatusServiceUnavailable)
 		So(a.Header().Get("Retry-After"), ShouldNotBeEmpty)
 		So(time.Since(start), ShouldEqual, 0)
-		w.network.setDark("desk-1:1", false)
+		w.network.setSilent("desk-1:1", false)
 		pass(reachLongest)
 		a, _ = w.call("GET", "/read/x")
 		So(a.Code, ShouldEqual, http.StatusOK)
--- a/plugins/gateway/harness_test.go
+++ b/plugins/gateway/harness_test.go
@@ -84,7 +84,7 @@
 type network struct {
 	mu        sync.Mutex
 	listeners map[string]*memoryListener
-	dark      map[string]bool // addresses that answer nothing
+	silent    map[string]bool // addresses that answer nothing
 	dials     int
 }
 
@@ -93,10 +93,10 @@
 
 func (n *network) open(ctx context.Context, _, address string) (net.Conn, error) {
 	n.mu.Lock()
-	l, dark := n.listeners[address], n.dark[address]
+	l, silent := n.listeners[address], n.silent[address]
 	n.dials++
 	n.mu.Unlock()
-	if dark {
+	if silent {
 		select {
 		case <-time.After(setupTime):
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
@@ -116,10 +116,10 @@
 	}
 }
 
-func (n *network) setDark(address string, dark bool) {
+func (n *network) setSilent(address string, silent bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.dark[address] = dark
+	n.silent[address] = silent
 }
 
 type memoryListener struct {
@@ -189,7 +189,7 @@
 )
 
 func newWorld(workers ...routing.Listing) *world {
-	w := &world{network: &network{listeners: map[string]*memoryListener{}, dark: map[string]bool{}}, workers: map[string]*testWorkerProcess{}}
+	w := &world{network: &network{listeners: map[string]*memoryListener{}, silent: map[string]bool{}}, workers: map[string]*testWorkerProcess{}}
 	s := &Settings{ConnectTimeout: setupTime, SilenceTimeout: 700 * time.Millisecond, IdlePerWorker: 4, WorkerIdleTimeout: 2 * time.Second, HeaderBytes: 1 << 16, BodyBytes: 1 << 20, AnswerBytes: 1 << 16, EventBytes: 1 << 12, LoadBound: 2, RetryRatio: 0.2, RetrySlack: 160, Routers: 16, LogLines: 100}
 	w.Gateway = New(Params{
 		Settings: s, Identity: core.Identity{Router: "r1", FailureDomain: "a"}, Config: testConfig{testSet()}, Workers: testList{workers},
--- a/plugins/gateway/isolation_test.go
+++ b/plugins/gateway/isolation_test.go
@@ -27,7 +27,7 @@
 	}
 	lose := func(w *world, ids ...string) {
 		for _, id := range ids {
-			w.network.setDark(w.workers[id].Address, true)
+			w.network.setSilent(w.workers[id].Address, true)
 		}
 		// One request meets the partition; the rest is found by checks.
 		w.reach.failed(w.fleet.Worker(ids[0]), &dialError{os.ErrDeadlineExceeded})
@@ -46,7 +46,7 @@
 		answer, _ = w.call(http.MethodGet, "/read/x")
 		So(answer.Code, ShouldEqual, http.StatusOK)
 		So(answer.Header().Get("Connection"), ShouldEqual, "close")
-		w.network.setDark(w.workers["desk-2"].Address, false)
+		w.network.setSilent(w.workers["desk-2"].Address, false)
 		pass(2 * reachLongest)
 		So(ready(w), ShouldBeTrue)
 		answer, _ = w.call(http.MethodGet, "/read/x")
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -46,10 +46,10 @@
 	Config Config
 	Events Events
 
-	version int64 // of the store, at which its changes continue
-	synced  bool  // they do continue there
-	dark    bool  // the last call of the store failed
-	lost    bool  // neither store nor peers answer
+	version   int64 // of the store, at which its changes continue
+	synced    bool  // they do continue there
+	storeLost bool  // the last call of the store failed
+	lost      bool  // neither store nor peers answer
 }
 
 // Waits between calls after a failure. The first is short, since most failures
@@ -75,7 +75,7 @@
 		err := f.step(ctx)
 		if err == nil {
 			wait = retryFirst
-			f.dark = false
+			f.storeLost = false
 			f.answered()
 			continue
 		}
@@ -88,7 +88,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.dark = true
+		f.storeLost = true
 		if !f.askPeers(ctx) {
 			f.lose(err)
 		}
@@ -183,7 +183,7 @@
 	if f.Guide.ReadsForOthers() {
 		wait, gather = f.Config.PollForOthers, f.Config.GatherForOthers
 	}
-	if f.dark || !f.Guide.Reads() {
+	if f.storeLost || !f.Guide.Reads() {
 		wait = 0
 	}
 	call, cancel := context.WithTimeout(ctx, wait+f.Config.Timeout)
