Have callers of a router without a desired state come back later

All routers restart while the store is silent, so none has a desired state.

Ruled out: serving without a desired state, which nobody holds then.

Change: 0.5 to 1 s in the first second after a start, when the store may only be slow, then a sixth to a third of the caller's time. A third is the most that callers honour.

TestStart fails before.

--- a/plugins/gateway/gateway_test.go
+++ b/plugins/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -230,6 +231,23 @@
 		a, _ = w.call("GET", "/read/x")
 		So(a.Code, ShouldEqual, http.StatusOK)
 	})
+	inBubble(t, "A caller is told to come back within its time, not before a store that is away can be back", nil, func(w *world) {
+		w.routes.table.Store(nil)
+		w.routes.first = make(chan struct{})
+		after := func() float64 {
+			a, _ := w.call("GET", "/read/x", testDeadline, "12s")
+			So(a.Code, ShouldEqual, http.StatusServiceUnavailable)
+			seconds, err := strconv.ParseFloat(a.Header().Get("Retry-After"), 64)
+			So(err, ShouldBeNil)
+			return seconds
+		}
+		w.started = time.Now()
+		So(after(), ShouldBeBetweenOrEqual, 0.5, 1)
+		pass(time.Second)
+		for range 20 {
+			So(after(), ShouldBeBetweenOrEqual, 2, 4)
+		}
+	})
 	inBubble(t, "A request waits a little for the first list of workers", nil, func(w *world) {
 		l := desks(1)
 		w.startWorker(l[0])
--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -140,7 +140,7 @@
 	x.await(g.routes.first)
 	table := g.routes.table.Load()
 	if table == nil {
-		g.refuse(x, "no configuration yet", retryStarting)
+		g.refuse(x, "no configuration yet", g.retryWithoutConfig(x))
 		return false
 	}
 	x.revision = table.revision
--- a/plugins/gateway/refuse.go
+++ b/plugins/gateway/refuse.go
@@ -14,14 +14,28 @@
 // so that callers who were refused together do not return together.
 const (
 	// retryStarting is the time in which a starting router reads the
-	// configuration.
-	retryStarting = 400 * time.Millisecond
+	// configuration from a slow store.
+	retryStarting = time.Second
 	// retryFull is the time in which a full worker ends a few requests.
 	retryFull = 600 * time.Millisecond
 	// retryNoWorker is the time in which a worker is listed again.
 	retryNoWorker = 800 * time.Millisecond
 )
 
+// retryShare is the part of a caller's time, one of so many, after which it
+// comes back to a router that still has no configuration: the store is away, for
+// a time that nobody knows, and most callers have few tries.
+const retryShare = 3
+
+// retryWithoutConfig is the time after which a caller may come back to a router
+// without a configuration.
+func (g *Gateway) retryWithoutConfig(x *exchange) time.Duration {
+	if x.start.Sub(g.started) < retryStarting {
+		return retryStarting
+	}
+	return max(retryStarting, x.in.Deadline/retryShare)
+}
+
 // refuse answers a request that has not run and will not.
 func (g *Gateway) refuse(x *exchange, reason string, after time.Duration) {
 	wait := after/2 + time.Duration(rand.Int64N(int64(after/2)))
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -124,6 +124,7 @@
 	addresses *core.Addresses
 	decisions *decisions
 	scope     tally.Scope
+	started   time.Time
 	loads     core.LoadShare // nil for none
 
 	routes   routeIndex
@@ -147,6 +148,7 @@
 		addresses: p.Addresses,
 		decisions: newDecisions(p.Logger.WithPrefix(part), p.Scope, p.Settings.LogLines),
 		scope:     p.Scope,
+		started:   time.Now(),
 		routes:    routeIndex{first: make(chan struct{})},
 		listed:    make(chan struct{}),
 		fleet:     routing.New(fleetConfig(p.Identity.FailureDomain, p.Settings)),
