--- a/routing/choose_test.go
+++ b/routing/choose_test.go
@@ -149,7 +149,7 @@
 			w.unanswered = 0
 		}
 		for i := range 20 {
-			c, _ := f.Choose(prompt(1, uint64(100+i)), now)
+			c, _ := f.Choose(prompt(uint64(100+i), 2), now)
 			So(c.Rank, ShouldEqual, 0)
 			f.Ended(c, true, now)
 		}
