--- a/internal/bench/routerows.go
+++ b/internal/bench/routerows.go
@@ -39,6 +39,7 @@
 			if i == 0 {
 				b.report.atMost(size.name, reread, result.reread(), rereadMost)
 				b.report.atMost(size.name, over, result.worstOver(), overMost)
+				b.report.atMost(size.name, "refused for want of a worker, "+day.name, float64(result.refused), 0)
 			} else {
 				b.report.info(size.name, reread, way.name, result.reread())
 				b.report.info(size.name, over, way.name, result.worstOver())
@@ -100,6 +101,16 @@
 // routeEjection has a third of the workers fail most requests, then all of
 // them, and counts where requests go.
 func (b bencher) routeEjection(size routeSize) {
+	met, used := b.failing(size, true)
+	b.report.atLeast(size.name, "workers in use when all fail / all", used, leastWorkers)
+	b.report.info(size.name, "failed requests, a third of the workers faulty", "auburnlead", met)
+	met, _ = b.failing(size, false)
+	b.report.info(size.name, "failed requests, a third of the workers faulty", "no ejection", met)
+}
+
+// failing returns the share of the requests that meet a faulty worker, and of
+// the workers that are used while all are faulty.
+func (b bencher) failing(size routeSize, eject bool) (met, used float64) {
 	rnd := rand.New(rand.NewPCG(b.seed, 13))
 	f := routing.New(routing.Config{Domain: "d", LoadBound: 2, RetryRatio: routeRatio, RetrySlack: routeSlack, Routers: 1})
 	list := &routing.List{Version: 1, At: routeStart}
@@ -111,25 +122,22 @@
 	}
 	f.Apply(list)
 	const requests = 6000
-	met, used := 0, map[string]bool{}
+	inUse := map[string]bool{}
 	for i := range requests {
 		now := routeStart.Add(time.Duration(i) * 10 * time.Millisecond)
 		c, _ := f.Choose(routing.Request{Upstream: "u", Shared: []routing.Part{{ID: rnd.Uint64N(300) + 1, Tokens: 1}}}, now)
 		all := i >= requests/2
 		ok := !all && (!faulty[c.Worker.ID] || rnd.Float64() < 0.1)
 		f.Ended(c, ok, now)
-		if !ok {
+		if !ok && eject {
 			f.Failed(c.Worker, now)
 		}
 		if !all && !ok {
 			met++
 		}
 		if i >= requests-500 {
-			used[c.Worker.ID] = true
+			inUse[c.Worker.ID] = true
 		}
 	}
-	share := float64(size.workers/3) / float64(size.workers) * 0.9
-	b.report.atLeast(size.name, "workers in use when all fail / all", float64(len(used))/float64(size.workers), leastWorkers)
-	b.report.info(size.name, "failed requests, a third of the workers faulty", "auburnlead", float64(met)/(requests/2))
-	b.report.info(size.name, "failed requests, a third of the workers faulty", "no ejection", share)
+	return met / (requests / 2), float64(len(inUse)) / float64(size.workers)
 }
--- a/plugins/gateway/choose.go
+++ b/plugins/gateway/choose.go
@@ -23,7 +23,7 @@
 	}
 	x.tried = append(x.tried, c.Worker)
 	g.decisions.count("choices", "reason", c.Reason)
-	g.decisions.request("worker chosen", "request", x.in.ID, "upstream", x.destination, "worker", c.Worker.ID, "reason", c.Reason, "key", strconv.FormatUint(c.Key, 16), "shared_tokens", c.Shared, "rank", c.Rank, "busy", c.Busy, "limit", c.Limit, "fetch_from", c.FetchFrom, "load_age_ms", loadAge(c), "list", c.List, "list_age_ms", c.ListAge.Milliseconds(), "attempt", len(x.tried))
+	g.decisions.request("worker chosen", "request", x.in.ID, "upstream", x.destination, "worker", c.Worker.ID, "reason", c.Reason, "key", strconv.FormatUint(c.Key, 16), "shared_tokens", c.Shared, "rank", c.Rank, "busy", c.Busy, "waiting", c.Waiting, "limit", c.Limit, "spread", c.Spread, "fetch_from", c.FetchFrom, "load_age_ms", loadAge(c), "list", c.List, "list_age_ms", c.ListAge.Milliseconds(), "attempt", len(x.tried))
 	return c, true
 }
 
--- a/plugins/gateway/isolation.go
+++ b/plugins/gateway/isolation.go
@@ -17,9 +17,10 @@
 
 // isolation is whether this router is on the smaller side of a partition.
 type isolation struct {
-	mu    sync.Mutex // level 55
-	since time.Time  // zero if it is not
-	most  time.Time  // when other failure domains last had most of the listed workers
+	mu    sync.Mutex  // level 55
+	since time.Time   // zero if it is not
+	most  time.Time   // when other failure domains last had most of the listed workers
+	end   *time.Timer // of isolationMemory
 }
 
 // isolationMemory is the time for which a router stays isolated when the list
@@ -42,7 +43,10 @@
 		g.isolation.most = now
 	} else if left := isolationMemory - now.Sub(g.isolation.most); was && reached == 0 && left > 0 {
 		isolated = true
-		time.AfterFunc(left, g.noteReach)
+		if g.isolation.end != nil {
+			g.isolation.end.Stop()
+		}
+		g.isolation.end = time.AfterFunc(left, g.noteReach)
 	}
 	if isolated == was {
 		return
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -29,7 +29,9 @@
 	Key       uint64        // part of the prompt that decided, 0 for none
 	Shared    int           // tokens of the prompt up to that part
 	Rank      int           // position in the preference of the prompt, 0 is first
-	Busy      int           // estimated requests on the worker
+	Busy      int           // estimated requests on the worker, with those that the other routers may have sent
+	Waiting   int           // requests of this router there without a first byte
+	Spread    int           // workers that the prompt's rate needs, 0 for no prompt
 	Limit     int           // load at which a prompt leaves the worker, 0 for none
 	LoadAge   time.Duration // of the worker's load report, negative for none
 	List      int64         // version of the list of workers
@@ -89,7 +91,8 @@
 		return Choice{}, false
 	}
 	c.at, c.attempt = now, &attempt{}
-	c.Busy = c.Worker.busy(now)
+	c.Busy = int(p.expected(c.Worker, now) + p.unseen(c.Worker, now))
+	c.Waiting = c.Worker.unanswered
 	c.LoadAge = -1
 	if !c.Worker.loadAt.IsZero() {
 		c.LoadAge = now.Sub(c.Worker.loadAt)
@@ -148,7 +151,7 @@
 		ranked = placement.Choose(order[:], key, hashes)
 		best, _ = f.withinLimit(free, ranked, spread, limit, now)
 	}
-	best.Key, best.Limit = key, int(limit)
+	best.Key, best.Limit, best.Spread = key, int(limit), spread
 	best.FetchFrom = f.fetchSource(parts, best, free, ranked, now)
 	for _, p := range parts {
 		best.Shared += p.Tokens
@@ -165,19 +168,14 @@
 	best := Choice{Worker: free[ranked[0]], Reason: ChoseLoaded}
 	if spread > 1 {
 		rank := f.cfg.Random(min(spread, len(ranked)))
-		w := free[ranked[rank]]
-		if p.expected(w, now)+p.unseen(w, now) < limit {
-			return Choice{Worker: w, Reason: ChoseNext, Rank: rank}, true
+		if w := free[ranked[rank]]; p.expected(w, now)+p.unseen(w, now) < limit {
+			return byRank(w, rank), true
 		}
 	}
 	for rank, i := range ranked {
 		w := free[i]
 		if p.expected(w, now)+p.unseen(w, now) < limit {
-			reason := ChoseHome
-			if rank > 0 {
-				reason = ChoseNext
-			}
-			return Choice{Worker: w, Reason: reason, Rank: rank}, true
+			return byRank(w, rank), true
 		}
 		if p.expected(w, now) < p.expected(best.Worker, now) {
 			best = Choice{Worker: w, Reason: ChoseLoaded, Rank: rank}
@@ -186,6 +184,13 @@
 	return best, false
 }
 
+func byRank(w *Worker, rank int) Choice {
+	if rank == 0 {
+		return Choice{Worker: w, Reason: ChoseHome}
+	}
+	return Choice{Worker: w, Reason: ChoseNext, Rank: rank}
+}
+
 // leastBusy takes the least busy worker, preferring the router's own failure
 // domain by a margin.
 func (f *Fleet) leastBusy(free []*Worker, now time.Time) Choice {
--- a/routing/choose_test.go
+++ b/routing/choose_test.go
@@ -139,6 +139,7 @@
 			c, _ := f.Choose(prompt(1, 2), now)
 			if i >= 200 {
 				used[c.Worker.ID]++
+				So(c.Reason == ChoseHome, ShouldEqual, c.Rank == 0)
 			}
 		}
 		So(len(used), ShouldEqual, 10)
@@ -172,6 +173,8 @@
 		}
 		c, _ := f.Choose(prompt(1, 2), now)
 		So(c.Worker, ShouldNotEqual, home)
+		So(c.Busy, ShouldEqual, 10)
+		So(c.Waiting, ShouldEqual, 0)
 		f.Ended(c, true, now)
 		So(c.Worker.unanswered, ShouldEqual, 0)
 	})
--- a/routing/homes.go
+++ b/routing/homes.go
@@ -6,7 +6,7 @@
 )
 
 // homes remembers to which worker this router last sent a prompt's key. It is
-// guarded by fleet.mu.
+// guarded by Fleet.mu.
 type homes struct {
 	byKey map[uint64]home
 }
