Read what is known beside additions, and show what cannot be read

Now each reader keeps what it knows, counts the rest by kind and logs one bounded line. Gossip messages grow by flags and extensions; what is sent is unchanged but for one flag that older routers ignore.

--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -199,6 +201,98 @@
 	})
 }
 
+// oldMessage is a message of a router that does not know of extensions: one
+// table, one member and two loads.
+var oldMessage = []byte("\x01\x00\x0f\x5b\x1d\x40\x8d\x5a\x3e\x01\x00\x00\x00\x0a\x00\x64" + "\x01\x01\x02" +
+	"\x2a\x0a\x00\x00\x02\x1b\x58\x05\x2a" +
+	"\x0a\x00\x00\x03\x1b\x58\x00\x00\x00\x00\x00\x00\x00\x07\x00\x00\x00\x0a\x00\x64\x02" +
+	"\x00\x00\x00\x05\x00\x01\x09\x03" + "\x00\x00\x00\x06\x00\x02\x81\x01\x04")
+
+// Guards against an addition to a message that costs its receivers the whole
+// message, and against additions that older routers cannot read.
+func TestMessageGrowth(t *testing.T) {
+	from := netip.MustParseAddrPort("10.0.0.2:7000")
+	now := time.Unix(1_000_000, 0)
+	newView := func() *View {
+		return New(Config{Router: "a", TableCount: 1, LivenessTimeout: testLivenessTimeout, LoadTTL: testLivenessTimeout, Address: netip.MustParseAddrPort("10.0.0.1:7000")})
+	}
+	merged := func(extra ...byte) (*View, Update) {
+		v := newView()
+		u, err := v.Merge(now, from, append(slices.Clone(oldMessage), extra...))
+		So(err, ShouldBeNil)
+		So(v.loads[5].inFlight, ShouldEqual, 9)
+		So(v.loads[6].inFlight, ShouldEqual, 129)
+		So(v.members, ShouldHaveLength, 2)
+		So(v.tables[0].newest, ShouldEqual, 42)
+		return v, u
+	}
+	Convey("A message of an older router is read", t, func() {
+		_, u := merged()
+		So(u.Unread, ShouldBeNil)
+	})
+	Convey("Flags and extensions of a newer router are skipped", t, func() {
+		_, u := merged(9, 3, 1, 2, 3, 200, 0)
+		So(u.Unread, ShouldBeNil)
+		v := newView()
+		flagged := slices.Clone(oldMessage)
+		flagged[1] = 0xfe
+		_, err := v.Merge(now, from, flagged)
+		So(err, ShouldBeNil)
+		So(v.loads, ShouldHaveLength, 2)
+	})
+	Convey("A truncated extension costs only itself and is reported", t, func() {
+		for _, extra := range [][]byte{{9}, {9, 3, 1, 2}, {9, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01}} {
+			_, u := merged(extra...)
+			So(u.Unread, ShouldNotBeNil)
+		}
+	})
+	Convey("A message ends with its last load, so that older routers read it", t, func() {
+		v := newView()
+		v.SetLoad(5, 9, now)
+		b := v.Message(now)
+		m, err := decode(b)
+		So(err, ShouldBeNil)
+		So(m.readsExtensions, ShouldBeTrue)
+		So(m.encode(), ShouldResemble, b)
+	})
+	Convey("Every truncation of a message is refused", t, func() {
+		for n := range oldMessage {
+			_, err := newView().Merge(now, from, oldMessage[:n])
+			So(err, ShouldNotBeNil)
+		}
+	})
+	Convey("Implausible figures cost only their entry and never lie in the future", t, func() {
+		m, err := decode(oldMessage)
+		So(err, ShouldBeNil)
+		m.tables[0].contactAgeMs = math.MaxUint64
+		m.members[0].age = math.MaxUint64
+		m.loads[0].inFlight = math.MaxUint64
+		v := newView()
+		u, err := v.Merge(now, from, m.encode())
+		So(err, ShouldBeNil)
+		So(u.Unread, ShouldNotBeNil)
+		So(v.tables[0].newest, ShouldEqual, 0)
+		So(v.tables[0].lastContact.After(now), ShouldBeFalse)
+		So(v.RouterCount(now), ShouldEqual, 2)
+		So(v.loads, ShouldHaveLength, 1)
+	})
+	Convey("Forged messages fill a view only up to its limits", t, func() {
+		v := newView()
+		for i := range 200 {
+			m := &message{routerHash: 1}
+			for k := range 90 {
+				n := i*90 + k
+				m.members = append(m.members, memberEntry{address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{11, byte(n >> 16), byte(n >> 8), byte(n)}), 1), routerHash: uint64(n)})
+				m.loads = append(m.loads, loadEntry{workerHash: uint32(n), reportID: 1, inFlight: 1})
+			}
+			_, err := v.Merge(now, from, m.encode())
+			So(err, ShouldBeNil)
+		}
+		So(len(v.members), ShouldEqual, maxMembers)
+		So(len(v.loads), ShouldEqual, maxLoads)
+	})
+}
+
 // Guards against messages that crash a router or change its view although they
 // are malformed.
 func FuzzMerge(f *testing.F) {
@@ -208,6 +302,8 @@
 	v.SetLoad(3, 4, now)
 	f.Add(v.Message(now))
 	f.Add([]byte{messageFormat, 0})
+	f.Add(oldMessage)
+	f.Add(append(slices.Clone(oldMessage), 9, 1, 0))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		w := New(Config{Router: "b", TableCount: 2, LivenessTimeout: testLivenessTimeout, LoadTTL: testLivenessTimeout})
 		from := netip.MustParseAddrPort("10.0.0.1:1")
@@ -217,6 +313,16 @@
 			}
 			return
 		}
+		for _, m := range w.members {
+			if m.lastHeard.After(now) {
+				t.Fatalf("a router was heard in the future")
+			}
+		}
+		for _, table := range w.tables {
+			if table.lastContact.After(now) {
+				t.Fatalf("the store was in contact in the future")
+			}
+		}
 		if len(w.Message(now)) > MessageBytes {
 			t.Fatalf("the message is longer than MessageBytes")
 		}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -4,16 +4,25 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"time"
 )
 
 // messageFormat is the first byte of a message; messages with another first byte
-// are rejected.
+// are rejected. The format grows in two ways that need no new number: by flags,
+// and by extensions after the last load report. Routers ignore flags that they do
+// not know. An extension is a type of one byte, a length as uvarint and that many
+// bytes; routers skip types that they do not know.
 const messageFormat = 1
 
-// flagLeaving is set if the sender is leaving.
-const flagLeaving = 1
+// Flags of a message.
+const (
+	flagLeaving = 1 << iota // the sender is leaving
+	// flagReadsExtensions says that the sender reads messages with extensions.
+	// Routers that do not set it reject such messages.
+	flagReadsExtensions
+)
 
 // Units of the ages in a message.
 const (
@@ -27,14 +36,18 @@
 // message is the content of a gossip message. It holds ages instead of times,
 // since the clocks of routers differ.
 type message struct {
-	leaving    bool
-	routerHash uint64 // hash of the sender's ID
-	domainHash uint32 // hash of the sender's failure domain
+	leaving         bool
+	readsExtensions bool
+	routerHash      uint64 // hash of the sender's ID
+	domainHash      uint32 // hash of the sender's failure domain
 	// capacity is the sender's Config.Capacity.
 	capacity uint16
 	tables   []tableEntry
 	members  []memberEntry
 	loads    []loadEntry
+	// unread says which entries or extensions of a decoded message were left out,
+	// nil for none.
+	unread error
 }
 
 type tableEntry struct {
@@ -74,7 +87,10 @@
 	b := make([]byte, 0, MessageBytes)
 	var flags byte
 	if m.leaving {
-		flags = flagLeaving
+		flags |= flagLeaving
+	}
+	if m.readsExtensions {
+		flags |= flagReadsExtensions
 	}
 	b = append(b, messageFormat, flags)
 	b = binary.BigEndian.AppendUint64(b, m.routerHash)
@@ -149,24 +165,64 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(d.next(4))), d.uint16())
 }
 
+// Largest plausible figures. Larger ones are no figures, so that they can neither
+// overflow a duration nor make an age negative.
+const (
+	maxInFlight  = 1 << 24
+	maxAgeMs     = uint64(time.Hour / time.Millisecond)
+	maxMemberAge = uint64(time.Hour / memberAgeUnit)
+)
+
+// decode decodes a message. Entries with implausible figures and unknown
+// extensions are left out. Errors: the message is truncated or of another format.
 func decode(b []byte) (*message, error) {
 	d := &decoder{rest: b}
 	if format := d.byte(); format != messageFormat {
 		return nil, fmt.Errorf("%w: format %d", errMalformed, format)
 	}
-	m := &message{leaving: d.byte()&flagLeaving != 0, routerHash: d.uint64(), domainHash: d.uint32(), capacity: d.uint16()}
+	flags := d.byte()
+	m := &message{leaving: flags&flagLeaving != 0, readsExtensions: flags&flagReadsExtensions != 0, routerHash: d.uint64(), domainHash: d.uint32(), capacity: d.uint16()}
 	tables, members, loads := int(d.byte()), int(d.byte()), int(d.byte())
 	for range tables {
-		m.tables = append(m.tables, tableEntry{newest: d.uvarint(), peer: d.address(), contactAgeMs: d.uvarint(), version: d.uvarint()})
+		t := tableEntry{newest: d.uvarint(), peer: d.address(), contactAgeMs: d.uvarint(), version: d.uvarint()}
+		if t.newest > math.MaxInt64 || t.version > t.newest || t.contactAgeMs > maxAgeMs {
+			m.unread = errors.New("gossip: table with implausible figures")
+			t = tableEntry{contactAgeMs: maxAgeMs} // keeps the place of the tables after it
+		}
+		m.tables = append(m.tables, t)
 	}
 	for range members {
-		m.members = append(m.members, memberEntry{address: d.address(), routerHash: d.uint64(), domainHash: d.uint32(), capacity: d.uint16(), age: d.uvarint()})
+		entry := memberEntry{address: d.address(), routerHash: d.uint64(), domainHash: d.uint32(), capacity: d.uint16(), age: d.uvarint()}
+		if entry.age > maxMemberAge || entry.address.Port() == 0 || entry.address.Addr().IsUnspecified() {
+			m.unread = errors.New("gossip: router with implausible address or age")
+			continue
+		}
+		m.members = append(m.members, entry)
 	}
 	for range loads {
-		m.loads = append(m.loads, loadEntry{workerHash: d.uint32(), reportID: d.uint16(), inFlight: d.uvarint(), age: d.byte()})
+		l := loadEntry{workerHash: d.uint32(), reportID: d.uint16(), inFlight: d.uvarint(), age: d.byte()}
+		if l.inFlight > maxInFlight {
+			m.unread = errors.New("gossip: load with an implausible figure")
+			continue
+		}
+		m.loads = append(m.loads, l)
 	}
-	if d.failed || len(d.rest) > 0 {
+	if d.failed {
 		return nil, errMalformed
 	}
+	m.decodeExtensions(d)
 	return m, nil
 }
+
+// decodeExtensions reads the extensions after the last load report. No types are
+// defined so far, so all are skipped. A truncated extension costs only itself.
+func (m *message) decodeExtensions(d *decoder) {
+	for len(d.rest) > 0 {
+		kind, n := d.byte(), d.uvarint()
+		if d.failed || n > uint64(len(d.rest)) {
+			m.unread = fmt.Errorf("gossip: truncated extension of type %d", kind)
+			return
+		}
+		d.next(int(n))
+	}
+}
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -13,7 +13,8 @@
 // age is too small by that time.
 //
 // Failure behaviour: a router that is silent for Config.LivenessTimeout counts as
-// not live. A malformed message changes nothing.
+// not live. A malformed message changes nothing; an entry with an implausible
+// figure or an unknown extension is left out alone.
 //
 // Concurrency: a View is not safe for concurrent use.
 //
@@ -43,6 +44,13 @@
 	maxOtherDomainMembers = 8
 )
 
+// Limits of what a view keeps, against memory exhaustion by forged messages.
+// They are above the 400 routers and 1,100 workers of the largest planned fleet.
+const (
+	maxMembers = 4096
+	maxLoads   = 16384
+)
+
 // Config configures a View.
 type Config struct {
 	Router string // ID of this router
@@ -210,6 +218,9 @@
 	// NeedsReply says that the sender was not known and should get a message,
 	// since it may know no other router yet.
 	NeedsReply bool
+	// Unread says which entries of the message were left out because of
+	// implausible figures, nil for none.
+	Unread error
 }
 
 // Load is a load report of a worker.
@@ -226,7 +237,7 @@
 	if err != nil {
 		return Update{}, err
 	}
-	var u Update
+	u := Update{Unread: m.unread}
 	if m.leaving {
 		delete(v.members, from)
 	} else {
@@ -249,7 +260,11 @@
 		// At each hop a report seems more recent by the time that the message
 		// was in transit. The ID keeps it from counting as a new report, since
 		// otherwise it would circulate forever.
-		if existing := v.loads[l.workerHash]; l.reportID != existing.reportID && at.After(existing.reportedAt) {
+		existing, known := v.loads[l.workerHash]
+		if !known && len(v.loads) >= maxLoads {
+			continue
+		}
+		if l.reportID != existing.reportID && at.After(existing.reportedAt) {
 			v.loads[l.workerHash] = loadReport{int(l.inFlight), at, l.reportID}
 			u.Loads = append(u.Loads, Load{l.workerHash, int(l.inFlight), at})
 		}
@@ -277,6 +292,9 @@
 	m := v.members[entry.address]
 	if m == nil {
 		m = &member{address: entry.address}
+		if len(v.members) >= maxMembers {
+			return m
+		}
 		v.members[entry.address] = m
 	}
 	if at.After(m.lastHeard) {
@@ -377,7 +395,7 @@
 
 // Message returns the next message of this router.
 func (v *View) Message(now time.Time) []byte {
-	m := &message{leaving: v.leaving, routerHash: v.routerHash, domainHash: v.domainHash, capacity: v.capacity()}
+	m := &message{leaving: v.leaving, readsExtensions: true, routerHash: v.routerHash, domainHash: v.domainHash, capacity: v.capacity()}
 	for _, t := range v.tables {
 		m.tables = append(m.tables, tableEntry{newest: t.newest, peer: t.peer, contactAgeMs: ageMs(now, t.lastContact), version: t.version})
 	}
@@ -392,11 +410,10 @@
 // ageMs returns the age of a time in ms, at most one hour. A zero time stands
 // for never and gets the maximum age.
 func ageMs(now, at time.Time) uint64 {
-	const never = uint64(time.Hour / time.Millisecond)
 	if at.IsZero() {
-		return never
+		return maxAgeMs
 	}
-	return min(uint64(max(now.Sub(at), 0).Milliseconds()), never)
+	return min(uint64(max(now.Sub(at), 0).Milliseconds()), maxAgeMs)
 }
 
 // selectLoads returns the load reports for a message: the most recent ones and
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/auburnlead/auburnlead/internal/unreadable"
 	"github.com/auburnlead/auburnlead/routing"
 )
 
@@ -19,6 +20,9 @@
 	Prompt          []routing.PromptPart
 	PromptTokens    int // 0 if not set
 	MaxOutputTokens int // limit of generated tokens, 0 if not set
+	// Unread lists the values that are treated as not set because they are
+	// malformed.
+	Unread []unreadable.Input
 }
 
 // AttemptHeader holds the values that a router adds to the header of a request
@@ -39,6 +43,9 @@
 // WorkerLoad is the load that a worker reports in the header of a response.
 type WorkerLoad struct {
 	Running, Waiting, Slots int
+	// WorkPercent is how long work takes on the worker's machine at the moment of
+	// the report, in percent of the usual time. 0 if not reported.
+	WorkPercent int
 }
 
 // LoadGossip shares the loads of workers with the other routers. Implemented by
@@ -61,6 +68,9 @@
 	Sealed    bool        // the header contains the seal, a digest of the body
 	NotRun    bool        // the worker states that it did not run the request
 	Load      *WorkerLoad // nil if the worker reported none
+	// Unread lists the values that are treated as not set because they are
+	// malformed.
+	Unread []unreadable.Input
 }
 
 // HeaderCodec reads and writes the headers that callers, routers and workers
--- /dev/null
+++ b/internal/unreadable/unreadable.go
@@ -0,0 +1,66 @@
+// Package unreadable counts and logs input from outside the process that could
+// not be read, in whole or in part.
+package unreadable
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/auburnlead/auburnlead/internal/linelimit"
+)
+
+// Kind says what could not be read. It is a metric tag, so kinds form a fixed
+// set.
+type Kind string
+
+// Kinds of input.
+const (
+	LoadReport    Kind = "load report"    // header of a worker's response
+	PromptParts   Kind = "prompt parts"   // header of a caller's request
+	TokenCounts   Kind = "token counts"   // header of a caller's request
+	Registration  Kind = "registration"   // row that a worker writes
+	DesiredState  Kind = "desired state"  // row that the operator writes
+	StoreRow      Kind = "store row"      // row in a reply of the store
+	RouterMessage Kind = "router message" // datagram of another router
+)
+
+// linesPerSecond limits the log lines of one kind.
+const linesPerSecond = 2
+
+// Reporter counts input that could not be read, by kind, and logs it with its
+// sender. It is safe for concurrent use and does not block.
+type Reporter struct {
+	log     *log.Logger
+	scope   tally.Scope
+	limiter *linelimit.Limiter
+}
+
+// New returns a reporter that counts in the scope's counter unreadable.
+func New(l *log.Logger, scope tally.Scope) *Reporter {
+	return &Reporter{log: l, scope: scope, limiter: linelimit.New(linesPerSecond)}
+}
+
+// Input is input that could not be read, in whole or in part.
+type Input struct {
+	Kind   Kind
+	Text   string
+	Reason error
+}
+
+// Report counts and logs one input. The sender is the ID of a worker or request,
+// the address of a router or the key of a row. The input is identified by its
+// length and digest, since it may be long or secret.
+func (r *Reporter) Report(sender string, in Input) {
+	r.scope.Tagged(map[string]string{"kind": string(in.Kind)}).Counter("unreadable").Inc(1)
+	ok, suppressed := r.limiter.Allow(string(in.Kind), time.Now().Unix())
+	for kind, n := range suppressed {
+		r.log.Warn("lines left out", "kind", "input not read: "+kind, "lines", n)
+	}
+	if ok {
+		r.log.Warn("input not read", "kind", in.Kind, "sender", sender, "bytes", len(in.Text), "digest", strconv.FormatUint(xxhash.Sum64String(in.Text), 16), "reason", in.Reason)
+	}
+}
--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -76,6 +76,9 @@
 		return nil, f
 	}
 	h := g.wire.DecodeResponse(resp.StatusCode, resp.Header)
+	for _, in := range h.Unread {
+		g.decisions.unreadable.Report(c.Worker.ID, in)
+	}
 	if h.Load != nil && h.RequestID == x.header.ID {
 		g.recordLoad(c.Worker, *h.Load)
 	}
--- a/plugins/gateway/decision.go
+++ b/plugins/gateway/decision.go
@@ -9,6 +9,8 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/auburnlead/auburnlead/internal/linelimit"
+	"github.com/auburnlead/auburnlead/internal/unreadable"
 	"github.com/auburnlead/auburnlead/objects"
 )
 
@@ -21,12 +23,8 @@
 	requestsInFlight atomic.Int64
 	counters         counterCache
 	firstByte        map[bool]tally.Histogram // key: whether the route is a stream
-
-	mu            sync.Mutex // lock level 90, see internal/core/lockorder.go
-	maxLines      int
-	currentSecond int64
-	written       map[string]int
-	suppressed    map[string]int // lines suppressed in currentSecond, by kind
+	limiter          *linelimit.Limiter
+	unreadable       *unreadable.Reporter
 }
 
 // firstByteBuckets run from 1 ms to about 16 s; each bound is twice the
@@ -36,7 +34,7 @@
 func newDecisionLog(l *log.Logger, scope tally.Scope, maxLines int) *decisionLog {
 	s := scope.SubScope(componentName)
 	return &decisionLog{
-		log: l, scope: s, maxLines: maxLines, written: map[string]int{}, suppressed: map[string]int{}, counters: counterCache{byKey: map[counterKey]tally.Counter{}},
+		log: l, scope: s, limiter: linelimit.New(maxLines), unreadable: unreadable.New(l, s), counters: counterCache{byKey: map[counterKey]tally.Counter{}},
 		firstByte: map[bool]tally.Histogram{
 			false: s.Tagged(map[string]string{"answer": "whole"}).Histogram("first_byte", firstByteBuckets),
 			true:  s.Tagged(map[string]string{"answer": "stream"}).Histogram("first_byte", firstByteBuckets),
@@ -46,13 +44,6 @@
 
 func (d *decisionLog) inFlight() int64 { return d.requestsInFlight.Load() }
 
-// setMaxLines sets the maximum number of lines of one kind per second.
-func (d *decisionLog) setMaxLines(maxLines int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.maxLines = maxLines
-}
-
 // logChange logs and counts a change of this router's state or of what it knows
 // about the fleet.
 func (d *decisionLog) logChange(message string, fields ...any) {
@@ -73,7 +64,7 @@
 }
 
 func (d *decisionLog) write(level log.Level, message string, fields []any) {
-	ok, suppressed := d.allowLine(message, time.Now().Unix())
+	ok, suppressed := d.limiter.Allow(message, time.Now().Unix())
 	for kind, n := range suppressed {
 		d.log.Warn("lines left out", "kind", kind, "lines", n)
 	}
@@ -82,27 +73,6 @@
 	}
 }
 
-// allowLine reports whether a line may be written. On the first line of a new
-// second it also returns how many lines of each kind were suppressed since the
-// last such report.
-func (d *decisionLog) allowLine(kind string, second int64) (ok bool, suppressed map[string]int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if second != d.currentSecond {
-		if len(d.suppressed) > 0 {
-			suppressed, d.suppressed = d.suppressed, map[string]int{}
-		}
-		clear(d.written)
-		d.currentSecond = second
-	}
-	if d.written[kind] >= d.maxLines {
-		d.suppressed[kind]++
-		return false, suppressed
-	}
-	d.written[kind]++
-	return true, suppressed
-}
-
 // counterCache keeps the counters that have been created, because each lookup
 // in a tally scope allocates.
 type counterCache struct {
--- a/plugins/gateway/gateway_test.go
+++ b/plugins/gateway/gateway_test.go
@@ -11,8 +11,11 @@
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/auburnlead/auburnlead/internal/unreadable"
 	"github.com/auburnlead/auburnlead/routing"
 )
 
@@ -388,3 +391,26 @@
 		So(moved, ShouldBeBetween, 1, 20)
 	})
 }
+
+// Guards against routers that know no loads because they cannot read the workers'
+// reports, without a sign of it.
+func TestUnreadableLoads(t *testing.T) {
+	inBubble(t, "A load report that cannot be read is counted and logged with its worker; the request is served", engines(2), func(h *harness) {
+		var lines strings.Builder
+		h.decisions.unreadable = unreadable.New(log.New(&lines), h.scope)
+		h.setHandlers(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(testLoad, "many")
+			w.Header().Set(testSeal, "s")
+			events(w, 1, 2)
+		})
+		for range 50 {
+			resp, aborted := h.call("POST", "/chat/x")
+			So(aborted, ShouldBeFalse)
+			So(resp.Code, ShouldEqual, http.StatusOK)
+		}
+		counters := h.scope.(tally.TestScope).Snapshot().Counters()
+		So(counters["unreadable+kind=load report"].Value(), ShouldEqual, 50)
+		So(strings.Count(lines.String(), "input not read"), ShouldEqual, 2)
+		So(lines.String(), ShouldContainSubstring, "sender=engine-")
+	})
+}
--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -138,6 +138,9 @@
 		g.deny(x, http.StatusBadRequest, "malformed header", err)
 		return false
 	}
+	for _, in := range x.header.Unread {
+		g.decisions.unreadable.Report(x.header.ID, in)
+	}
 	x.waitFor(g.routes.loaded)
 	table := g.routes.table.Load()
 	if table == nil {
--- a/plugins/gateway/harness_test.go
+++ b/plugins/gateway/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/internal/unreadable"
 	"github.com/auburnlead/auburnlead/objects"
 	"github.com/auburnlead/auburnlead/routing"
 )
@@ -38,6 +39,7 @@
 	testPrompt      = "X-Prompt"
 	testSeal        = "X-Seal"
 	testNotRun      = "X-Not-Run"
+	testLoad        = "X-Load" // requests running
 )
 
 // testCodec is a core.HeaderCodec with header names of its own.
@@ -76,7 +78,16 @@
 }
 
 func (testCodec) DecodeResponse(_ int, h http.Header) core.ResponseHeader {
-	return core.ResponseHeader{RequestID: h.Get(testID), Sealed: h.Get(testSeal) != "", NotRun: h.Get(testNotRun) != ""}
+	r := core.ResponseHeader{RequestID: h.Get(testID), Sealed: h.Get(testSeal) != "", NotRun: h.Get(testNotRun) != ""}
+	if v := h.Get(testLoad); v != "" {
+		running, err := strconv.Atoi(v)
+		if err != nil {
+			r.Unread = append(r.Unread, unreadable.Input{Kind: unreadable.LoadReport, Text: v, Reason: err})
+			return r
+		}
+		r.Load = &core.WorkerLoad{Running: running}
+	}
+	return r
 }
 
 // fakeNetwork connects the gateway to workers in memory, so that tests run in
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -189,7 +189,7 @@
 // and the settings of the retry budget and of the log.
 func (g *Gateway) reload(s *Settings) {
 	g.fleet.Configure(fleetConfig(g.identity.FailureDomain, s))
-	g.decisions.setMaxLines(s.LogLines)
+	g.decisions.limiter.SetMaxLines(s.LogLines)
 	g.decisions.logChange("settings in force", "retry_ratio", s.RetryRatio, "retry_slack", s.RetrySlack, "routers", s.Routers, "log_lines", s.LogLines)
 }
 
--- a/plugins/gossip/exchange.go
+++ b/plugins/gossip/exchange.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -10,6 +11,7 @@
 
 	lib "github.com/auburnlead/auburnlead/gossip"
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/internal/unreadable"
 	"github.com/auburnlead/auburnlead/replica"
 	"github.com/auburnlead/auburnlead/routing"
 )
@@ -124,7 +126,11 @@
 	g.received.Inc(1)
 	if err != nil {
 		g.refused.Inc(1)
-		g.log.Warn("message refused", "from", from, "error", err)
+	}
+	if reason := cmp.Or(err, update.Unread); reason != nil {
+		g.unreadable.Report(from.String(), unreadable.Input{Kind: unreadable.RouterMessage, Text: string(message), Reason: reason})
+	}
+	if err != nil {
 		return
 	}
 	if reply != nil {
--- a/plugins/gossip/setup.go
+++ b/plugins/gossip/setup.go
@@ -22,6 +22,7 @@
 
 	lib "github.com/auburnlead/auburnlead/gossip"
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/internal/unreadable"
 	"github.com/auburnlead/auburnlead/kernel"
 	"github.com/auburnlead/auburnlead/replica"
 	"github.com/auburnlead/auburnlead/routing"
@@ -110,6 +111,7 @@
 	sent       tally.Counter
 	received   tally.Counter
 	refused    tally.Counter
+	unreadable *unreadable.Reporter
 	routers    tally.Gauge
 
 	conn   net.PacketConn
@@ -142,7 +144,7 @@
 	scope := p.Scope.SubScope(component)
 	g := &Gossip{
 		settings: p.Settings, tables: p.Tables, tableNames: tableNames, log: p.Logger.WithPrefix(component), startedAt: time.Now(), peerClient: newPeerClient(), encoded: &encodedRowSets{byKey: map[rowSetKey][]byte{}},
-		sent: scope.Counter("sent"), received: scope.Counter("received"), refused: scope.Counter("refused"), routers: scope.Gauge("routers"),
+		sent: scope.Counter("sent"), received: scope.Counter("received"), refused: scope.Counter("refused"), unreadable: unreadable.New(p.Logger.WithPrefix(component), scope), routers: scope.Gauge("routers"),
 		tablesChanged: make(chan struct{}),
 		view: lib.New(lib.Config{
 			Router: p.Identity.Router, Domain: p.Identity.FailureDomain, Address: self, Seeds: seeds,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -162,7 +162,9 @@
 }
 
 // lookup returns the text of a key: the override, the environment variable, the
-// value in the file or the default, in this order of precedence.
+// value in the file or the default, in this order of precedence. An empty value in
+// the file counts as no value, since templates leave a value empty that they do not
+// have.
 func (s *Source) lookup(section, key string, tag reflect.StructTag) string {
 	if v, ok := s.overrides[section+"."+key]; ok {
 		return v
@@ -171,7 +173,7 @@
 	if v, ok := s.env(env); ok {
 		return v
 	}
-	if sec, err := s.file.GetSection(section); err == nil && sec.HasKey(key) {
+	if sec, err := s.file.GetSection(section); err == nil && sec.HasKey(key) && sec.Key(key).Value() != "" {
 		return sec.Key(key).Value()
 	}
 	return tag.Get("default")
