--- a/internal/bench/routerows.go
+++ b/internal/bench/routerows.go
@@ -25,6 +25,7 @@
 // ejection of workers.
 func (b bencher) routes(size routeSize) {
 	scenarios := []routeScenario{
+		{name: "steady", length: 40 * time.Second},
 		{name: "release and crash", length: 60 * time.Second, release: 15 * time.Second, crash: 35 * time.Second},
 		{name: "hot prompt in a flood", length: 40 * time.Second, surge: [2]time.Duration{10 * time.Second, 18 * time.Second}, surgeFactor: 3},
 		{name: "slow workers", length: 40 * time.Second, slow: true},
@@ -45,6 +46,7 @@
 				b.report.info(size.name, prefillMeasure, strategy.name, result.prefillAgainRatio())
 				b.report.info(size.name, overMeasure, strategy.name, result.maxOverBoundShare())
 			}
+			b.report.info(size.name, "moved / found kept, "+scenario.name, strategy.name, result.movedRatio())
 			b.report.info(size.name, "first token p95 (s), "+scenario.name, strategy.name, result.firstTokenQuantile(0.95))
 		}
 	}
--- a/internal/bench/routerun.go
+++ b/internal/bench/routerun.go
@@ -296,7 +296,11 @@
 	}
 	r.recordRequest(w, now)
 	if r.strategy.fetchesParts && fetchFrom != nil && fetchFrom != w && !fetchFrom.unresponsive {
-		w.storeParts(fetchFrom.cachedPrefix(prompt), now)
+		fetched := fetchFrom.cachedPrefix(prompt)
+		for _, p := range fetched[min(len(w.cachedPrefix(prompt)), len(fetched)):] {
+			r.result.movedTokens += p.Tokens
+		}
+		w.storeParts(fetched, now)
 	}
 	start := func(now time.Duration) { r.runRequest(w, now, arrivedAt, f, c, prompt, outputTokens) }
 	if w.running >= routeSlots {
--- a/internal/bench/routes.go
+++ b/internal/bench/routes.go
@@ -20,7 +20,7 @@
 
 // routeSizes returns the sizes of the two sites and a larger one.
 func routeSizes() []routeSize {
-	return []routeSize{{"kup-seva", 9, 9, 60}, {"board", 7, 9, 46}, {"grown", 86, 60, 420}}
+	return []routeSize{{"kup-seva", 9, 9, 60}, {"board", 7, 9, 46}, {"grown", 86, 60, 420}, {"large", 95, 58, 320}}
 }
 
 // Parameters of the workers and of the load.
@@ -77,6 +77,7 @@
 // routeResult has the measurements of a run.
 type routeResult struct {
 	prefilledAgain, cachedTokens int   // shared tokens prefilled again within routeReuseWindow, and shared tokens found in the cache
+	movedTokens                  int   // shared tokens that workers fetched from each other
 	sent, overBound              []int // by 100 ms: requests sent, and requests sent to workers above the load bound
 	firstTokens                  []time.Duration
 	refused                      int // requests for which no worker was available
@@ -88,6 +89,10 @@
 	return float64(r.prefilledAgain) / float64(r.cachedTokens)
 }
 
+// movedRatio returns the shared tokens that workers fetched from each other
+// relative to those found in the cache.
+func (r *routeResult) movedRatio() float64 { return float64(r.movedTokens) / float64(r.cachedTokens) }
+
 // maxOverBoundShare returns the largest share of requests above the load bound in
 // any window of routeWindow with at least 20 such requests.
 func (r *routeResult) maxOverBoundShare() float64 {
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -154,7 +154,7 @@
 		best, _ = f.pickWithinLimit(candidates, preferences, spread, limit, now)
 	}
 	best.PlacementKey, best.LoadLimit, best.SpreadSize = key, int(limit), spread
-	best.FetchFrom = f.fetchSource(parts, best, candidates, preferences, now)
+	best.FetchFrom = f.fetchSource(parts, best, now)
 	for _, p := range parts {
 		best.SharedTokens += p.Tokens
 		f.placements.put(p.ID, best.Worker, now)
--- a/routing/fetch.go
+++ b/routing/fetch.go
@@ -11,44 +11,63 @@
 
 // fetchSource returns the address of a worker that probably has more of the
 // prompt cached than the chosen one, empty for none. It is the worker that served
-// the last shared part before, according to this router's own placements or else
-// to the order of preference. If there is none, it is a worker that served one of
-// the earlier parts.
-func (f *Fleet) fetchSource(parts []PromptPart, c Choice, candidates []*Worker, preferences []int, now time.Time) string {
+// the last shared part before, according to this router's own recent placements or
+// else to the order of preference. If there is none, it is a worker that served one
+// of the earlier parts.
+func (f *Fleet) fetchSource(parts []PromptPart, c Choice, now time.Time) string {
 	last := len(parts) - 1
-	if previous := f.placements.get(parts[last].ID, now); previous != nil {
-		if previous == c.Worker {
-			return ""
-		}
-		if f.reachable(previous, now) {
-			return previous.Address
-		}
-	} else if address := f.formerPreference(parts[last].ID, c, candidates, preferences, now); address != "" {
-		return address
+	previous, placedAt := f.placements.get(parts[last].ID, now)
+	if previous == c.Worker {
+		return ""
+	}
+	usable := previous != nil && f.reachable(previous, now)
+	if usable && now.Sub(placedAt) <= recentPlacement {
+		return previous.Address
+	}
+	if owner := f.formerOwner(parts[last].ID, c, now); owner != nil {
+		return owner.Address
+	}
+	if usable {
+		return previous.Address
 	}
 	for i := last - 1; i >= 0; i-- {
-		if previous := f.placements.get(parts[i].ID, now); previous != nil && previous != c.Worker && f.reachable(previous, now) {
+		if previous, _ := f.placements.get(parts[i].ID, now); previous != nil && previous != c.Worker && f.reachable(previous, now) {
 			return previous.Address
 		}
 	}
 	return ""
 }
 
-// formerPreference returns the address of the worker that probably served the key
-// before, empty for none. If a later preference was chosen, it is the first
-// preference. Otherwise it is the worker that was the first preference until the
-// chosen one joined, or one that left recently.
-func (f *Fleet) formerPreference(key uint64, c Choice, candidates []*Worker, preferences []int, now time.Time) string {
-	if c.PreferenceIndex > 0 {
-		return candidates[preferences[0]].Address
+// formerOwner returns the worker that probably served the key before, nil if that
+// is the chosen one: the first preference among the workers that have been there for
+// ownerAge, those that left recently included. Workers that joined since then have
+// probably not served it yet, also if they now rank before that worker.
+func (f *Fleet) formerOwner(key uint64, c Choice, now time.Time) *Worker {
+	var owner *Worker
+	var topScore uint64
+	consider := func(w *Worker) {
+		if w == c.Worker || !w.joinedAt.IsZero() && now.Sub(w.joinedAt) < ownerAge || !f.reachable(w, now) {
+			return
+		}
+		if score := placement.Score(key, w.hash); owner == nil || score > topScore {
+			owner, topScore = w, score
+		}
 	}
-	if c.Worker.joinedAt.IsZero() || now.Sub(c.Worker.joinedAt) > newWorkerAge {
-		return f.departedSource(key, c.Worker, now)
+	p := f.pool(c.Worker.Upstream)
+	isOwner := c.PreferenceIndex == 0 && (c.Worker.joinedAt.IsZero() || now.Sub(c.Worker.joinedAt) > newWorkerAge)
+	if !isOwner {
+		for _, w := range p.workers {
+			consider(w)
+		}
 	}
-	if len(preferences) > 1 {
-		return candidates[preferences[1]].Address
+	for _, w := range f.leaving {
+		// A worker that left is a source for a long-standing owner only if it was
+		// the key's first preference until then.
+		if w.Upstream == c.Worker.Upstream && (!isOwner || placement.Score(key, w.hash) > placement.Score(key, c.Worker.hash)) {
+			consider(w)
+		}
 	}
-	return ""
+	return owner
 }
 
 // reachable reports whether a worker probably still responds. Workers that left
@@ -59,18 +78,3 @@
 	}
 	return !w.unreachable && !w.leftAt.IsZero() && now.Sub(w.leftAt) <= departedTTL
 }
-
-// departedSource returns the address of a worker that left recently and was the
-// key's first preference until then, empty for none.
-func (f *Fleet) departedSource(key uint64, chosen *Worker, now time.Time) string {
-	topScore, address := placement.Score(key, chosen.hash), ""
-	for _, w := range f.leaving {
-		if w.Upstream != chosen.Upstream || now.Sub(w.leftAt) > departedTTL {
-			continue
-		}
-		if score := placement.Score(key, w.hash); score > topScore {
-			topScore, address = score, w.Address
-		}
-	}
-	return address
-}
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -68,6 +68,12 @@
 	// newWorkerAge is the age up to which a worker is assumed not to have
 	// prefilled the prompts for which it is the first preference.
 	newWorkerAge = 20 * time.Second
+	// ownerAge is the age from which a worker is assumed to have served the
+	// prompts for which it is the first preference: prompts recur within seconds.
+	ownerAge = 4 * time.Second
+	// recentPlacement is the age up to which a router's own placement of a prompt
+	// tells more about its cached parts than the order of preference.
+	recentPlacement = 20 * time.Second
 	// loadTTL is the age after which a load report is ignored.
 	loadTTL = 3 * time.Second
 	// budgetWindowSeconds is the window of retry.Budget.
--- a/routing/placements.go
+++ b/routing/placements.go
@@ -31,12 +31,14 @@
 
 func newPlacements() placements { return placements{byKey: map[uint64]lastPlacement{}} }
 
-func (p placements) get(key uint64, now time.Time) *Worker {
+// get returns the worker that a key was last sent to and when, nil if it is not
+// known or probably evicted.
+func (p placements) get(key uint64, now time.Time) (*Worker, time.Time) {
 	e, ok := p.byKey[key]
 	if !ok || now.Sub(e.placedAt) > placementTTL {
-		return nil
+		return nil, time.Time{}
 	}
-	return e.worker
+	return e.worker, e.placedAt
 }
 
 func (p placements) put(key uint64, w *Worker, now time.Time) {
