--- a/internal/bench/routes.go
+++ b/internal/bench/routes.go
@@ -30,15 +30,18 @@
 	routePrefill       = 48_000                  // prompt tokens that a worker prefills per second
 	routeStep          = 2600 * time.Microsecond // time per token; routeStepEach is added for each running request
 	routeStepEach      = 120 * time.Microsecond
-	minLoadDelay       = 150 * time.Millisecond // shortest delay until another router knows a load
-	maxLoadDelay       = 600 * time.Millisecond // longest such delay
-	loadShareInterval  = 250 * time.Millisecond // period of load messages between routers
-	unreachableTimeout = 300 * time.Millisecond // until an unresponsive worker counts as unreachable
-	routeLoadBound     = 2.0                    // multiple of the mean load
-	routeWindow        = 5 * time.Second        // window of maxOverBoundShare
-	routePrompts       = 600                    // number of different shared prompts
-	routeRoots         = 12                     // number of different first parts of shared prompts
-	routeReuseWindow   = 10 * time.Second       // a part unused for longer counts as new
+	minLoadDelay       = 150 * time.Millisecond  // shortest delay until another router knows a load
+	maxLoadDelay       = 600 * time.Millisecond  // longest such delay
+	loadShareInterval  = 250 * time.Millisecond  // period of load messages between routers
+	unreachableTimeout = 300 * time.Millisecond  // until an unresponsive worker counts as unreachable
+	routeLoadBound     = 2.0                     // multiple of the mean load
+	routeWindow        = 5 * time.Second         // window of maxOverBoundShare
+	routePrompts       = 600                     // number of different shared prompts
+	burstFactor        = 2.5                     // how much longer work takes in a burst
+	meanBurst          = 500 * time.Millisecond  // mean length of a burst
+	meanBetweenBursts  = 2800 * time.Millisecond // mean time between two bursts of a worker
+	routeRoots         = 12                      // number of different first parts of shared prompts
+	routeReuseWindow   = 10 * time.Second        // a part unused for longer counts as new
 )
 
 // routeScenario describes the events of a run. Times count from its start; 0 means
@@ -51,6 +54,7 @@
 	release     time.Duration // 40% of the workers are replaced, spread over 4 s
 	crash       time.Duration // a fifth of the workers stops responding
 	restart     time.Duration // all routers lose their state
+	bursts      bool          // each worker turns slow and usual by turns, since others use its machine
 	slow        bool          // a fifth of the workers takes four times as long
 }
 
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -34,6 +34,7 @@
 	SpreadSize      int           // number of workers that the prompt's request rate needs, 0 for no prompt
 	LoadLimit       int           // load at which the prompt goes to another worker, 0 for none
 	LoadAge         time.Duration // age of the worker's load report, negative for none
+	WorkPercent     int           // how long work took on the worker at that report, in percent of the usual time; 0 if unknown
 	ListVersion     int64         // version of the worker list
 	ListAge         time.Duration // time since the worker list was read
 
@@ -83,7 +84,6 @@
 	if p == nil {
 		return Choice{}, false
 	}
-	p.recordArrival(now)
 	if len(r.Tried) == 0 {
 		p.budget.Success(now) // this budget is a fraction of the requests, not of the successes
 	}
@@ -92,12 +92,13 @@
 		return Choice{}, false
 	}
 	c.sentAt, c.attempt = now, &attempt{}
-	c.EstimatedLoad = int(p.estimatedLoad(c.Worker, now) + p.unreportedLoad(c.Worker, now))
+	c.EstimatedLoad = int(p.estimatedLoad(c.Worker, now))
 	c.Unanswered = c.Worker.unanswered
 	c.LoadAge = -1
 	if !c.Worker.reportedAt.IsZero() {
 		c.LoadAge = now.Sub(c.Worker.reportedAt)
 	}
+	c.WorkPercent = c.Worker.workPercent
 	c.ListVersion, c.ListAge = f.listVersion, now.Sub(f.listReadAt)
 	c.Worker.recordSent(now)
 	return c, true
@@ -171,13 +172,13 @@
 	best := Choice{Worker: candidates[preferences[0]], Reason: ReasonAllAboveLimit}
 	if spread > 1 {
 		preference := f.cfg.Random(min(spread, len(preferences)))
-		if w := candidates[preferences[preference]]; p.estimatedLoad(w, now)+p.unreportedLoad(w, now) < limit {
+		if w := candidates[preferences[preference]]; p.estimatedLoad(w, now) < limit {
 			return choiceAt(w, preference), true
 		}
 	}
 	for preference, i := range preferences {
 		w := candidates[i]
-		if p.estimatedLoad(w, now)+p.unreportedLoad(w, now) < limit {
+		if p.estimatedLoad(w, now) < limit {
 			return choiceAt(w, preference), true
 		}
 		if p.estimatedLoad(w, now) < p.estimatedLoad(best.Worker, now) {
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -11,8 +11,8 @@
 //     (fetch.go).
 //   - Hot prompts and many routers. A worker above a multiple of the mean load
 //     gets no more prompts. Load reports arrive late and at few of the routers, so
-//     the load of a worker is taken to include requests that other routers may
-//     have sent since its last report. The mean leaves out requests that have
+//     requests that a worker leaves unanswered are taken to be as many at every
+//     other router. The mean leaves out requests that have
 //     probably ended since the last reports of workers above the limit, which get
 //     no new ones (load.go).
 //   - Requests without a prompt, and slow workers. Requests without a prompt go to
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -47,15 +47,13 @@
 
 // pool holds the workers and the retry state of one upstream.
 type pool struct {
-	workers        []*Worker // workers that accept new requests, sorted by ID
-	hashes         []uint64  // hashes of the workers' IDs, in the same order
-	ejector        *retry.Ejector
-	budget         *retry.Budget
-	firstByte      firstByteTimes
-	routers        int     // estimated number of routers, this one included; each is assumed to send to the upstream
-	recentRequests float64 // exponentially decayed count of this router's requests, as of recentAt
-	recentAt       time.Time
-	meanDuration   time.Duration // mean time of a request on a worker, 0 if not known
+	workers      []*Worker // workers that accept new requests, sorted by ID
+	hashes       []uint64  // hashes of the workers' IDs, in the same order
+	ejector      *retry.Ejector
+	budget       *retry.Budget
+	firstByte    firstByteTimes
+	routers      int           // estimated number of routers, this one included; each is assumed to send to the upstream
+	meanDuration time.Duration // mean time of a request on a worker, 0 if not known
 }
 
 // Times after which recorded state is no longer used, and the window of the retry
@@ -322,11 +320,12 @@
 	return listed, reachable, len(f.byID)
 }
 
-// RecordLoad records the number of requests that a worker reports.
-func (f *Fleet) RecordLoad(w *Worker, inFlight int, now time.Time) {
+// RecordLoad records the number of requests that a worker reports, and how long
+// work takes there now, in percent of the usual time; 0 if unknown.
+func (f *Fleet) RecordLoad(w *Worker, inFlight, workPercent int, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w.reportedLoad, w.reportedAt = inFlight, now
+	w.reportedLoad, w.reportedAt, w.workPercent = inFlight, now, workPercent
 }
 
 // RecordSharedLoads records load reports that other routers shared, and the
@@ -344,7 +343,7 @@
 	for _, l := range list {
 		w := f.byHash[l.WorkerHash]
 		if w != nil && l.At.After(w.reportedAt) {
-			w.reportedLoad, w.reportedAt = l.InFlight, l.At
+			w.reportedLoad, w.reportedAt, w.workPercent = l.InFlight, l.At, 0
 		}
 	}
 }
--- a/routing/load.go
+++ b/routing/load.go
@@ -17,15 +17,6 @@
 	// boundFraction is the fraction of the bound that a router uses, since load
 	// reports are some hundred milliseconds old.
 	boundFraction = 0.9
-	// unreportedMinRouters is the number of routers below which requests that
-	// other routers send between two load reports are ignored.
-	unreportedMinRouters = 16
-	// unreportedDeviations is the number of standard deviations by which the
-	// load is assumed to have risen since the last report.
-	unreportedDeviations = 1
-	// rateTimeConstant is the time constant with which the request count of an
-	// upstream decays.
-	rateTimeConstant = 2 * time.Second
 	// usualUnanswered is the number of this router's unanswered requests on a
 	// worker that keeps up.
 	usualUnanswered = 1
@@ -95,26 +86,3 @@
 	}
 	p.meanDuration += (t - p.meanDuration) / durationDivisor
 }
-
-// recordArrival adds a request of this router to the decayed count.
-func (p *pool) recordArrival(now time.Time) {
-	p.recentRequests = p.recentRequestsAt(now) + 1
-	p.recentAt = now
-}
-
-func (p *pool) recentRequestsAt(now time.Time) float64 {
-	return p.recentRequests * math.Exp(-now.Sub(p.recentAt).Seconds()/rateTimeConstant.Seconds())
-}
-
-// unreportedLoad returns the number of requests by which a worker's load may
-// have risen since its report. Requests of other routers start and end at the
-// same rate, so the standard deviation of the load is the square root of their
-// number.
-func (p *pool) unreportedLoad(w *Worker, now time.Time) float64 {
-	age := now.Sub(w.reportedAt)
-	if p.routers < unreportedMinRouters || age > loadTTL {
-		return 0 // few other routers, or no recent report
-	}
-	rate := p.recentRequestsAt(now) / rateTimeConstant.Seconds() * float64(p.routers-1) / float64(len(p.workers))
-	return unreportedDeviations * math.Sqrt(2*rate*age.Seconds())
-}
--- a/routing/worker.go
+++ b/routing/worker.go
@@ -42,6 +42,7 @@
 	unanswered   int // requests of this router without a first byte
 	reportedLoad int // requests on the worker at reportedAt, by its last report
 	reportedAt   time.Time
+	workPercent  int         // how long work took at reportedAt, in percent of the usual time; 0 if unknown
 	sentTimes    []time.Time // send times of this router's requests in the last loadTTL
 	leftAt       time.Time   // when it began to drain or left the list
 	unreachable  bool        // connections to it fail
