Space the calls of a large fleet to a store that does not reply

Cause: when no router has been in contact with the store for 1.8 s, every router of a large fleet calls it itself, each 0.2 to 0.6 s. Ruled out: fewer domain leaders, since the store may turn some machines away and two readers are lost with it more often.

Routers that are not selected now take turns, 50 ms apart on the mean for the whole fleet, and go on following peers as soon as one is in contact again.

--- a/replica/follower.go
+++ b/replica/follower.go
@@ -74,9 +74,11 @@
 func (f *Follower) Run(ctx context.Context) {
 	wait := minRetryWait
 	for ctx.Err() == nil {
-		if !f.Peers.ReadsStore() && f.followPeers(ctx) {
-			wait = minRetryWait
-			continue
+		if !f.Peers.ReadsStore() {
+			if f.followPeers(ctx) || f.Copy.Version() > 0 && f.isStale(f.Peers.TableStatus(f.Table)) && !f.awaitTurn(ctx) {
+				wait = minRetryWait
+				continue
+			}
 		}
 		err := f.readStore(ctx)
 		if err == nil {
@@ -103,14 +105,41 @@
 	}
 }
 
+// callSpacing is the mean time between two calls of all routers together that are
+// not selected to read the store while no router is in contact with it. The first
+// router that reaches the store tells the others.
+const callSpacing = 50 * time.Millisecond
+
+// awaitTurn waits for this router's turn to call the store on behalf of all, so
+// that the calls of a large fleet to a store that does not reply stay few. It
+// returns false if the routers are in contact with the store before that.
+func (f *Follower) awaitTurn(ctx context.Context) bool {
+	turn := time.NewTimer(rand.N(2 * callSpacing * time.Duration(max(f.Peers.RouterCount(), 1))))
+	defer turn.Stop()
+	for {
+		recheck := time.NewTimer(statusRecheckInterval)
+		select {
+		case <-turn.C:
+			recheck.Stop()
+			return true
+		case <-f.Peers.StatusChanged():
+		case <-recheck.C:
+		case <-ctx.Done():
+		}
+		recheck.Stop()
+		if ctx.Err() != nil || f.Peers.ReadsStore() || !f.isStale(f.Peers.TableStatus(f.Table)) {
+			return false
+		}
+	}
+}
+
 // followPeers reads changes from a peer, or waits for a changed table status,
 // while the routers are in contact with the store. It returns false if they are
 // not or if no peer could be read.
 func (f *Follower) followPeers(ctx context.Context) bool {
 	changed := f.Peers.StatusChanged()
 	status := f.Peers.TableStatus(f.Table)
-	// This router's own last contact with the store counts like a peer's.
-	if min(status.Age, time.Since(f.Copy.LastContact())) > f.Config.StaleAfter {
+	if f.isStale(status) {
 		return false
 	}
 	if status.Version > f.Copy.Version() {
@@ -131,6 +160,12 @@
 	return true
 }
 
+// isStale reports whether no router has been in contact with the store recently.
+// This router's own last contact counts like a peer's.
+func (f *Follower) isStale(status TableStatus) bool {
+	return min(status.Age, time.Since(f.Copy.LastContact())) > f.Config.StaleAfter
+}
+
 // catchUpFromPeers reads changes from a peer while the store does not reply to
 // this router. It reports whether another router is in contact with the store.
 func (f *Follower) catchUpFromPeers(ctx context.Context) bool {
--- a/replica/follower_test.go
+++ b/replica/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"sync"
 	"testing"
@@ -18,6 +19,7 @@
 	version         int64
 	oldestAvailable int64 // changes since an older version are no longer available
 	unresponsive    bool  // calls get no reply
+	refuses         bool  // calls get an error at once
 	snapshotVersion int64 // version of the snapshots that Read returns, 0 for the newest
 	changed         chan struct{}
 	calls           int
@@ -75,7 +77,11 @@
 func (s *fakeStore) recordCall(ctx context.Context) error {
 	s.mu.Lock()
 	s.calls++
+	refuses := s.refuses
 	s.mu.Unlock()
+	if refuses {
+		return errors.New("refused")
+	}
 	return s.blockIfUnresponsive(ctx)
 }
 
@@ -145,7 +151,7 @@
 	}
 	f.Follower = &Follower{
 		Table: "t", Store: s, Peers: peers, Copy: NewCopy(),
-		Config: Config{PollWait: 3500 * time.Millisecond, Timeout: 800 * time.Millisecond, BatchDelay: time.Second, StaleAfter: 1800 * time.Millisecond},
+		Config: Config{PollWait: 3500 * time.Millisecond, Timeout: 800 * time.Millisecond, BatchDelay: time.Second, PollWaitForOthers: time.Second, BatchDelayForOthers: 200 * time.Millisecond, StaleAfter: 1800 * time.Millisecond},
 		Events: Events{Changed: apply, SourcesLost: func(error) {}, SourcesRecovered: func() {}, Warning: func(string, error) {}},
 	}
 	go f.Run(ctx)
@@ -261,6 +267,7 @@
 
 func (p *fakePeers) ReadsForOthers() bool { return true }
 func (p *fakePeers) AnnounceChange()      {}
+func (p *fakePeers) RouterCount() int     { return 2 }
 
 func (p *fakePeers) TableStatus(string) TableStatus {
 	p.mu.Lock()
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -80,6 +80,8 @@
 	// StatusChanged returns a channel that is closed when the status of a table
 	// changes.
 	StatusChanged() <-chan struct{}
+	// RouterCount estimates the number of routers, including this one.
+	RouterCount() int
 	// AnnounceChange tells the other routers that this router's copy has
 	// changed.
 	AnnounceChange()
@@ -94,6 +96,9 @@
 // ReadsForOthers returns false.
 func (NoPeers) ReadsForOthers() bool { return false }
 
+// RouterCount returns 1.
+func (NoPeers) RouterCount() int { return 1 }
+
 // AnnounceChange does nothing.
 func (NoPeers) AnnounceChange() {}
 
