--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -261,3 +261,33 @@
 		So(string(after), ShouldEqual, string(before))
 	})
 }
+
+// Guards against an entry of another router that crashes this one: fields that are
+// missing, contradict each other or are out of range.
+func FuzzMerge(f *testing.F) {
+	f.Add("kup-router-001", "bengal-west-0", "10.0.0.1:7400", uint64(1), uint64(2), uint64(3), 2, 1, false)
+	f.Add("", "", "", uint64(0), ^uint64(0), ^uint64(0), 5, 0, true)
+	f.Add("kup-router-000", "bengal-west-0", "", ^uint64(0), uint64(0), uint64(9), 0, 4, false)
+	f.Fuzz(func(t *testing.T, router, domain, address string, incarnation, heartbeat, version uint64, loads, pools int, leaving bool) {
+		s := newSimulation(1, 1, 3)
+		e := Entry{Router: router, Domain: domain, Address: address, Incarnation: incarnation, Key: heartbeat, Heartbeat: heartbeat, Leaving: leaving, Revision: version, ContentVersion: version, LoadsVersion: version}
+		for i := range min(max(loads, 0), 8) {
+			e.Loads = append(e.Loads, uint32(i))
+		}
+		for i := range min(max(pools, 0), 8) {
+			e.Pools = append(e.Pools, Pool{Upstream: fmt.Sprint("u", i%3), Workers: ^uint32(i)})
+		}
+		v := s.views[0]
+		for range 2 {
+			v.Merge(s.now, router, []Entry{e, {}, e.Status(), {Key: version}})
+			s.now = s.now.Add(time.Second)
+			v.Reply(s.now, []Entry{e, {}})
+			v.Push(s.now)
+			v.Summary(s.now)
+			v.Targets(s.now, 2)
+		}
+		if v.Self().Router != "kup-router-000" {
+			t.Fatalf("a message changed the router's own entry to %+v", v.Self())
+		}
+	})
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -49,3 +49,31 @@
 		So(err.Error(), ShouldContainSubstring, "allowed: 0s to 5m")
 	})
 }
+
+// Guards against a settings file that crashes a process, and against a value outside
+// of its range that is used.
+func FuzzParse(f *testing.F) {
+	f.Add("[part]\nkey = k\nwait = 1s\ncount = 2\npeers = a, b\n")
+	f.Add("[part]\nkey =\nlisten = {{limits.a}}\ncount =\n")
+	f.Add("[part\n=\n\x00[x]\nwait = 99999999999999h")
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := bind(text, nil)
+		if err != nil {
+			return
+		}
+		if s.Key == "" || s.Count < 1 || s.Count > 9 || s.Wait < 0 || s.Wait > 5*time.Minute || s.Listen == "" {
+			t.Fatalf("%q was accepted as %+v", text, s)
+		}
+	})
+}
+
+// Guards against a bound that a template leaves empty and that then counts as 0.
+func TestEmptyValue(t *testing.T) {
+	Convey("An empty value in the file counts as no value", t, func() {
+		s, err := bind("[part]\nkey = k\ncount =\nwait =\nlisten =\n", nil)
+		So(err, ShouldBeNil)
+		So(s, ShouldResemble, section{"127.0.0.1:80", 3 * time.Second, 4, "k", nil})
+		_, err = bind("[part]\nkey =\n", nil)
+		So(err, ShouldNotBeNil)
+	})
+}
