Drop the planned writes of a lease round that another round displaces

Cause: a round that began while another one waited for the platform had made its writes pending and then returned; they were neither sent nor read back, and a lease plans no write while one is pending.

Such writes are now reported to their leases as not applied, which is certain; a retry of an uncertain write stays pending as before. The new test fails without it. The routes' gateway does not use this package.

--- a/plugins/peer/failure_test.go
+++ b/plugins/peer/failure_test.go
@@ -85,6 +85,42 @@
 	})
 }
 
+// Guards against leases whose writes stay pending for ever, because they were
+// planned while another round was still waiting for the platform.
+func TestOverlappingRounds(t *testing.T) {
+	Convey("A round that begins while another one runs leaves no write pending", t, func() {
+		f := newFleet(t, poolSet(4, 2))
+		a := f.start("a", "d1")
+		eventually(func() bool { return assignmentSettled(4, a) && a.rowsUpToDate() })
+		eventually(func() bool { return a.roundRunning.CompareAndSwap(false, true) })
+		// The second router becomes the successor of the first one's leases, which
+		// plans a write for each.
+		b := f.start("b", "d1")
+		<-time.After(f.settings.LeaseTime)
+		seenIdle := false
+		for range 100 {
+			seenIdle = seenIdle || a.pendingWrites() == 0
+			<-time.After(time.Millisecond)
+		}
+		So(seenIdle, ShouldBeTrue)
+		a.roundRunning.Store(false)
+		eventually(func() bool { return assignmentSettled(4, a, b) && a.rowsUpToDate() })
+	})
+}
+
+// pendingWrites returns the number of leases with a pending write.
+func (r *router) pendingWrites() int {
+	r.leaseMu.Lock()
+	defer r.leaseMu.Unlock()
+	n := 0
+	for _, l := range r.leases {
+		if l.lease.WritePending() {
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against new requests on a worker that is leaving or that a revision
 // drains.
 func TestLeavingWorker(t *testing.T) {
--- a/plugins/peer/rows.go
+++ b/plugins/peer/rows.go
@@ -19,7 +19,11 @@
 	p.clearWake()
 	plan := p.planRound(p.now())
 	p.applyLeaseChanges()
-	if len(plan.reads)+len(plan.writes) == 0 || !p.roundRunning.CompareAndSwap(false, true) {
+	if len(plan.reads)+len(plan.writes) == 0 {
+		return
+	}
+	if !p.roundRunning.CompareAndSwap(false, true) {
+		p.dropWrites(plan.writes)
 		return
 	}
 	defer p.roundRunning.Store(false)
@@ -29,6 +33,19 @@
 	p.wakeLoopIf(len(plan.reads) > 0)
 }
 
+// dropWrites tells the leases that planned writes are not sent. They would stay
+// pending otherwise, and a lease plans no write while one is pending.
+func (p *Peer) dropWrites(writes []rowWrite) {
+	now := p.now()
+	p.leaseMu.Lock()
+	defer p.leaseMu.Unlock()
+	for _, w := range writes {
+		if l := p.leases[w.key]; l != nil {
+			l.lease.HandleWrite(now, w.write, lease.NotApplied, 0)
+		}
+	}
+}
+
 // wakeLoop requests a round of the lease loop before the next interval.
 func (p *Peer) wakeLoop() { p.wakeLoopIf(true) }
 
