--- a/plugins/gateway/hostile_test.go
+++ b/plugins/gateway/hostile_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -106,12 +107,12 @@
 		delay time.Duration
 	}{{"at once", 0}, {"while the connection is idle", 50 * time.Millisecond}, {"as the answer to the next request", -1}} {
 		inBubble(t, "A second copy of an answer, sent "+test.desc+", reaches no caller", desks(1), func(h *harness) {
-			last := ""
+			var lastID atomic.Value // of the request before, on any connection
+			lastID.Store("")
 			h.startRawWorker("desk-0:1", func(conn net.Conn, id string) bool {
-				if test.delay < 0 && last != "" {
+				if last := lastID.Swap(id).(string); test.delay < 0 && last != "" {
 					_, _ = io.WriteString(conn, answerTo(last, "answer to "+last))
 				}
-				last = id
 				_, _ = io.WriteString(conn, answerTo(id, "answer to "+id))
 				if test.delay >= 0 {
 					go func() {
