Let a router that loses its peers call the store soon

Found by reading. Cause: a router that is not selected drew its turn once, for the number of routers known then: up to 40 s among 400, also when it was cut off from all of them meanwhile and would know after 3 s that it is alone.

The wait is now exponential and drawn anew at each check, with the same mean for the fleet: 50 ms between two calls.

--- a/replica/follower.go
+++ b/replica/follower.go
@@ -75,7 +75,10 @@
 	wait := minRetryWait
 	for ctx.Err() == nil {
 		if !f.Peers.ReadsStore() {
-			if f.followPeers(ctx) || f.Copy.Version() > 0 && f.isStale(f.Peers.TableStatus(f.Table)) && !f.awaitTurn(ctx) {
+			// A copy that has no version yet cannot wait, and a fresh status whose
+			// peer cannot be read is no reason to wait.
+			waitsForTurn := f.Copy.Version() > 0 && f.isStale(f.Peers.TableStatus(f.Table))
+			if f.followPeers(ctx) || waitsForTurn && !f.awaitTurn(ctx) {
 				wait = minRetryWait
 				continue
 			}
@@ -113,24 +116,24 @@
 // awaitTurn waits for this router's turn to call the store on behalf of all, so
 // that the calls of a large fleet to a store that does not reply stay few. It
 // returns false if the routers are in contact with the store before that.
+//
+// The wait is exponentially distributed and thus memoryless: it is drawn anew after
+// each check, so that a router that loses its peers soon calls the store itself.
 func (f *Follower) awaitTurn(ctx context.Context) bool {
-	turn := time.NewTimer(rand.N(2 * callSpacing * time.Duration(max(f.Peers.RouterCount(), 1))))
-	defer turn.Stop()
-	for {
-		recheck := time.NewTimer(statusRecheckInterval)
+	for ctx.Err() == nil && !f.Peers.ReadsStore() && f.isStale(f.Peers.TableStatus(f.Table)) {
+		turn := time.Duration(rand.ExpFloat64() * float64(callSpacing) * float64(f.Peers.RouterCount()))
+		timer := time.NewTimer(min(turn, statusRecheckInterval))
 		select {
-		case <-turn.C:
-			recheck.Stop()
-			return true
+		case <-timer.C:
+			if turn <= statusRecheckInterval {
+				return true
+			}
 		case <-f.Peers.StatusChanged():
-		case <-recheck.C:
 		case <-ctx.Done():
 		}
-		recheck.Stop()
-		if ctx.Err() != nil || f.Peers.ReadsStore() || !f.isStale(f.Peers.TableStatus(f.Table)) {
-			return false
-		}
+		timer.Stop()
 	}
+	return false
 }
 
 // followPeers reads changes from a peer, or waits for a changed table status,
--- a/replica/follower_test.go
+++ b/replica/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"strconv"
 	"sync"
@@ -254,6 +255,7 @@
 	mu         sync.Mutex
 	readsStore bool
 	status     TableStatus
+	routers    int
 	changed    chan struct{}
 }
 
@@ -267,7 +269,18 @@
 
 func (p *fakePeers) ReadsForOthers() bool { return true }
 func (p *fakePeers) AnnounceChange()      {}
-func (p *fakePeers) RouterCount() int     { return 2 }
+
+func (p *fakePeers) RouterCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(p.routers, 2)
+}
+
+func (p *fakePeers) setRouters(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.routers = n
+}
 
 func (p *fakePeers) TableStatus(string) TableStatus {
 	p.mu.Lock()
@@ -369,3 +382,28 @@
 		So(err, ShouldBeNil)
 	})
 }
+
+// Guards against a reply of a peer that crashes this router or lets the version of
+// its copy decrease.
+func FuzzApply(f *testing.F) {
+	f.Add([]byte(`{"rows":[{"key":"a","value":"dg==","version":4},{"key":"b","version":5,"removed":true,"new":1}],"version":9}`), int64(3))
+	f.Add([]byte(`{"rows":[{"key":"","version":-1},{}],"version":-9223372036854775808}`), int64(-1))
+	f.Add([]byte(`{"rows":null}`), int64(0))
+	f.Fuzz(func(t *testing.T, reply []byte, since int64) {
+		var set RowSet
+		if json.Unmarshal(reply, &set) != nil {
+			return
+		}
+		c := NewCopy()
+		c.apply([]Row{{Key: "a", Value: []byte("v"), Version: 7}, {Key: "gone", Version: 8, Removed: true}})
+		for _, apply := range []func(){func() { c.apply(set.Rows) }, func() { c.replaceAll(set) }, func() { c.apply(set.Rows) }} {
+			before := c.Version()
+			apply()
+			if c.Version() < before {
+				t.Fatalf("the version decreased from %d to %d", before, c.Version())
+			}
+		}
+		_, _ = c.ChangesSince(since) // may be gone
+		c.Snapshot()
+	})
+}
--- a/replica/outage_test.go
+++ b/replica/outage_test.go
@@ -21,10 +21,16 @@
 type testFleet struct {
 	mu        sync.Mutex
 	followers []*testFollower
+	status    TableStatus // as of statusAt
+	statusAt  time.Time
 }
 
-// gossipDelay is the time until a contact with the store is known to all routers.
-const gossipDelay = 500 * time.Millisecond
+// gossipDelay is the time until a contact with the store is known to all routers;
+// statusPeriod is the time between two changes of what they know.
+const (
+	gossipDelay  = 500 * time.Millisecond
+	statusPeriod = 50 * time.Millisecond
+)
 
 func (p *fleetPeers) ReadsStore() bool               { return p.leader }
 func (p *fleetPeers) ReadsForOthers() bool           { return true }
@@ -40,6 +46,9 @@
 func (p *fleetPeers) TableStatus(string) TableStatus {
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
+	if time.Since(p.fleet.statusAt) < statusPeriod {
+		return p.fleet.status
+	}
 	status := TableStatus{Age: time.Hour}
 	for _, f := range p.fleet.followers {
 		if v := f.Copy.Version(); v > status.Version {
@@ -49,6 +58,7 @@
 			status.Age = min(status.Age, time.Since(contact)+gossipDelay)
 		}
 	}
+	p.fleet.status, p.fleet.statusAt = status, time.Now()
 	return status
 }
 
@@ -92,3 +102,23 @@
 		})
 	}
 }
+
+// Guards against a router that is cut off from the others of a large fleet and waits
+// as if they still called the store too.
+func TestLostPeersOfALargeFleet(t *testing.T) {
+	inBubble(t, "A router whose 400 peers vanish has a change 2 s after it knows that it is alone", func(ctx context.Context) {
+		s, peers := newFakeStore(), newFakePeers()
+		peers.setStatus(TableStatus{Age: time.Hour})
+		peers.setRouters(400)
+		s.put("k", "old")
+		f := startFollower(ctx, s, peers)
+		advanceTime(time.Second)
+		So(f.values["k"], ShouldEqual, "old")
+		s.put("k", "new")
+		advanceTime(3 * time.Second) // until the peers count as not live
+		peers.setRouters(1)
+		advanceTime(2 * time.Second)
+		synctest.Wait()
+		So(f.values["k"], ShouldEqual, "new")
+	})
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -9,8 +9,9 @@
 // routers; if no router reads the store, within Config.StaleAfter plus one call.
 //
 // Failure behaviour: a store that does not reply is called again with short
-// timeouts, and changes are read from peers meanwhile. If no peer replies, the
-// store is read instead. Errors are reported through Events, never returned: a
+// timeouts, and changes are read from peers meanwhile. The routers that are not
+// selected to read the store call it in turns, so that the calls of a large fleet
+// stay few. If no peer replies, the store is read instead. Errors are reported through Events, never returned: a
 // follower runs until its context ends.
 //
 // Concurrency: a Copy is safe for concurrent use. A Follower is run by one
