--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -252,7 +252,7 @@
 		b := v.Message(now)
 		m, err := decode(b)
 		So(err, ShouldBeNil)
-		So(m.readsExtensions, ShouldBeTrue)
+		So(b[1]&flagReadsExtensions, ShouldNotEqual, 0)
 		So(m.encode(), ShouldResemble, b)
 	})
 	Convey("Every truncation of a message is refused", t, func() {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -19,8 +19,9 @@
 // Flags of a message.
 const (
 	flagLeaving = 1 << iota // the sender is leaving
-	// flagReadsExtensions says that the sender reads messages with extensions.
-	// Routers that do not set it reject such messages.
+	// flagReadsExtensions says that the sender reads messages with extensions. A
+	// router that does not set it rejects such messages, so a version that adds an
+	// extension must send it only to routers that set the flag.
 	flagReadsExtensions
 )
 
@@ -36,10 +37,9 @@
 // message is the content of a gossip message. It holds ages instead of times,
 // since the clocks of routers differ.
 type message struct {
-	leaving         bool
-	readsExtensions bool
-	routerHash      uint64 // hash of the sender's ID
-	domainHash      uint32 // hash of the sender's failure domain
+	leaving    bool
+	routerHash uint64 // hash of the sender's ID
+	domainHash uint32 // hash of the sender's failure domain
 	// capacity is the sender's Config.Capacity.
 	capacity uint16
 	tables   []tableEntry
@@ -85,13 +85,10 @@
 
 func (m *message) encode() []byte {
 	b := make([]byte, 0, MessageBytes)
-	var flags byte
+	flags := byte(flagReadsExtensions)
 	if m.leaving {
 		flags |= flagLeaving
 	}
-	if m.readsExtensions {
-		flags |= flagReadsExtensions
-	}
 	b = append(b, messageFormat, flags)
 	b = binary.BigEndian.AppendUint64(b, m.routerHash)
 	b = binary.BigEndian.AppendUint32(b, m.domainHash)
@@ -180,8 +177,7 @@
 	if format := d.byte(); format != messageFormat {
 		return nil, fmt.Errorf("%w: format %d", errMalformed, format)
 	}
-	flags := d.byte()
-	m := &message{leaving: flags&flagLeaving != 0, readsExtensions: flags&flagReadsExtensions != 0, routerHash: d.uint64(), domainHash: d.uint32(), capacity: d.uint16()}
+	m := &message{leaving: d.byte()&flagLeaving != 0, routerHash: d.uint64(), domainHash: d.uint32(), capacity: d.uint16()}
 	tables, members, loads := int(d.byte()), int(d.byte()), int(d.byte())
 	for range tables {
 		t := tableEntry{newest: d.uvarint(), peer: d.address(), contactAgeMs: d.uvarint(), version: d.uvarint()}
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -284,7 +284,8 @@
 }
 
 // recordMember records that a router was live at a time. An entry about this
-// router itself is ignored; the member returned for it is not in the view.
+// router itself, or about a new router beyond maxMembers, is ignored; the member
+// returned for it is not in the view.
 func (v *View) recordMember(entry memberEntry, at time.Time) *member {
 	if entry.address == v.cfg.Address {
 		return &member{}
@@ -395,7 +396,7 @@
 
 // Message returns the next message of this router.
 func (v *View) Message(now time.Time) []byte {
-	m := &message{leaving: v.leaving, readsExtensions: true, routerHash: v.routerHash, domainHash: v.domainHash, capacity: v.capacity()}
+	m := &message{leaving: v.leaving, routerHash: v.routerHash, domainHash: v.domainHash, capacity: v.capacity()}
 	for _, t := range v.tables {
 		m.tables = append(m.tables, tableEntry{newest: t.newest, peer: t.peer, contactAgeMs: ageMs(now, t.lastContact), version: t.version})
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -1,4 +1,5 @@
-// Package metrics formats tally metrics in the Prometheus text format.
+// Package metrics formats tally metrics in the Prometheus text format, and keeps
+// counters with a tag.
 package metrics
 
 import (
@@ -7,10 +8,41 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/uber-go/tally/v4"
 )
 
+// TaggedCounters keeps the counters of a scope that have one tag, because each
+// lookup in a tally scope allocates. It is safe for concurrent use.
+type TaggedCounters struct {
+	scope tally.Scope
+	mu    sync.RWMutex // lock level 90, see internal/core/lockorder.go
+	byKey map[counterKey]tally.Counter
+}
+
+type counterKey struct{ name, tag, value string }
+
+// NewTaggedCounters returns the counters of a scope.
+func NewTaggedCounters(scope tally.Scope) *TaggedCounters {
+	return &TaggedCounters{scope: scope, byKey: map[counterKey]tally.Counter{}}
+}
+
+// Inc adds one to a counter. Tag values must come from a fixed set.
+func (c *TaggedCounters) Inc(name, tag, value string) {
+	key := counterKey{name, tag, value}
+	c.mu.RLock()
+	counter := c.byKey[key]
+	c.mu.RUnlock()
+	if counter == nil {
+		counter = c.scope.Tagged(map[string]string{tag: value}).Counter(name)
+		c.mu.Lock()
+		c.byKey[key] = counter
+		c.mu.Unlock()
+	}
+	counter.Inc(1)
+}
+
 // Text returns all counters, gauges and histograms of a snapshot in the text
 // format. Histograms have cumulative buckets with bounds in seconds.
 func Text(s tally.Snapshot) string {
--- a/internal/unreadable/unreadable.go
+++ b/internal/unreadable/unreadable.go
@@ -5,13 +5,13 @@
 import (
 	"fmt"
 	"strconv"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/auburnlead/auburnlead/internal/linelimit"
+	"github.com/auburnlead/auburnlead/internal/boundedlog"
+	"github.com/auburnlead/auburnlead/internal/metrics"
 )
 
 // Kind says what could not be read. It is a metric tag, so kinds form a fixed
@@ -35,14 +35,13 @@
 // Reporter counts input that could not be read, by kind, and logs it with its
 // sender. It is safe for concurrent use and does not block.
 type Reporter struct {
-	log     *log.Logger
-	scope   tally.Scope
-	limiter *linelimit.Limiter
+	lines    *boundedlog.Logger
+	counters *metrics.TaggedCounters
 }
 
 // New returns a reporter that counts in the scope's counter unreadable.
 func New(l *log.Logger, scope tally.Scope) *Reporter {
-	return &Reporter{log: l, scope: scope, limiter: linelimit.New(linesPerSecond)}
+	return &Reporter{lines: boundedlog.New(l, linesPerSecond), counters: metrics.NewTaggedCounters(scope)}
 }
 
 // Input is input that could not be read, in whole or in part.
@@ -55,10 +54,10 @@
 // Isolate calls a function that reads an input and reports a panic of it like an
 // input that could not be read, so that one message cannot end the process. The
 // function must release its locks by defer.
-func (r *Reporter) Isolate(sender string, kind Kind, text string, read func()) {
+func (r *Reporter) Isolate(sender string, kind Kind, input []byte, read func()) {
 	defer func() {
 		if v := recover(); v != nil {
-			r.Report(sender, Input{Kind: kind, Text: text, Reason: fmt.Errorf("panic: %v; report it with this input", v)})
+			r.Report(sender, Input{Kind: kind, Text: string(input), Reason: fmt.Errorf("panic: %v; report it with this input", v)})
 		}
 	}()
 	read()
@@ -68,12 +67,6 @@
 // the address of a router or the key of a row. The input is identified by its
 // length and digest, since it may be long or secret.
 func (r *Reporter) Report(sender string, in Input) {
-	r.scope.Tagged(map[string]string{"kind": string(in.Kind)}).Counter("unreadable").Inc(1)
-	ok, suppressed := r.limiter.Allow(string(in.Kind), time.Now().Unix())
-	for kind, n := range suppressed {
-		r.log.Warn("lines left out", "kind", "input not read: "+kind, "lines", n)
-	}
-	if ok {
-		r.log.Warn("input not read", "kind", in.Kind, "sender", sender, "bytes", len(in.Text), "digest", strconv.FormatUint(xxhash.Sum64String(in.Text), 16), "reason", in.Reason)
-	}
+	r.counters.Inc("unreadable", "kind", string(in.Kind))
+	r.lines.Log(log.WarnLevel, "input not read: "+string(in.Kind), "input not read", "kind", in.Kind, "sender", sender, "bytes", len(in.Text), "digest", strconv.FormatUint(xxhash.Sum64String(in.Text), 16), "reason", in.Reason)
 }
--- a/internal/unreadable/unreadable_test.go
+++ b/internal/unreadable/unreadable_test.go
@@ -17,7 +17,7 @@
 		var lines strings.Builder
 		scope := tally.NewTestScope("", nil)
 		r := New(log.New(&lines), scope)
-		r.Isolate("10.0.0.2:7000", RouterMessage, "input", func() { panic("index out of range") })
+		r.Isolate("10.0.0.2:7000", RouterMessage, []byte("input"), func() { panic("index out of range") })
 		So(lines.String(), ShouldContainSubstring, "sender=10.0.0.2:7000")
 		So(lines.String(), ShouldContainSubstring, "index out of range")
 		So(scope.Snapshot().Counters()["unreadable+kind=router message"].Value(), ShouldEqual, 1)
--- a/plugins/gateway/decision.go
+++ b/plugins/gateway/decision.go
@@ -2,14 +2,14 @@
 
 import (
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
-	"github.com/auburnlead/auburnlead/internal/linelimit"
+	"github.com/auburnlead/auburnlead/internal/boundedlog"
+	"github.com/auburnlead/auburnlead/internal/metrics"
 	"github.com/auburnlead/auburnlead/internal/unreadable"
 	"github.com/auburnlead/auburnlead/objects"
 )
@@ -18,12 +18,10 @@
 // same message are of one kind and are rate-limited together. Lines contain
 // neither API keys nor bodies.
 type decisionLog struct {
-	log              *log.Logger
-	scope            tally.Scope
+	lines            *boundedlog.Logger
 	requestsInFlight atomic.Int64
-	counters         counterCache
+	counters         *metrics.TaggedCounters
 	firstByte        map[bool]tally.Histogram // key: whether the route is a stream
-	limiter          *linelimit.Limiter
 	unreadable       *unreadable.Reporter
 }
 
@@ -34,7 +32,7 @@
 func newDecisionLog(l *log.Logger, scope tally.Scope, maxLines int) *decisionLog {
 	s := scope.SubScope(componentName)
 	return &decisionLog{
-		log: l, scope: s, limiter: linelimit.New(maxLines), unreadable: unreadable.New(l, s), counters: counterCache{byKey: map[counterKey]tally.Counter{}},
+		lines: boundedlog.New(l, maxLines), counters: metrics.NewTaggedCounters(s), unreadable: unreadable.New(l, s),
 		firstByte: map[bool]tally.Histogram{
 			false: s.Tagged(map[string]string{"answer": "whole"}).Histogram("first_byte", firstByteBuckets),
 			true:  s.Tagged(map[string]string{"answer": "stream"}).Histogram("first_byte", firstByteBuckets),
@@ -48,54 +46,23 @@
 // about the fleet.
 func (d *decisionLog) logChange(message string, fields ...any) {
 	d.count("changes", "what", message)
-	d.write(log.InfoLevel, message, fields)
+	d.lines.Log(log.InfoLevel, message, message, fields...)
 }
 
 // logWarning logs and counts a problem that does not belong to a single
 // request.
 func (d *decisionLog) logWarning(message string, fields ...any) {
 	d.count("troubles", "what", message)
-	d.write(log.WarnLevel, message, fields)
+	d.lines.Log(log.WarnLevel, message, message, fields...)
 }
 
 // logRequest logs a decision about a request.
 func (d *decisionLog) logRequest(message string, fields ...any) {
-	d.write(log.InfoLevel, message, fields)
+	d.lines.Log(log.InfoLevel, message, message, fields...)
 }
 
-func (d *decisionLog) write(level log.Level, message string, fields []any) {
-	ok, suppressed := d.limiter.Allow(message, time.Now().Unix())
-	for kind, n := range suppressed {
-		d.log.Warn("lines left out", "kind", kind, "lines", n)
-	}
-	if ok {
-		d.log.Log(level, message, fields...)
-	}
-}
-
-// counterCache keeps the counters that have been created, because each lookup
-// in a tally scope allocates.
-type counterCache struct {
-	mu    sync.RWMutex // lock level 90
-	byKey map[counterKey]tally.Counter
-}
-
-type counterKey struct{ name, tag, value string }
-
 // count adds one to a counter. Tag values must come from a fixed set.
-func (d *decisionLog) count(name, tag, value string) {
-	key := counterKey{name, tag, value}
-	d.counters.mu.RLock()
-	c := d.counters.byKey[key]
-	d.counters.mu.RUnlock()
-	if c == nil {
-		c = d.scope.Tagged(map[string]string{tag: value}).Counter(name)
-		d.counters.mu.Lock()
-		d.counters.byKey[key] = c
-		d.counters.mu.Unlock()
-	}
-	c.Inc(1)
-}
+func (d *decisionLog) count(name, tag, value string) { d.counters.Inc(name, tag, value) }
 
 // recordEnd logs and counts a request that has ended.
 func (d *decisionLog) recordEnd(x *exchange) {
--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -119,7 +119,7 @@
 	g.decisions.requestsInFlight.Add(1)
 	defer g.decisions.requestsInFlight.Add(-1)
 	x := &exchange{w: w, r: r, start: time.Now(), conn: http.NewResponseController(w)}
-	x.extendWriteDeadline(g.settings.WriteTimeout) // the one of the request before has passed
+	x.extendWriteDeadline(g.settings.WriteTimeout)
 	if g.server.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -208,6 +208,8 @@
 		b.Grow(int(x.r.ContentLength) + bytes.MinRead)
 	}
 	if x.r.ContentLength != 0 {
+		// The deadline stays after a failure, so that the server does not wait for
+		// the rest of the body before it closes the connection.
 		_ = x.conn.SetReadDeadline(x.deadline) // not supported by recorders in tests
 	}
 	_, err := io.Copy(&b, http.MaxBytesReader(x.w, x.r.Body, g.settings.BodyBytes))
@@ -216,11 +218,10 @@
 	switch {
 	case err == nil:
 		if x.r.ContentLength != 0 {
-			_ = x.conn.SetReadDeadline(time.Time{}) // the connection is watched for its end from now on
+			_ = x.conn.SetReadDeadline(time.Time{}) // its end would look like a caller that disconnects
 		}
 		return true
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		x.w.Header().Set("Connection", "close")
 		g.deny(x, http.StatusRequestTimeout, "body too slow", err)
 	case errors.As(err, &tooLarge):
 		g.deny(x, http.StatusRequestEntityTooLarge, "body too large", err)
--- a/plugins/gateway/hostile_test.go
+++ b/plugins/gateway/hostile_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +15,8 @@
 
 	"github.com/charmbracelet/log"
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/auburnlead/auburnlead/internal/boundedlog"
 )
 
 // rawWorker is a worker that writes bytes of its own to the connection instead of
@@ -367,65 +367,12 @@
 	})
 }
 
-// slowBody is a request body that arrives a byte now and then.
-type slowBody struct{ left int }
-
-func (b *slowBody) Read(p []byte) (int, error) {
-	if b.left == 0 {
-		return 0, io.EOF
-	}
-	sleep(300 * time.Millisecond)
-	b.left--
-	p[0] = 'x'
-	return 1, nil
-}
-
-func (*slowBody) Close() error { return nil }
-
-// deadlineRecorder records the deadlines that a handler sets on its connection,
-// and closes a body whose read deadline passes.
-type deadlineRecorder struct {
-	*httptest.ResponseRecorder
-	readDeadline  time.Time
-	writeDeadline time.Time
-}
-
-func (d *deadlineRecorder) SetReadDeadline(t time.Time) error  { d.readDeadline = t; return nil }
-func (d *deadlineRecorder) SetWriteDeadline(t time.Time) error { d.writeDeadline = t; return nil }
-
-// Guards against callers that hold a request for ever with a slow body, or a
-// response with a connection that they do not read.
-func TestSlowCallers(t *testing.T) {
-	inBubble(t, "The connection has deadlines while the body is read and while the response is written", desks(1), func(h *harness) {
-		start := time.Now()
-		d := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
-		r := httptest.NewRequestWithContext(context.Background(), "POST", "http://desk.example/book/x", &slowBody{left: 3})
-		r.Header.Set(testID, "id-1")
-		r.Header.Set(testKey, "secret")
-		r.ContentLength = 3
-		var whileReading time.Time
-		r.Body = struct {
-			io.Reader
-			io.Closer
-		}{io.TeeReader(r.Body, writerFunc(func(p []byte) (int, error) { whileReading = d.readDeadline; return len(p), nil })), r.Body}
-		h.serveRequest(d, r)
-		So(d.Code, ShouldEqual, http.StatusOK)
-		So(whileReading.Sub(start), ShouldEqual, 2*time.Second)
-		So(d.readDeadline.IsZero(), ShouldBeTrue)
-		So(d.writeDeadline.After(start.Add(time.Second)), ShouldBeTrue)
-	})
-}
-
-type writerFunc func([]byte) (int, error)
-
-func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
-
 // Guards against an unexpected error in one request that leaves no trace or ends
 // other requests.
 func TestPanicEndsOneRequest(t *testing.T) {
 	inBubble(t, "A handler that panics closes its connection and is logged; the next request is served", desks(1), func(h *harness) {
 		var lines strings.Builder
-		h.decisions.log = log.New(&lines)
+		h.decisions.lines = boundedlog.New(log.New(&lines), 100)
 		wire := h.wire
 		h.wire = nil // its use panics
 		_, aborted := h.call("POST", "/read/x")
--- a/plugins/gateway/server.go
+++ b/plugins/gateway/server.go
@@ -36,7 +36,7 @@
 		ReadHeaderTimeout: g.settings.HeaderTimeout,
 		IdleTimeout:       g.settings.IdleTimeout,
 		MaxHeaderBytes:    g.settings.HeaderBytes,
-		ErrorLog:          g.decisions.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+		ErrorLog:          g.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 	}
 	return s
 }
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -133,6 +133,7 @@
 	wire      core.HeaderCodec
 	readiness core.Readiness
 	addresses *core.Addresses
+	log       *log.Logger
 	decisions *decisionLog
 	scope     tally.Scope
 	started   time.Time
@@ -157,7 +158,7 @@
 		wire:          p.Wire,
 		readiness:     p.Readiness,
 		addresses:     p.Addresses,
-		decisions:     newDecisionLog(p.Logger.WithPrefix(componentName), p.Scope, p.Settings.LogLines),
+		log:           p.Logger.WithPrefix(componentName),
 		scope:         p.Scope,
 		started:       time.Now(),
 		routes:        routeIndex{loaded: make(chan struct{})},
@@ -165,6 +166,7 @@
 		fleet:         routing.New(fleetConfig(p.Identity.FailureDomain, p.Settings)),
 		conns:         newWorkerConns(p.Settings),
 	}
+	g.decisions = newDecisionLog(g.log, p.Scope, p.Settings.LogLines)
 	g.readiness.Require(componentConfig)
 	g.readiness.Require(componentWorkers)
 	g.readiness.Require(componentName)
@@ -196,7 +198,7 @@
 // and the settings of the retry budget and of the log.
 func (g *Gateway) reload(s *Settings) {
 	g.fleet.Configure(fleetConfig(g.identity.FailureDomain, s))
-	g.decisions.limiter.SetMaxLines(s.LogLines)
+	g.decisions.lines.SetMaxLines(s.LogLines)
 	g.decisions.logChange("settings in force", "retry_ratio", s.RetryRatio, "retry_slack", s.RetrySlack, "routers", s.Routers, "log_lines", s.LogLines)
 }
 
--- a/plugins/gateway/stop_test.go
+++ b/plugins/gateway/stop_test.go
@@ -23,22 +23,36 @@
 	err      error // an answer that was incomplete or not the caller's own
 }
 
-// run sends requests with IDs that begin with name. With halves, it writes each
-// request in two parts with a pause between them.
-func (c *stoppingCaller) run(address, name string, halves bool, pause time.Duration) {
+// How a caller writes its requests.
+const (
+	writeWhole     = iota
+	writeHalves    // in two parts with a pause between them
+	writePipelined // the next request follows before the answer to the one before
+	writeModes
+)
+
+// run sends requests with IDs that begin with name.
+func (c *stoppingCaller) run(address, name string, mode int, pause time.Duration) {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		return
 	}
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
+	id := func(i int) string { return fmt.Sprintf("%s-%d", name, i) }
+	request := func(i int) string {
+		return fmt.Sprintf("POST /book/x HTTP/1.1\r\nHost: desk.example\r\n%s: %s\r\n%s: secret\r\nContent-Length: 4\r\n\r\nbody", testID, id(i), testKey)
+	}
 	for i := 0; ; i++ {
-		id := fmt.Sprintf("%s-%d", name, i)
-		request := fmt.Sprintf("POST /book/x HTTP/1.1\r\nHost: desk.example\r\n%s: %s\r\n%s: secret\r\nContent-Length: 4\r\n\r\nbody", testID, id, testKey)
-		parts := []string{request}
-		if halves {
-			cut := 10 + i%(len(request)-10)
-			parts = []string{request[:cut], request[cut:]}
+		parts := []string{request(i)}
+		switch {
+		case mode == writeHalves:
+			cut := 10 + i%(len(parts[0])-10)
+			parts = []string{parts[0][:cut], parts[0][cut:]}
+		case mode == writePipelined && i == 0:
+			parts = []string{request(0) + request(1)}
+		case mode == writePipelined:
+			parts = []string{request(i + 1)}
 		}
 		for _, part := range parts {
 			if _, err := io.WriteString(conn, part); err != nil {
@@ -51,8 +65,8 @@
 			return // whether the request had been passed on is seen at the worker
 		}
 		body, err := io.ReadAll(resp.Body)
-		if err != nil || resp.StatusCode != http.StatusOK || string(body) != "answer to "+id {
-			c.err = fmt.Errorf("request %s: status %d, body %q: %w", id, resp.StatusCode, body, err)
+		if err != nil || resp.StatusCode != http.StatusOK || string(body) != "answer to "+id(i) {
+			c.err = fmt.Errorf("request %s: status %d, body %q: %w", id(i), resp.StatusCode, body, err)
 			return
 		}
 		c.answered++
@@ -85,7 +99,7 @@
 			var running sync.WaitGroup
 			for i := range list {
 				pause := time.Duration(random.IntN(5)) * time.Millisecond
-				running.Go(func() { list[i].run(address, strings.Repeat("x", i%7)+fmt.Sprint(i), i%3 == 0, pause) })
+				running.Go(func() { list[i].run(address, strings.Repeat("x", i%7)+fmt.Sprint(i), i%writeModes, pause) })
 			}
 			<-time.After(time.Duration(20+random.IntN(30)) * time.Millisecond)
 			So(h.server.stop(context.Background()), ShouldBeNil)
--- a/plugins/gossip/exchange.go
+++ b/plugins/gossip/exchange.go
@@ -98,7 +98,7 @@
 			continue
 		}
 		sender := unmapped(udp.AddrPort())
-		g.unreadable.Isolate(sender.String(), unreadable.RouterMessage, string(buffer[:n]), func() { g.merge(sender, buffer[:n]) })
+		g.unreadable.Isolate(sender.String(), unreadable.RouterMessage, buffer[:n], func() { g.merge(sender, buffer[:n]) })
 	}
 }
 
@@ -127,7 +127,10 @@
 	if update.TablesChanged {
 		g.round(urgentFactor*sameDomainTargets, urgentFactor*otherDomainTargets)
 	}
-	if onLoads := g.loadSubscriber(); onLoads != nil && len(update.Loads) > 0 {
+	if len(update.Loads) == 0 {
+		return
+	}
+	if onLoads := g.loadSubscriber(); onLoads != nil {
 		onLoads(routingLoads(update.Loads))
 	}
 }
@@ -179,7 +182,7 @@
 	g.view.SetLoad(worker, inFlight, at)
 }
 
-// RouterCount implements core.LoadGossip.
+// RouterCount implements core.LoadGossip and replica.Peers.
 func (g *Gossip) RouterCount() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/plugins/node/setup.go
+++ b/plugins/node/setup.go
@@ -15,8 +15,8 @@
 	"github.com/charmbracelet/log"
 	"go.uber.org/fx"
 
+	"github.com/auburnlead/auburnlead/internal/boundedlog"
 	"github.com/auburnlead/auburnlead/internal/core"
-	"github.com/auburnlead/auburnlead/internal/linelimit"
 	"github.com/auburnlead/auburnlead/kernel"
 )
 
@@ -71,30 +71,20 @@
 	l, err := newLogger(s, q)
 	if err == nil {
 		stdlog.SetFlags(0)
-		stdlog.SetOutput(&stdLogWriter{log: l.WithPrefix("library"), limiter: linelimit.New(stdLinesPerSecond)})
+		stdlog.SetOutput(libraryLog{boundedlog.New(l.WithPrefix("library"), libraryLinesPerSecond)})
 	}
 	return l, err
 }
 
-// stdLinesPerSecond limits the lines that libraries write to the standard logger,
-// since what peers send can cause them.
-const stdLinesPerSecond = 2
+// libraryLinesPerSecond limits the lines that libraries write to the standard
+// logger, since what peers send can cause them.
+const libraryLinesPerSecond = 2
 
-// stdLogWriter is the output of the standard logger. It bounds the lines that
-// libraries write to it.
-type stdLogWriter struct {
-	log     *log.Logger
-	limiter *linelimit.Limiter
-}
+// libraryLog is the output of the standard logger.
+type libraryLog struct{ lines *boundedlog.Logger }
 
-func (w *stdLogWriter) Write(line []byte) (int, error) {
-	ok, suppressed := w.limiter.Allow("library", time.Now().Unix())
-	for kind, n := range suppressed {
-		w.log.Warn("lines left out", "kind", kind, "lines", n)
-	}
-	if ok {
-		w.log.Warn(strings.TrimSpace(string(line)))
-	}
+func (l libraryLog) Write(line []byte) (int, error) {
+	l.lines.Log(log.WarnLevel, "library", strings.TrimSpace(string(line)))
 	return len(line), nil
 }
 
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -9,6 +9,10 @@
 //     preferred worker changes, the choice names a worker that probably has the
 //     parts cached, since copying them costs a fraction of another prefill
 //     (fetch.go).
+//   - Releases. Workers join and leave in quick succession, so a preferred worker
+//     and those ranked next to it may all be new. The parts are fetched from the
+//     first preference among the workers that have been there for some seconds
+//     (fetch.go).
 //   - Hot prompts and many routers. A worker above a multiple of the mean load
 //     gets no more prompts. Load reports arrive late and at few of the routers, so
 //     requests that a worker leaves unanswered are taken to be as many at every
