--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
-# Targets: build, test, lint, demo, verify, latency, bench, capacity, proto.
+# Targets: build, test, lint, demo, verify, latency, bench, regress, capacity, proto.
 GO ?= go
 BIN := bin/auburnlead
 
-.PHONY: build test lint demo verify latency bench capacity proto
+.PHONY: build test lint demo verify latency bench regress capacity proto
 
 build:
 	$(GO) build -o $(BIN) ./cmd/auburnlead
@@ -38,6 +38,13 @@
 bench:
 	$(GO) run ./internal/bench/cmd $(BENCH)
 
+# Plays the standard days of the users' deployments and prints their worth beside
+# the last committed scores:
+#   make regress FLEETBENCH=path WHY="what was changed" SITES="site files"
+# Without FLEETBENCH it compares the entries in journal/ that are not committed.
+regress:
+	$(GO) run ./internal/regress/cmd $(if $(FLEETBENCH),-bench "$(FLEETBENCH)" -why "$(WHY)" $(SITES))
+
 # Measures costs per request, stream and router on this machine, extrapolates
 # them and checks the limits at the target size.
 capacity: build
