Keep a worker's identity unchanged while worker lists are applied

Callers: none seen; a request that read the ID or address of a worker while a new list was applied could have read a string that is half old and half new.

Cause: Fleet.Apply overwrote the whole WorkerInfo of a known worker under its lock, while requests, log lines and probes read ID, Address, Upstream and FailureDomain without it. Class: data race on shared tables. Ruled out: other writers of these fields (none).

Change: only Slots and Draining of a known worker are written. A worker whose failure domain changes counts as another process.

--- a/routing/choose_test.go
+++ b/routing/choose_test.go
@@ -213,3 +213,34 @@
 		So(allowedRetries(), ShouldEqual, 212/86)
 	})
 }
+
+// Guards against workers that are read while a new worker list is applied: the
+// router's requests use the ID and address of a worker without the fleet's lock.
+func TestApplyKeepsWorkersReadable(t *testing.T) {
+	Convey("A worker keeps its identity while lists change what may change", t, func() {
+		f, now := newTestFleet(3)
+		c, ok := f.Choose(prompt(1, 2, 3), now)
+		So(ok, ShouldBeTrue)
+		id := c.Worker.ID
+		read := make(chan string)
+		go func() { // the race detector compares this goroutine with Apply
+			for range 100 {
+				if c.Worker.ID+c.Worker.Address+c.Worker.Upstream+c.Worker.FailureDomain == "" {
+					break
+				}
+			}
+			read <- c.Worker.ID
+		}()
+		for i := range 100 {
+			list := workers(3)
+			for n := range list {
+				list[n].ID = string([]byte(list[n].ID)) // a copy, as from another read of the list
+				list[n].Slots, list[n].Draining = i, i%2 == 1
+			}
+			f.Apply(&WorkerList{Version: int64(i + 2), At: now, Workers: list})
+		}
+		So(<-read, ShouldEqual, id)
+		So(f.Worker(id), ShouldEqual, c.Worker)
+		So(f.Worker(id).Draining, ShouldBeTrue)
+	})
+}
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -111,9 +111,10 @@
 	listed := map[string]*Worker{}
 	for _, info := range list.Workers {
 		w := f.byID[info.ID]
-		if w == nil || w.StartedAtMs != info.StartedAtMs || w.Address != info.Address || w.Upstream != info.Upstream {
+		if w == nil || !w.isSameProcess(info) {
 			changes = append(changes, Change{"joined", info.ID, info.Upstream})
-			w = &Worker{hash: placement.Hash(info.ID)}
+			w = &Worker{WorkerInfo: info, hash: placement.Hash(info.ID)}
+			w.Draining = false
 			if !firstList {
 				w.joinedAt = list.At
 			}
@@ -122,7 +123,7 @@
 			changes = append(changes, Change{"draining", info.ID, info.Upstream})
 			f.markLeaving(w, list.At)
 		}
-		w.WorkerInfo = info
+		w.Slots, w.Draining = info.Slots, info.Draining
 		listed[info.ID] = w
 	}
 	for id, w := range f.byID {
--- a/routing/worker.go
+++ b/routing/worker.go
@@ -31,8 +31,8 @@
 	At         time.Time // time of the report
 }
 
-// Worker is one process of an upstream. The fields after the blank line are
-// guarded by Fleet.mu.
+// Worker is one process of an upstream. Slots, Draining and the fields after the
+// blank line are guarded by Fleet.mu; the other fields of WorkerInfo do not change.
 type Worker struct {
 	WorkerInfo
 	hash     uint64
@@ -48,6 +48,11 @@
 	unreachable  bool        // connections to it fail
 }
 
+// isSameProcess reports whether an entry of the worker list is about this process.
+func (w *Worker) isSameProcess(info WorkerInfo) bool {
+	return w.ID == info.ID && w.StartedAtMs == info.StartedAtMs && w.Address == info.Address && w.Upstream == info.Upstream && w.FailureDomain == info.FailureDomain
+}
+
 // currentLoad estimates the requests on a worker from its last report and the
 // requests that this router sent since.
 func (w *Worker) currentLoad(now time.Time) int {
