--- a/plugins/gateway/harness_test.go
+++ b/plugins/gateway/harness_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -116,7 +117,7 @@
 		}
 	}
 	if l == nil {
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: fmt.Errorf("connection refused")}
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
 	ours, theirs := net.Pipe()
 	select {
@@ -133,6 +134,18 @@
 	n.unresponsive[address] = unresponsive
 }
 
+// setListener connects an address to a listener. Connections to an address without
+// one are refused.
+func (n *fakeNetwork) setListener(address string, l *memoryListener) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if l == nil {
+		delete(n.listeners, address)
+		return
+	}
+	n.listeners[address] = l
+}
+
 type memoryListener struct {
 	address string
 	conns   chan net.Conn
@@ -202,18 +215,24 @@
 
 func newHarness(workers ...routing.WorkerInfo) *harness {
 	h := &harness{network: &fakeNetwork{listeners: map[string]*memoryListener{}, unresponsive: map[string]bool{}}, workers: map[string]*fakeWorker{}}
-	s := &Settings{ConnectTimeout: dialTimeout, SilenceTimeout: 700 * time.Millisecond, IdlePerWorker: 4, WorkerIdleTimeout: 2 * time.Second, HeaderBytes: 1 << 16, BodyBytes: 1 << 20, AnswerBytes: 1 << 16, MaxAnswerBytes: maxForwardedInTest, WriteTimeout: 30 * time.Second, EventBytes: 1 << 12, LoadBound: 2, RetryRatio: 0.2, RetrySlack: 160, Routers: 16, LogLines: 100}
-	h.Gateway = New(Params{
-		Settings: s, Identity: core.Identity{Router: "r1", FailureDomain: "a"}, Config: testConfig{testSet()}, Workers: testList{workers},
-		Wire: testCodec{}, Readiness: core.NewReadiness(), Addresses: core.NewAddresses(), Logger: log.New(io.Discard), Scope: tally.NewTestScope("", nil),
-	})
-	h.conns.dialOnce = h.network.dial
+	h.Gateway = newTestGateway(h.network, core.Identity{Router: "r1", FailureDomain: "a"}, workers, nil)
 	for _, worker := range workers {
 		h.startWorker(worker)
 	}
 	return h
 }
 
+// newTestGateway returns a gateway that reaches its workers through a fake network.
+func newTestGateway(network *fakeNetwork, identity core.Identity, workers []routing.WorkerInfo, loads core.LoadGossip) *Gateway {
+	s := &Settings{ConnectTimeout: dialTimeout, SilenceTimeout: 700 * time.Millisecond, IdlePerWorker: 4, WorkerIdleTimeout: 2 * time.Second, HeaderBytes: 1 << 16, BodyBytes: 1 << 20, AnswerBytes: 1 << 16, MaxAnswerBytes: maxForwardedInTest, WriteTimeout: 30 * time.Second, EventBytes: 1 << 12, LoadBound: 2, RetryRatio: 0.2, RetrySlack: 160, Routers: 16, LogLines: 100}
+	g := New(Params{
+		Settings: s, Identity: identity, Config: testConfig{testSet()}, Workers: testList{workers}, Loads: loads,
+		Wire: testCodec{}, Readiness: core.NewReadiness(), Addresses: core.NewAddresses(), Logger: log.New(io.Discard), Scope: tally.NewTestScope("", nil),
+	})
+	g.conns.dialOnce = network.dial
+	return g
+}
+
 func (h *harness) startWorker(info routing.WorkerInfo) {
 	worker := &fakeWorker{WorkerInfo: info, handle: serveSuccess}
 	listener := &memoryListener{address: info.Address, conns: make(chan net.Conn), done: make(chan struct{})}
@@ -259,6 +278,10 @@
 }
 
 func (h *harness) callContext(ctx context.Context, method, path string, header ...string) (response *httptest.ResponseRecorder, aborted bool) {
+	return callGateway(ctx, h.Gateway, method, path, header...)
+}
+
+func callGateway(ctx context.Context, g *Gateway, method, path string, header ...string) (response *httptest.ResponseRecorder, aborted bool) {
 	r := httptest.NewRequestWithContext(ctx, method, "http://desk.example"+path, strings.NewReader("body of the request"))
 	r.Header.Set(testID, "id-1")
 	r.Header.Set(testKey, "secret")
@@ -271,7 +294,7 @@
 			aborted = recovered == http.ErrAbortHandler
 		}
 	}()
-	h.serveRequest(response, r)
+	g.serveRequest(response, r)
 	return response, false
 }
 
