Quarantine prompt parts whose requests crash one worker after the other

Cause: the end of a worker was never related to the requests on it. A lost answer counted against the worker only, and no router saw more than a few of the ends. Class: query of death without isolation by request. Ruled out: another reason for the ends (each of the 15 ends of the log has such a request, none of them succeeded). Repeats add to it on routes that may be repeated (cases 4 and 5 of the test), but are not the cause.

Change: a router that loses an answer before it has gone on for 0.3 s opens a connection to the worker; if that is refused, the worker has crashed, and the shared parts of such answers are evidence against the parts. Package quarantine keeps it, routers share it as a gossip extension, and three crashes in a row without a success in between quarantine a part for 10 minutes. Requests with it get 503 with Retry-After, before anything is sent. Several workers that crash within 0.2 s count as one crash, three or more as none; crashes that a quarantined part explains do not count for other parts; a success anywhere clears a part.

Why it works: the part is on every worker that ends, while sound parts that were on it succeed elsewhere within a second.

--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -328,3 +328,23 @@
 		}
 	})
 }
+
+// Guards against extensions that do not reach their component, cost other parts of a
+// message, or do not fit into a datagram.
+func TestExtensions(t *testing.T) {
+	Convey("An extension of the largest size is delivered beside the table versions", t, func() {
+		f := newFleet(2, 1)
+		a, b := f.views[f.addresses[0]], f.views[f.addresses[1]]
+		a.SetTable(1, 42, f.now)
+		payload := make([]byte, a.ExtensionLimit())
+		payload[0] = 7
+		message := a.ExtensionMessage(f.now, Extension{Type: ExtensionCrashes, Payload: payload})
+		So(len(message), ShouldBeLessThanOrEqualTo, MessageBytes)
+		u, err := b.Merge(f.now, f.addresses[0], message)
+		So(err, ShouldBeNil)
+		So(u.Unread, ShouldBeNil)
+		So(u.Extensions, ShouldResemble, []Extension{{ExtensionCrashes, payload}})
+		So(b.TableStatus(f.now, 1).Version, ShouldEqual, 42)
+		So(b.TableStatus(f.now, 1).Peer, ShouldResemble, f.addresses[0])
+	})
+}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -45,11 +45,25 @@
 	tables   []tableEntry
 	members  []memberEntry
 	loads    []loadEntry
+	// extensions follow the last load report.
+	extensions []Extension
 	// unread says which entries or extensions of a decoded message were left out,
 	// nil for none.
 	unread error
 }
 
+// Extension is the part of a message that another component of the routers writes
+// and reads.
+type Extension struct {
+	Type    byte // one of the types below
+	Payload []byte
+}
+
+// Types of extensions.
+const (
+	ExtensionCrashes byte = 1 // package quarantine
+)
+
 type tableEntry struct {
 	newest       uint64         // version of the newest row known to any router
 	peer         netip.AddrPort // a router that has it
@@ -78,6 +92,8 @@
 	loadBytes   = 4 + 2 + 2 + 1
 	tableBytes  = 3*binary.MaxVarintLen64 + 4 + 2
 	headerBytes = 2 + 8 + 4 + 2 + 3
+	// extensionBytes is the size of an extension without its payload.
+	extensionBytes = 1 + 2
 )
 
 // errMalformed is returned for a message that cannot be decoded.
@@ -113,6 +129,11 @@
 		b = binary.AppendUvarint(b, l.inFlight)
 		b = append(b, l.age)
 	}
+	for _, e := range m.extensions {
+		b = append(b, e.Type)
+		b = binary.AppendUvarint(b, uint64(len(e.Payload)))
+		b = append(b, e.Payload...)
+	}
 	return b
 }
 
@@ -210,8 +231,8 @@
 	return m, nil
 }
 
-// decodeExtensions reads the extensions after the last load report. No types are
-// defined so far, so all are skipped. A truncated extension costs only itself.
+// decodeExtensions reads the extensions after the last load report. A truncated
+// extension costs only itself.
 func (m *message) decodeExtensions(d *decoder) {
 	for len(d.rest) > 0 {
 		kind, n := d.byte(), d.uvarint()
@@ -219,6 +240,6 @@
 			m.unread = fmt.Errorf("gossip: truncated extension of type %d", kind)
 			return
 		}
-		d.next(int(n))
+		m.extensions = append(m.extensions, Extension{kind, d.next(int(n))})
 	}
 }
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -218,6 +218,9 @@
 	// NeedsReply says that the sender was not known and should get a message,
 	// since it may know no other router yet.
 	NeedsReply bool
+	// Extensions are those of the message, of all types. Their payloads share memory
+	// with the message.
+	Extensions []Extension
 	// Unread says which entries of the message were left out because of
 	// implausible figures, nil for none.
 	Unread error
@@ -237,7 +240,7 @@
 	if err != nil {
 		return Update{}, err
 	}
-	u := Update{Unread: m.unread}
+	u := Update{Unread: m.unread, Extensions: m.extensions}
 	if m.leaving {
 		delete(v.members, from)
 	} else {
@@ -396,10 +399,7 @@
 
 // Message returns the next message of this router.
 func (v *View) Message(now time.Time) []byte {
-	m := &message{leaving: v.leaving, routerHash: v.routerHash, domainHash: v.domainHash, capacity: v.capacity()}
-	for _, t := range v.tables {
-		m.tables = append(m.tables, tableEntry{newest: t.newest, peer: t.peer, contactAgeMs: ageMs(now, t.lastContact), version: t.version})
-	}
+	m := v.header(now)
 	sameDomain, otherDomains := v.liveMembers(now)
 	for _, entry := range append(sameDomain[:min(len(sameDomain), maxSameDomainMembers)], otherDomains[:min(len(otherDomains), maxOtherDomainMembers)]...) {
 		m.members = append(m.members, memberEntry{entry.address, entry.routerHash, entry.domainHash, entry.capacity, uint64(now.Sub(entry.lastHeard) / memberAgeUnit)})
@@ -408,6 +408,29 @@
 	return m.encode()
 }
 
+// header returns a message without routers and loads.
+func (v *View) header(now time.Time) *message {
+	m := &message{leaving: v.leaving, routerHash: v.routerHash, domainHash: v.domainHash, capacity: v.capacity()}
+	for _, t := range v.tables {
+		m.tables = append(m.tables, tableEntry{newest: t.newest, peer: t.peer, contactAgeMs: ageMs(now, t.lastContact), version: t.version})
+	}
+	return m
+}
+
+// ExtensionLimit returns the largest payload of an extension, in bytes.
+func (v *View) ExtensionLimit() int {
+	return MessageBytes - headerBytes - len(v.tables)*tableBytes - extensionBytes
+}
+
+// ExtensionMessage returns a message that carries an extension. It is separate from
+// Message, so that routers that do not read extensions lose nothing else. The payload
+// must not be longer than ExtensionLimit.
+func (v *View) ExtensionMessage(now time.Time, e Extension) []byte {
+	m := v.header(now)
+	m.extensions = []Extension{e}
+	return m.encode()
+}
+
 // ageMs returns the age of a time in ms, at most one hour. A zero time stands
 // for never and gets the maximum age.
 func ageMs(now, at time.Time) uint64 {
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -48,6 +48,28 @@
 	WorkPercent int
 }
 
+// ExtensionGossip carries the messages of other components between routers.
+// Implemented by plugins/gossip.
+type ExtensionGossip interface {
+	// Extend adds a component whose messages are sent with each round and received
+	// from other routers.
+	Extend(GossipExtension)
+	// PushExtensions sends the messages of all components at once.
+	PushExtensions()
+}
+
+// GossipExtension is a component that exchanges messages with the same component of
+// other routers. Its methods must not block.
+type GossipExtension interface {
+	// Type is the type of the component's messages, see package gossip.
+	Type() byte
+	// Encode returns the next message in at most limit bytes, nil for none.
+	Encode(now time.Time, limit int) []byte
+	// Merge reads a message of another router. The payload is not valid after the
+	// call. Errors: the message is malformed.
+	Merge(now time.Time, payload []byte) error
+}
+
 // LoadGossip shares the loads of workers with the other routers. Implemented by
 // plugins/gossip.
 type LoadGossip interface {
--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -26,12 +26,22 @@
 	sentAt     time.Time
 }
 
+// isFramed reports whether the end of the response shows that it is complete. A
+// response without a length and chunks ends with its connection, also if the worker
+// crashes.
+func (r *workerResponse) isFramed() bool {
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+}
+
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
 // failure says why an attempt produced no response that can be forwarded.
 type failure struct {
 	outcome       core.Outcome
-	sent          bool   // the worker may have received bytes of the request
-	retryReserved bool   // the retry has already been taken from the retry budget
-	reason        string // one of the reasons below, used in logs and metrics
+	sent          bool          // the worker may have received bytes of the request
+	retryReserved bool          // the retry has already been taken from the retry budget
+	reason        string        // one of the reasons below, used in logs and metrics
+	progress      time.Duration // time since the first event of the attempt, 0 for no event
 	err           error
 }
 
@@ -123,7 +133,7 @@
 		return &failure{outcome: core.OutcomeNotRun, sent: true, reason: failRefused, err: fmt.Errorf("status %d", status)}
 	case isPromise(status):
 		return &failure{outcome: core.OutcomeUnknown, sent: true, reason: failUnstated, err: fmt.Errorf("status %d", status)}
-	case status >= 200 && status < 300 && !h.Sealed:
+	case isSuccess(status) && !h.Sealed:
 		return &failure{outcome: core.OutcomeUnknown, sent: true, reason: failUnsealed}
 	}
 	return nil
@@ -234,6 +244,9 @@
 	}
 	if x.r.Context().Err() == nil && f.reason != failRefused {
 		g.reachability.handleFailure(c.Worker, f.err)
+		if f.isSuspect() {
+			g.crashes.handleLostAnswer(c.Worker, x.sharedPartIDs())
+		}
 		if g.fleet.RecordFailure(c.Worker, time.Now()) {
 			g.decisions.logChange("worker ejected", "worker", c.Worker.ID, "upstream", c.Worker.Upstream, "reason", f.reason)
 		}
--- a/plugins/gateway/buffered.go
+++ b/plugins/gateway/buffered.go
@@ -27,6 +27,9 @@
 		resp, f := g.attemptBuffered(x, c)
 		if f == nil && resp.status < http.StatusInternalServerError {
 			g.fleet.RecordEnd(c, true, time.Now())
+			if isSuccess(resp.status) && resp.framed {
+				g.crashes.recordSuccess(x.sharedPartIDs())
+			}
 			g.forward(x, resp, outcomeServed)
 			return
 		}
@@ -50,6 +53,7 @@
 	status int
 	header http.Header
 	body   []byte
+	framed bool // see workerResponse.isFramed
 	unread *workerResponse
 }
 
@@ -64,7 +68,7 @@
 func (g *Gateway) readBuffered(c routing.Choice, resp *workerResponse) (*bufferedResponse, *failure) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(g.settings.AnswerBytes)))
 	took := time.Since(resp.sentAt)
-	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
+	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body, framed: resp.isFramed()}
 	if err == nil && len(body) == g.settings.AnswerBytes {
 		resp.stallTimer.stop()
 		if resp.StatusCode >= http.StatusInternalServerError {
@@ -171,6 +175,8 @@
 		g.fail(x, http.StatusGatewayTimeout, "deadline", last)
 	case x.possibleRuns > 0:
 		g.fail(x, http.StatusBadGateway, last.reason, last)
+	case x.quarantined > 0:
+		g.refuseQuarantined(x)
 	case last == nil:
 		g.refuse(x, "no worker", retryAfterNoWorker)
 	default:
--- a/plugins/gateway/choose.go
+++ b/plugins/gateway/choose.go
@@ -10,8 +10,12 @@
 )
 
 // chooseWorker picks a worker to which the request has not been sent yet and
-// records it as tried. It returns false if there is none.
+// records it as tried. It returns false if there is none, or if the request must not
+// be sent to a worker.
 func (g *Gateway) chooseWorker(x *exchange) (routing.Choice, bool) {
+	if g.checkQuarantine(x) {
+		return routing.Choice{}, false
+	}
 	r := routing.Request{Upstream: x.upstream, Tried: x.tried}
 	if x.route.Sticky {
 		r.SharedParts = routing.SharedParts(x.header.Prompt)
--- a/plugins/gateway/crash_test.go
+++ b/plugins/gateway/crash_test.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
 	. "github.com/smartystreets/goconvey/convey"
@@ -22,3 +25,79 @@
 		So(lines.String(), ShouldContainSubstring, `shared_parts=a,b `)
 	})
 }
+
+// Guards against workers that count as crashed because they break off single answers
+// or leave as planned.
+func TestLostAnswersOfLiveWorkers(t *testing.T) {
+	cut := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(testSeal, "s")
+		_ = http.NewResponseController(w).Flush() // the caller may have disconnected
+		panic(http.ErrAbortHandler)
+	}
+	inBubble(t, "Workers that break off answers and go on quarantine nothing", engines(6), func(h *harness) {
+		h.setHandlers(cut)
+		for i := range 30 {
+			resp, _ := h.call("POST", "/chat/once/x", testPrompt, fmt.Sprintf("10 11 %d", i+100))
+			So(resp.Code, ShouldEqual, http.StatusBadGateway)
+			sleep(time.Second)
+		}
+		So(h.requestCount(), ShouldEqual, 30)
+	})
+	inBubble(t, "A worker that drains and ends within its requests quarantines nothing", engines(6), func(h *harness) {
+		list := testList{engines(6)}
+		for i := range 4 {
+			w := h.workers[fmt.Sprintf("engine-%d", i)]
+			list.workers[i].Draining = true
+			h.crashes.handleLostAnswer(h.fleet.Worker(w.ID), []uint64{10})
+			h.network.setListener(w.Address, nil)
+			h.applyWorkers(list.Workers())
+			sleep(time.Second)
+		}
+		_, quarantined, _ := h.crashes.tracker.Find(time.Now(), []uint64{10})
+		So(quarantined, ShouldBeFalse)
+	})
+}
+
+// Guards against a refusal that does not say when the request can be served, and
+// against a request that ran and is called not run because its prompt part is
+// quarantined meanwhile.
+func TestQuarantinedRequest(t *testing.T) {
+	inBubble(t, "A request with a quarantined part is refused until the quarantine ends, others are served", engines(3), func(h *harness) {
+		h.setHandlers(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(testSeal, "s")
+			events(w, 1, 2)
+		})
+		for i := range uint32(3) {
+			h.crashes.tracker.RecordCrash(time.Now(), i, []uint64{11})
+			sleep(time.Second)
+		}
+		resp, _ := h.call("POST", "/chat/x", testPrompt, "10 11 12")
+		So(resp.Code, ShouldEqual, http.StatusServiceUnavailable)
+		So(resp.Body.String(), ShouldContainSubstring, "not_run")
+		wait, err := strconv.ParseFloat(resp.Header().Get("Retry-After"), 64)
+		So(err, ShouldBeNil)
+		So(wait, ShouldBeBetween, 590, 602)
+		So(h.requestCount(), ShouldEqual, 0)
+		for _, prompt := range []string{"10 12", "10 12 11", "11", ""} {
+			resp, _ = h.call("POST", "/chat/x", testPrompt, prompt)
+			So(resp.Code, ShouldEqual, http.StatusOK)
+		}
+		sleep(time.Duration(wait * float64(time.Second)))
+		resp, _ = h.call("POST", "/chat/x", testPrompt, "10 11 12")
+		So(resp.Code, ShouldEqual, http.StatusOK)
+	})
+	inBubble(t, "A request that crashed a worker is not sent again under quarantine, and its outcome is unknown", engines(3), func(h *harness) {
+		for i := range uint32(2) {
+			h.crashes.tracker.RecordCrash(time.Now(), i, []uint64{11})
+			sleep(time.Second)
+		}
+		h.setHandlers(func(http.ResponseWriter, *http.Request) {
+			h.crashes.tracker.RecordCrash(time.Now(), 3, []uint64{11})
+			sleep(time.Second)
+			panic(http.ErrAbortHandler)
+		})
+		resp, _ := h.call("POST", "/chat/x", testPrompt, "10 11 12")
+		So(resp.Code, ShouldEqual, http.StatusBadGateway)
+		So(h.requestCount(), ShouldEqual, 1)
+	})
+}
--- a/plugins/gateway/fleet_test.go
+++ b/plugins/gateway/fleet_test.go
@@ -195,7 +195,7 @@
 }
 
 // testGossip exchanges messages with the other routers of a test fleet. It
-// implements core.LoadGossip.
+// implements core.LoadGossip and core.ExtensionGossip.
 type testGossip struct {
 	fleet   *testFleet
 	address netip.AddrPort
@@ -203,6 +203,8 @@
 	mu      sync.Mutex
 	view    *gossip.View
 	onLoads func([]routing.Load)
+
+	extensions []core.GossipExtension
 }
 
 func newTestGossip(f *testFleet, identity core.Identity, address netip.AddrPort) *testGossip {
@@ -225,10 +227,37 @@
 	now := time.Now()
 	p.mu.Lock()
 	targets := p.view.Targets(now, sameDomain, otherDomains)
-	message := p.view.Message(now)
+	messages := append(p.extensionMessages(now), p.view.Message(now))
 	p.mu.Unlock()
 	for _, to := range targets {
-		p.send(to, message)
+		for _, message := range messages {
+			p.send(to, message)
+		}
+	}
+}
+
+func (p *testGossip) extensionMessages(now time.Time) [][]byte {
+	var messages [][]byte
+	for _, e := range p.extensions {
+		if payload := e.Encode(now, p.view.ExtensionLimit()); payload != nil {
+			messages = append(messages, p.view.ExtensionMessage(now, gossip.Extension{Type: e.Type(), Payload: payload}))
+		}
+	}
+	return messages
+}
+
+func (p *testGossip) Extend(e core.GossipExtension) { p.extensions = append(p.extensions, e) }
+
+func (p *testGossip) PushExtensions() {
+	now := time.Now()
+	p.mu.Lock()
+	targets := p.view.Targets(now, 4, 2)
+	messages := p.extensionMessages(now)
+	p.mu.Unlock()
+	for _, to := range targets {
+		for _, message := range messages {
+			p.send(to, message)
+		}
 	}
 }
 
@@ -245,6 +274,16 @@
 	if err != nil {
 		panic(err)
 	}
+	for _, received := range update.Extensions {
+		for _, e := range p.extensions {
+			if e.Type() != received.Type {
+				continue
+			}
+			if err := e.Merge(time.Now(), received.Payload); err != nil {
+				panic(err)
+			}
+		}
+	}
 	if update.NeedsReply {
 		p.send(from, reply)
 	}
--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -33,6 +33,7 @@
 
 	tried        []*routing.Worker // workers to which the request was sent, in order
 	possibleRuns int               // number of workers that ran the request or may have
+	quarantined  time.Duration     // remaining quarantine of one of its prompt parts, 0 for none
 	status       int
 	outcome      string // one of the outcomes below
 	reason       string // reason of the outcome, for log and metrics
--- a/plugins/gateway/harness_test.go
+++ b/plugins/gateway/harness_test.go
@@ -223,12 +223,16 @@
 }
 
 // newTestGateway returns a gateway that reaches its workers through a fake network.
-func newTestGateway(network *fakeNetwork, identity core.Identity, workers []routing.WorkerInfo, loads core.LoadGossip) *Gateway {
+func newTestGateway(network *fakeNetwork, identity core.Identity, workers []routing.WorkerInfo, gossip *testGossip) *Gateway {
 	s := &Settings{ConnectTimeout: dialTimeout, SilenceTimeout: 700 * time.Millisecond, IdlePerWorker: 4, WorkerIdleTimeout: 2 * time.Second, HeaderBytes: 1 << 16, BodyBytes: 1 << 20, AnswerBytes: 1 << 16, MaxAnswerBytes: maxForwardedInTest, WriteTimeout: 30 * time.Second, EventBytes: 1 << 12, LoadBound: 2, RetryRatio: 0.2, RetrySlack: 160, Routers: 16, LogLines: 100}
-	g := New(Params{
-		Settings: s, Identity: identity, Config: testConfig{testSet()}, Workers: testList{workers}, Loads: loads,
+	p := Params{
+		Settings: s, Identity: identity, Config: testConfig{testSet()}, Workers: testList{workers},
 		Wire: testCodec{}, Readiness: core.NewReadiness(), Addresses: core.NewAddresses(), Logger: log.New(io.Discard), Scope: tally.NewTestScope("", nil),
-	})
+	}
+	if gossip != nil {
+		p.Loads, p.Extensions = gossip, gossip
+	}
+	g := New(p)
 	g.conns.dialOnce = network.dial
 	return g
 }
--- a/plugins/gateway/refuse.go
+++ b/plugins/gateway/refuse.go
@@ -39,7 +39,17 @@
 
 // refuse responds to a request that has not run and will not run.
 func (g *Gateway) refuse(x *exchange, reason string, retryAfter time.Duration) {
-	wait := retryAfter/2 + time.Duration(rand.Int64N(int64(retryAfter/2)))
+	g.refuseFor(x, reason, retryAfter/2+time.Duration(rand.Int64N(int64(retryAfter/2))))
+}
+
+// refuseQuarantined refuses a request until the quarantine of its prompt part ends.
+// It would crash another worker if it were sent sooner.
+func (g *Gateway) refuseQuarantined(x *exchange) {
+	g.refuseFor(x, "prompt part is quarantined", x.quarantined+time.Duration(rand.Int64N(int64(retryAfterStarting))))
+}
+
+// refuseFor refuses a request and tells the caller how long to wait.
+func (g *Gateway) refuseFor(x *exchange, reason string, wait time.Duration) {
 	x.w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	x.setOutcome(outcomeRefused, reason, x.err)
 	g.writeProblem(x, http.StatusServiceUnavailable, core.KindUpstreamUnavailable, core.OutcomeNotRun)
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -7,7 +7,7 @@
 // routing), attempt.go and stall.go (one attempt on a worker), buffered.go for
 // buffered responses or stream.go for streams, refuse.go (responses of the
 // router itself), decision.go (log and metrics). reachability.go and isolation.go
-// track which workers are reachable.
+// track which workers are reachable, quarantine.go which requests crash them.
 package gateway
 
 import (
@@ -124,6 +124,8 @@
 	Scope     tally.Scope
 	Loads     core.LoadGossip  `optional:"true"`
 	Reloader  *kernel.Reloader `optional:"true"`
+
+	Extensions core.ExtensionGossip `optional:"true"`
 }
 
 // Gateway serves the routes of the active configuration revision.
@@ -145,6 +147,7 @@
 	fleet             *routing.Fleet
 	conns             *workerConns
 	reachability      *reachability
+	crashes           *crashDetector
 
 	isolation isolation
 	server    *server
@@ -167,6 +170,7 @@
 		conns:         newWorkerConns(p.Settings),
 	}
 	g.decisions = newDecisionLog(g.log, p.Scope, p.Settings.LogLines)
+	g.crashes = newCrashDetector(g, p.Extensions)
 	g.readiness.Require(componentConfig)
 	g.readiness.Require(componentWorkers)
 	g.readiness.Require(componentName)
--- a/plugins/gateway/stream.go
+++ b/plugins/gateway/stream.go
@@ -78,7 +78,7 @@
 	if f != nil {
 		return nil, f
 	}
-	if resp.StatusCode < 200 || resp.StatusCode > 299 {
+	if !isSuccess(resp.StatusCode) {
 		return g.readBuffered(c, resp)
 	}
 	defer resp.cancel()
@@ -96,19 +96,29 @@
 func (g *Gateway) forwardEvents(x *exchange, s *streamState, c routing.Choice, resp *workerResponse) *failure {
 	events := answer.NewRawReader(resp.Body, g.settings.EventBytes)
 	defer resp.stallTimer.stop()
-	first := true
+	var firstEventAt time.Time
+	survived := false
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			g.recordStreamEnd(x, c, resp)
 			return g.finishStream(x, s, resp)
 		}
 		if err != nil {
-			return classifyStreamError(err, resp.stallTimer)
+			f := classifyStreamError(err, resp.stallTimer)
+			if !firstEventAt.IsZero() {
+				f.progress = time.Since(firstEventAt)
+			}
+			return f
 		}
-		if first {
-			first = false
+		if firstEventAt.IsZero() {
+			firstEventAt = time.Now()
 			g.fleet.RecordFirstByte(c, time.Since(resp.sentAt))
 		}
+		if !survived && time.Since(firstEventAt) >= survivalTime {
+			survived = true
+			g.crashes.recordSuccess(x.sharedPartIDs())
+		}
 		if e.ID != s.lastEventID+1 {
 			return &failure{outcome: core.OutcomeUnknown, sent: true, reason: failSequence, err: &answer.SequenceError{Got: e.ID, Want: s.lastEventID + 1}}
 		}
@@ -120,6 +130,15 @@
 	}
 }
 
+// recordStreamEnd records that the prompt of a complete stream does not crash workers.
+func (g *Gateway) recordStreamEnd(x *exchange, c routing.Choice, resp *workerResponse) {
+	if resp.isFramed() {
+		g.crashes.recordSuccess(x.sharedPartIDs())
+		return
+	}
+	g.crashes.recordSettled(c.Worker, x.sharedPartIDs())
+}
+
 func classifyStreamError(err error, stall *stallTimer) *failure {
 	f := &failure{outcome: core.OutcomeUnknown, sent: true, reason: failTruncated, err: err}
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/plugins/gossip/exchange.go
+++ b/plugins/gossip/exchange.go
@@ -45,12 +45,14 @@
 			targets = append(targets, seed)
 		}
 	}
-	message := g.view.Message(now)
+	messages := append(g.extensionMessages(now), g.view.Message(now))
 	routers := g.view.RouterCount(now)
 	g.updateRole(now, routers)
 	g.mu.Unlock()
 	g.routers.Update(float64(routers))
-	g.send(message, targets...)
+	for _, message := range messages {
+		g.send(message, targets...)
+	}
 }
 
 // updateTables records the versions of this router's copies in the view. The
@@ -115,6 +117,9 @@
 	if err != nil {
 		g.refused.Inc(1)
 	}
+	if err == nil {
+		update.Unread = cmp.Or(update.Unread, g.mergeExtensions(update.Extensions))
+	}
 	if reason := cmp.Or(err, update.Unread); reason != nil {
 		g.unreadable.Report(from.String(), unreadable.Input{Kind: unreadable.RouterMessage, Text: string(message), Reason: reason})
 	}
@@ -250,6 +255,7 @@
 }
 
 var (
-	_ replica.Peers   = (*Gossip)(nil)
-	_ core.LoadGossip = (*Gossip)(nil)
+	_ replica.Peers        = (*Gossip)(nil)
+	_ core.LoadGossip      = (*Gossip)(nil)
+	_ core.ExtensionGossip = (*Gossip)(nil)
 )
--- a/plugins/gossip/fakes_test.go
+++ b/plugins/gossip/fakes_test.go
@@ -3,8 +3,35 @@
 import (
 	"net"
 	"time"
+
+	lib "github.com/auburnlead/auburnlead/gossip"
 )
 
+// recordingConn is a connection that records what is sent.
+type recordingConn struct {
+	discardConn
+	messages [][]byte
+}
+
+func (c *recordingConn) WriteTo(b []byte, _ net.Addr) (int, error) {
+	c.messages = append(c.messages, b)
+	return len(b), nil
+}
+
+// fakeExtension is a component that sends next and records what it receives.
+type fakeExtension struct {
+	next     []byte
+	err      error
+	payloads []string
+}
+
+func (*fakeExtension) Type() byte                     { return lib.ExtensionCrashes }
+func (e *fakeExtension) Encode(time.Time, int) []byte { return e.next }
+func (e *fakeExtension) Merge(_ time.Time, payload []byte) error {
+	e.payloads = append(e.payloads, string(payload))
+	return e.err
+}
+
 // discardConn is a connection that drops what is sent.
 type discardConn struct{}
 
--- a/plugins/gossip/gossip_test.go
+++ b/plugins/gossip/gossip_test.go
@@ -17,6 +17,7 @@
 
 	lib "github.com/auburnlead/auburnlead/gossip"
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/internal/unreadable"
 	"github.com/auburnlead/auburnlead/replica"
 	"github.com/auburnlead/auburnlead/routing"
 )
@@ -93,3 +94,45 @@
 		So(errors.Is(err, errHistoryGone), ShouldBeFalse)
 	})
 }
+
+// Guards against components whose messages are not sent or not received, and against
+// malformed messages that are not reported.
+func TestExtensions(t *testing.T) {
+	Convey("The messages of a component reach the same component of another router", t, func() {
+		a, b := newGossip(t, "a", "127.0.0.1:7000"), newGossip(t, "b", "127.0.0.2:7000")
+		sent, received := &fakeExtension{next: []byte("evidence")}, &fakeExtension{}
+		a.Extend(sent)
+		b.Extend(received)
+		conn := &recordingConn{}
+		a.conn, b.conn = conn, discardConn{}
+		from := netip.MustParseAddrPort("127.0.0.1:7000")
+		_, err := a.view.Merge(time.Now(), netip.MustParseAddrPort("127.0.0.2:7000"), b.view.Message(time.Now()))
+		So(err, ShouldBeNil)
+
+		a.round(1, 1)
+		So(conn.messages, ShouldHaveLength, 2)
+		a.PushExtensions()
+		So(conn.messages, ShouldHaveLength, 3)
+		for _, m := range conn.messages {
+			b.merge(from, m)
+		}
+		So(received.payloads, ShouldResemble, []string{"evidence", "evidence"})
+		Convey("Nothing is sent for a component that has nothing to send", func() {
+			sent.next = nil
+			a.PushExtensions()
+			So(conn.messages, ShouldHaveLength, 3)
+		})
+		Convey("A malformed message is counted, and the rest of the datagram is read", func() {
+			received.err = errors.New("malformed")
+			scope := tally.NewTestScope("", nil)
+			b.unreadable = unreadable.New(log.New(io.Discard), scope)
+			b.merge(from, conn.messages[0])
+			counters := scope.Snapshot().Counters()
+			So(counters["unreadable+kind=router message"].Value(), ShouldEqual, 1)
+		})
+		Convey("An extension of an unknown type is ignored", func() {
+			b.merge(from, a.view.ExtensionMessage(time.Now(), lib.Extension{Type: 200, Payload: []byte("x")}))
+			So(received.payloads, ShouldHaveLength, 2)
+		})
+	})
+}
--- a/plugins/gossip/setup.go
+++ b/plugins/gossip/setup.go
@@ -80,7 +80,7 @@
 		Options: func(s any) fx.Option {
 			return fx.Module(component,
 				fx.Supply(s.(*Settings)),
-				fx.Provide(fx.Annotate(New, fx.As(new(replica.Peers)), fx.As(new(core.LoadGossip)), fx.As(fx.Self()))),
+				fx.Provide(fx.Annotate(New, fx.As(new(replica.Peers)), fx.As(new(core.LoadGossip)), fx.As(new(core.ExtensionGossip)), fx.As(fx.Self()))),
 			)
 		},
 	})
@@ -121,8 +121,9 @@
 	view            *lib.View
 	tablesChanged   chan struct{}        // closed when a table has a newer version
 	onLoads         func([]routing.Load) // subscriber of load reports, nil for none
-	lastSeedMessage time.Time            // when the last message was sent to a seed
-	readsStore      bool                 // role as of the last round
+	extensions      []core.GossipExtension
+	lastSeedMessage time.Time // when the last message was sent to a seed
+	readsStore      bool      // role as of the last round
 }
 
 // New returns a Gossip that listens once the application has started. Errors:
--- /dev/null
+++ b/quarantine/quarantine.go
@@ -0,0 +1,403 @@
+// Package quarantine detects queries of death, requests that crash each worker that
+// answers them, and keeps them from further workers. Such requests have a prompt part
+// in common; everything else in them differs.
+//
+// A router that loses a worker reports the prompt parts whose answers had just begun
+// there or not yet begun (Tracker.RecordCrash), and the parts of answers that got
+// past that point (Tracker.RecordSuccess). A part is quarantined when Config.Threshold
+// workers in a row crashed under it without a success in between. A sound part on a
+// crashed worker soon succeeds on another one, so it does not get there.
+//
+// Each router of a large fleet sees a small part of the requests. Routers therefore
+// share their reports (Tracker.Encode, Tracker.Merge). Reports may be lost,
+// duplicated and reordered; each crash of a worker counts once for a part.
+//
+// Contract: a quarantine lasts Config.Period from the last crash. After that, one more
+// crash renews it.
+//
+// Failure behaviour: routers that cannot reach each other each need their own
+// evidence. Workers that crash within Config.MinGap of each other count as one crash;
+// when they are massCrash or more, they do not count, since a failing host or network
+// takes several workers down together. Therefore a crash counts only after MinGap. Where two
+// parts crashed the same workers, both are quarantined, and requests that have only
+// one of them are let through now and then until it is known which one is sound.
+//
+// Concurrency: a Tracker is safe for concurrent use.
+//
+// Cost: a success takes constant time. Memory is limited to maxSuspects parts with
+// crashes and twice maxSuccesses parts without.
+package quarantine
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Config configures a Tracker. Zero values select the defaults.
+type Config struct {
+	// Threshold is the number of crashes without a success in between that
+	// quarantines a part. Default 3.
+	Threshold int
+	// MinGap is the minimum time between two crashes that count separately.
+	// Default 200 ms.
+	MinGap time.Duration
+	// EvidenceTTL is how long a crash counts. Default 2 min.
+	EvidenceTTL time.Duration
+	// Period is how long a part stays quarantined after its last crash. Default
+	// 10 min.
+	Period time.Duration
+	// TrialPeriod is the minimum time between two requests that are let through
+	// with a part that may be sound. Default 3 s.
+	TrialPeriod time.Duration
+	// Random returns a number in [0, n); nil for math/rand/v2.
+	Random func(n int) int
+}
+
+const (
+	// maxSuspects limits the parts with crashes that are kept.
+	maxSuspects = 4096
+	// maxCrashes limits the crashes that are kept of a part; those that do not count
+	// go first, then the oldest.
+	maxCrashes = 8
+	// maxSuccesses limits each of the two generations of successes.
+	maxSuccesses = 4096
+	// successTTL is the age of a generation of successes. It is longer than the time
+	// that a report of a crash takes to reach all routers.
+	successTTL = 5 * time.Second
+	// massCrash is the number of workers that crash together from which the cause is
+	// not a request.
+	massCrash = 3
+	// maxRecentCrashes limits the crashes that are compared to find a mass crash.
+	maxRecentCrashes = 64
+)
+
+// Tracker collects evidence about prompt parts.
+type Tracker struct {
+	cfg Config
+
+	mu       sync.Mutex // lock level 90, see internal/core/lockorder.go
+	suspects map[uint64]*suspect
+	// Successes of parts without crashes. A report of a crash that took place before
+	// them may still arrive.
+	successes, olderSuccesses map[uint64]time.Time
+	rotatedAt                 time.Time
+	recent                    []crash   // one for each worker, in the order of arrival
+	changedAt                 time.Time // when a report was added
+}
+
+// suspect is a part under which a worker crashed.
+type suspect struct {
+	crashes     []crash // in the order of their times
+	lastSuccess time.Time
+	until       time.Time // end of the quarantine, zero for none
+	trialAt     time.Time // earliest time of the next trial
+}
+
+type crash struct {
+	worker uint32
+	at     time.Time
+	// explained says that a quarantined part was on the worker too.
+	explained bool
+}
+
+// Kind is the kind of a Change.
+type Kind string
+
+// Kinds of changes.
+const (
+	Quarantined Kind = "quarantined"
+	Cleared     Kind = "cleared" // a quarantined part succeeded
+)
+
+// Change is a quarantine that began, was renewed or ended by a success.
+type Change struct {
+	Kind    Kind
+	Part    uint64
+	Crashes int // workers that crashed under the part since its last success
+	Until   time.Time
+}
+
+// New returns a tracker without evidence.
+func New(cfg Config) *Tracker {
+	setDefault(&cfg.Threshold, 3)
+	setDefault(&cfg.MinGap, 200*time.Millisecond)
+	setDefault(&cfg.EvidenceTTL, 2*time.Minute)
+	setDefault(&cfg.Period, 10*time.Minute)
+	setDefault(&cfg.TrialPeriod, 3*time.Second)
+	if cfg.Random == nil {
+		cfg.Random = rand.IntN
+	}
+	return &Tracker{cfg: cfg, suspects: map[uint64]*suspect{}, successes: map[uint64]time.Time{}}
+}
+
+func setDefault[T int | time.Duration](v *T, value T) {
+	if *v == 0 {
+		*v = value
+	}
+}
+
+// RecordCrash records that a worker crashed while it worked on requests with the
+// parts. worker is a hash that differs for each process.
+func (t *Tracker) RecordCrash(now time.Time, worker uint32, parts []uint64) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.evict(now)
+	for _, part := range parts {
+		t.addCrash(now, part, worker, now)
+	}
+	return t.evaluate(now, parts)
+}
+
+// addRecent adds a worker to those that crashed recently.
+func (t *Tracker) addRecent(worker uint32, at time.Time) {
+	if slices.ContainsFunc(t.recent, func(c crash) bool { return c.worker == worker }) {
+		return
+	}
+	if len(t.recent) == maxRecentCrashes {
+		t.recent = slices.Delete(t.recent, 0, 1)
+	}
+	t.recent = append(t.recent, crash{worker: worker, at: at})
+}
+
+// isMassCrash reports whether several workers crashed at about a time.
+func (t *Tracker) isMassCrash(at time.Time) bool {
+	n := 0
+	for _, c := range t.recent {
+		if c.at.Sub(at).Abs() < t.cfg.MinGap {
+			n++
+		}
+	}
+	return n >= massCrash
+}
+
+// RecordSuccess records that a worker answered a request with the parts.
+func (t *Tracker) RecordSuccess(now time.Time, parts []uint64) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.rotatedAt) > successTTL || len(t.successes) >= maxSuccesses {
+		t.successes, t.olderSuccesses, t.rotatedAt = map[uint64]time.Time{}, t.successes, now
+	}
+	var changes []Change
+	for _, part := range parts {
+		if s := t.suspects[part]; s != nil {
+			changes = append(changes, t.addSuccess(now, part, s, now)...)
+			continue
+		}
+		t.successes[part] = now
+	}
+	return changes
+}
+
+// Find returns the quarantined part of a request that must not be sent to a worker,
+// and the quarantines that began now.
+func (t *Tracker) Find(now time.Time, parts []uint64) (quarantine Change, found bool, began []Change) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	began = t.evaluate(now, parts)
+	part, ok := t.find(now, parts)
+	if !ok {
+		return Change{}, false, began
+	}
+	s := t.suspects[part]
+	return Change{Kind: Quarantined, Part: part, Crashes: len(s.crashes), Until: s.until}, true, began
+}
+
+// find returns the first quarantined part, unless a trial begins with it.
+func (t *Tracker) find(now time.Time, parts []uint64) (uint64, bool) {
+	var found []uint64
+	for _, part := range parts {
+		if s := t.suspects[part]; s != nil && now.Before(s.until) {
+			found = append(found, part)
+		}
+	}
+	if len(found) == 0 || len(found) == 1 && t.startTrial(now, found[0]) {
+		return 0, false
+	}
+	return found[0], true
+}
+
+// startTrial reports whether a request may be sent although its part is quarantined:
+// all crashes under the part may be due to another quarantined part.
+func (t *Tracker) startTrial(now time.Time, part uint64) bool {
+	s := t.suspects[part]
+	if now.Before(s.trialAt) {
+		return false
+	}
+	for other, o := range t.suspects {
+		if other != part && now.Before(o.until) && o.covers(s) {
+			s.trialAt = now.Add(t.cfg.TrialPeriod)
+			return true
+		}
+	}
+	return false
+}
+
+// covers reports whether all workers that crashed under another part crashed under
+// this one too.
+func (s *suspect) covers(other *suspect) bool {
+	for _, c := range other.crashes {
+		if c.at.After(other.lastSuccess) && s.find(c.worker) == nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *suspect) find(worker uint32) *crash {
+	for i := range s.crashes {
+		if s.crashes[i].worker == worker {
+			return &s.crashes[i]
+		}
+	}
+	return nil
+}
+
+// addCrash adds a crash at a time and reports whether it is new.
+func (t *Tracker) addCrash(now time.Time, part uint64, worker uint32, at time.Time) bool {
+	t.addRecent(worker, at)
+	s := t.suspect(part)
+	if s == nil {
+		return false
+	}
+	if c := s.find(worker); c != nil {
+		// Routers that lost the same worker report slightly different times.
+		if at.Before(c.at) {
+			c.at = at
+			s.sort()
+		}
+		return false
+	}
+	s.crashes = append(s.crashes, crash{worker: worker, at: at, explained: t.isExplained(now, part, worker)})
+	s.sort()
+	if len(s.crashes) > maxCrashes {
+		i := max(slices.IndexFunc(s.crashes, func(c crash) bool { return !t.counts(s, c) }), 0)
+		s.crashes = slices.Delete(s.crashes, i, i+1)
+	}
+	t.changedAt = now
+	return true
+}
+
+func (s *suspect) sort() {
+	slices.SortFunc(s.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
+}
+
+// suspect returns the entry of a part and creates it if there is room, nil otherwise.
+func (t *Tracker) suspect(part uint64) *suspect {
+	s := t.suspects[part]
+	if s == nil && len(t.suspects) < maxSuspects {
+		s = &suspect{lastSuccess: t.successes[part]}
+		if older := t.olderSuccesses[part]; older.After(s.lastSuccess) {
+			s.lastSuccess = older
+		}
+		t.suspects[part] = s
+	}
+	return s
+}
+
+// isExplained reports whether another quarantined part was on a worker that crashed.
+func (t *Tracker) isExplained(now time.Time, part uint64, worker uint32) bool {
+	for other, o := range t.suspects {
+		if other != part && now.Before(o.until) && o.find(worker) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// successResolution is the smallest difference between two successes of a part that
+// counts. Each hop adds the transit time to a report's time.
+const successResolution = 50 * time.Millisecond
+
+func (t *Tracker) addSuccess(now time.Time, part uint64, s *suspect, at time.Time) []Change {
+	if at.Sub(s.lastSuccess) < successResolution {
+		return nil
+	}
+	// Only a success that contradicts a crash is worth sharing.
+	if len(s.crashes) > 0 && s.crashes[len(s.crashes)-1].at.After(s.lastSuccess) {
+		t.changedAt = now
+	}
+	s.lastSuccess = at
+	if !now.Before(s.until) || t.count(now, s) >= t.cfg.Threshold {
+		return nil
+	}
+	s.until = time.Time{}
+	return []Change{{Kind: Cleared, Part: part}}
+}
+
+// count returns the number of separate crashes since the last success of a part that
+// no other part and no mass crash explains.
+func (t *Tracker) count(now time.Time, s *suspect) int {
+	n := 0
+	var last time.Time
+	for _, c := range s.crashes {
+		if !t.counts(s, c) || now.Sub(c.at) < t.cfg.MinGap || n > 0 && c.at.Sub(last) < t.cfg.MinGap {
+			continue
+		}
+		n, last = n+1, c.at
+	}
+	return n
+}
+
+// counts reports whether a crash under a part may be due to the part.
+func (t *Tracker) counts(s *suspect, c crash) bool {
+	return !c.explained && c.at.After(s.lastSuccess) && !t.isMassCrash(c.at)
+}
+
+// evaluate begins or renews the quarantine of those of the given parts that have
+// reached the threshold.
+func (t *Tracker) evaluate(now time.Time, parts []uint64) []Change {
+	var changes []Change
+	for _, part := range parts {
+		s := t.suspects[part]
+		if s == nil || len(s.crashes) < t.cfg.Threshold {
+			continue
+		}
+		n := t.count(now, s)
+		if n < t.cfg.Threshold {
+			continue
+		}
+		until := s.crashes[len(s.crashes)-1].at.Add(t.cfg.Period)
+		if !until.After(s.until) || !until.After(now) {
+			continue
+		}
+		if !now.Before(s.until) {
+			s.trialAt = now.Add(time.Duration(t.cfg.Random(int(t.cfg.TrialPeriod))))
+		}
+		s.until = until
+		changes = append(changes, Change{Kind: Quarantined, Part: part, Crashes: n, Until: until})
+	}
+	for _, c := range changes {
+		t.explain(now, t.suspects[c.Part])
+	}
+	return changes
+}
+
+// explain marks the crashes under parts that are not quarantined themselves.
+func (t *Tracker) explain(now time.Time, culprit *suspect) {
+	for _, s := range t.suspects {
+		if now.Before(s.until) {
+			continue
+		}
+		for i := range s.crashes {
+			if culprit.find(s.crashes[i].worker) != nil {
+				s.crashes[i].explained = true
+			}
+		}
+	}
+}
+
+// evict removes parts whose evidence has expired.
+func (t *Tracker) evict(now time.Time) {
+	for part, s := range t.suspects {
+		ttl := t.cfg.EvidenceTTL
+		if !s.until.IsZero() {
+			ttl += t.cfg.Period
+		}
+		s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return now.Sub(c.at) > ttl })
+		if len(s.crashes) == 0 && now.Sub(s.lastSuccess) > successTTL {
+			delete(t.suspects, part)
+		}
+	}
+}
