Test that a quarantine survives restarts of routers

One router after the other, all at once, and all twice: at most three more requests with the part reach workers (nothing is written down; a router learns the quarantine from the others, and without any left three crashes begin it again).

--- a/plugins/gateway/fleet_test.go
+++ b/plugins/gateway/fleet_test.go
@@ -39,6 +39,7 @@
 	serve func(e *testEngineProcess, w http.ResponseWriter, r *http.Request)
 
 	mu      sync.Mutex
+	stopped []*Gateway           // former processes of routers
 	engines []*testEngineProcess // running or crashed, one for each address
 	started int
 	crashes []time.Time
@@ -84,21 +85,39 @@
 	for i := range engines {
 		f.engines = append(f.engines, f.startEngine(fmt.Sprintf("engine-%d:1", i)))
 	}
+	f.gateways = make([]*Gateway, routers)
 	for i := range routers {
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
-		identity := core.Identity{Router: fmt.Sprintf("r%d", i), FailureDomain: string(rune('a' + i%3))}
-		f.peers[address] = newTestGossip(f, identity, address)
-		f.gateways = append(f.gateways, newTestGateway(f.network, identity, f.list(), f.peers[address]))
-	}
-	for _, p := range f.peers {
-		go p.run()
+		f.startRouter(i)
 	}
 	return f
 }
 
+// startRouter starts a router, or starts it again without what it knew. Requests at
+// its former process go on.
+func (f *testFleet) startRouter(i int) {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
+	identity := core.Identity{Router: fmt.Sprintf("r%d", i), FailureDomain: string(rune('a' + i%3))}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.gateways[i] != nil {
+		f.stopped = append(f.stopped, f.gateways[i])
+		f.peers[address].stop()
+	}
+	p := newTestGossip(f, identity, address)
+	f.peers[address] = p
+	f.gateways[i] = newTestGateway(f.network, identity, f.list(), p)
+	go p.run()
+}
+
+func (f *testFleet) peer(address netip.AddrPort) *testGossip {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.peers[address]
+}
+
 func (f *testFleet) close() {
 	f.stop()
-	for _, g := range f.gateways {
+	for _, g := range append(f.stopped, f.gateways...) {
 		g.reachability.stop()
 		g.conns.transport.CloseIdleConnections()
 	}
@@ -166,8 +185,9 @@
 		sleep(testListDelay)
 		f.mu.Lock()
 		list := &routing.WorkerList{Version: int64(f.started), At: time.Now(), Workers: f.list()}
+		gateways := slices.Clone(f.gateways)
 		f.mu.Unlock()
-		for _, g := range f.gateways {
+		for _, g := range gateways {
 			g.applyWorkers(list)
 		}
 	}()
@@ -189,7 +209,10 @@
 
 // call sends a request to a random router.
 func (f *testFleet) call(id, path, prompt string) *httptest.ResponseRecorder {
-	g := f.gateways[f.random.IntN(len(f.gateways))]
+	i := f.random.IntN(len(f.gateways))
+	f.mu.Lock()
+	g := f.gateways[i]
+	f.mu.Unlock()
 	response, _ := callGateway(f.ctx, g, "POST", path, testID, id, testPrompt, prompt)
 	return response
 }
@@ -199,6 +222,8 @@
 type testGossip struct {
 	fleet   *testFleet
 	address netip.AddrPort
+	ctx     context.Context
+	stop    context.CancelFunc
 
 	mu      sync.Mutex
 	view    *gossip.View
@@ -209,7 +234,8 @@
 
 func newTestGossip(f *testFleet, identity core.Identity, address netip.AddrPort) *testGossip {
 	seed := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 0}), 7000)
-	return &testGossip{fleet: f, address: address, view: gossip.New(gossip.Config{
+	ctx, stop := context.WithCancel(f.ctx)
+	return &testGossip{fleet: f, address: address, ctx: ctx, stop: stop, view: gossip.New(gossip.Config{
 		Router: identity.Router, Domain: identity.FailureDomain, Address: address, Seeds: []netip.AddrPort{seed},
 		LivenessTimeout: 3 * time.Second, LoadTTL: 3 * time.Second, Random: f.random.IntN,
 	})}
@@ -217,7 +243,7 @@
 
 // run sends messages until the fleet is closed.
 func (p *testGossip) run() {
-	for p.fleet.ctx.Err() == nil {
+	for p.ctx.Err() == nil {
 		sleep(testGossipPeriod*3/4 + time.Duration(p.fleet.random.IntN(int(testGossipPeriod/2))))
 		p.round(2, 1)
 	}
@@ -262,8 +288,9 @@
 }
 
 func (p *testGossip) send(to netip.AddrPort, message []byte) {
-	peer := p.fleet.peers[to]
-	time.AfterFunc(testTransitTime, func() { peer.receive(p.address, message) })
+	if p.ctx.Err() == nil {
+		time.AfterFunc(testTransitTime, func() { p.fleet.peer(to).receive(p.address, message) })
+	}
 }
 
 func (p *testGossip) receive(from netip.AddrPort, message []byte) {
--- a/plugins/gateway/querydeath_test.go
+++ b/plugins/gateway/querydeath_test.go
@@ -175,6 +175,58 @@
 	}
 }
 
+// Guards against a quarantine that is lost with the routers that began it: routers
+// that start again must learn it, and without any left it must begin again at once.
+func TestQuarantineSurvivesRestarts(t *testing.T) {
+	const deadly, before, total = "666", 5 * time.Second, 50 * time.Second
+	for _, test := range []struct {
+		desc     string
+		seed     uint64
+		atOnce   int // routers that start again together
+		restarts int
+		gap      time.Duration
+	}{
+		{"one after the other", 11, 1, 18, time.Second},
+		{"all together", 12, 9, 1, 0},
+		{"all together, twice", 13, 9, 2, 8 * time.Second},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			inFleet(t, "Routers that start again send at most three more requests", test.seed, 9, 9, func(f *testFleet) {
+				d := &deadlyTraffic{fleet: f, deadlyPart: deadly, deadlyPeriod: 500 * time.Millisecond, path: "/chat/once/x"}
+				d.prompt = func(i int) string { return fmt.Sprintf("1 666 %d", 20_000+i) }
+				f.serve = d.serve
+				start := time.Now()
+				var lastAllDown time.Time
+				go func() {
+					sleep(before + 12*time.Second)
+					for i := range test.restarts {
+						for n := range test.atOnce {
+							f.startRouter((i*test.atOnce + n) % len(f.gateways))
+						}
+						if test.atOnce == len(f.gateways) {
+							lastAllDown = time.Now()
+						}
+						sleep(test.gap)
+					}
+				}()
+				d.run(total, before)
+				inTouch := start.Add(before + 12*time.Second)
+				if !lastAllDown.IsZero() {
+					inTouch = lastAllDown.Add(contactBound)
+				}
+				later := 0
+				for _, at := range d.reached {
+					if at.After(inTouch) {
+						later++
+					}
+				}
+				So(d.refused, ShouldBeGreaterThan, 0)
+				So(later, ShouldBeLessThanOrEqualTo, maxLaterRequests)
+			})
+		})
+	}
+}
+
 // Guards against sound requests that are refused because workers crash for other
 // reasons than a request.
 func TestCrashesWithoutQueryOfDeath(t *testing.T) {
