Treat a stream that ends with its connection before its first event as cut

Callers saw: 200 with an empty body, a complete success, where the worker crashed between the head and the first event of an answer without length and chunks.

Cause: the end of the connection counts as the end of such an answer, also with nothing in it. Class: an end of file taken for an end of message. Ruled out: answers with a length or chunks (their end is marked), and streams that end inside an event (TruncatedError).

Change: without an event such a stream is cut: 502, or another attempt where the route allows it. One that the caller resumes after its last event may still be empty. It is evidence for the quarantine like other lost answers.

Test: gateway.TestStreamCutBeforeFirstEvent failed with 200 for 502, and passes.

--- a/plugins/gateway/crash_test.go
+++ b/plugins/gateway/crash_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -101,3 +103,35 @@
 		So(h.requestCount(), ShouldEqual, 1)
 	})
 }
+
+// Guards against a stream that broke off before its first event and reaches the caller
+// as a complete success, because it has neither a length nor chunks.
+func TestStreamCutBeforeFirstEvent(t *testing.T) {
+	head := func(conn net.Conn, id string) {
+		_, _ = io.WriteString(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n\r\n", testID, id, testSeal))
+	}
+	inBubble(t, "A stream without a length, chunks and events is not complete", engines(1), func(h *harness) {
+		h.startRawWorker("engine-0:1", func(conn net.Conn, id string) bool {
+			head(conn, id)
+			return false
+		})
+		resp, _ := h.call("POST", "/chat/once/x", testPrompt, "10 11 12")
+		So(resp.Code, ShouldEqual, http.StatusBadGateway)
+	})
+	inBubble(t, "One that ends between two events is complete, and so is one that is resumed after its last event", engines(1), func(h *harness) {
+		h.startRawWorker("engine-0:1", func(conn net.Conn, id string) bool {
+			head(conn, id)
+			if id != "resumed" {
+				_, _ = io.WriteString(conn, "id: 1\ndata: e1\n\n")
+			}
+			return false
+		})
+		resp, aborted := h.call("POST", "/chat/once/x", testPrompt, "10 11 12")
+		So(aborted, ShouldBeFalse)
+		So(resp.Code, ShouldEqual, http.StatusOK)
+		So(resp.Body.String(), ShouldEqual, "id: 1\ndata: e1\n\n")
+		resp, aborted = h.call("POST", "/chat/x", testID, "resumed", testLastEventID, "1")
+		So(aborted, ShouldBeFalse)
+		So(resp.Code, ShouldEqual, http.StatusOK)
+	})
+}
--- a/plugins/gateway/stream.go
+++ b/plugins/gateway/stream.go
@@ -100,6 +100,9 @@
 	survived := false
 	for {
 		e, err := events.Next()
+		if errors.Is(err, io.EOF) && !resp.isFramed() && s.lastEventID == 0 {
+			err = errNoEvent
+		}
 		if errors.Is(err, io.EOF) {
 			g.recordStreamEnd(x, c, resp)
 			return g.finishStream(x, s, resp)
@@ -130,6 +133,10 @@
 	}
 }
 
+// errNoEvent is the error of a stream that ended with its connection before its first
+// event: it cannot be told from one whose worker crashed.
+var errNoEvent = errors.New("gateway: the connection was closed before the first event; send the request again if it may be repeated")
+
 // recordStreamEnd records that the prompt of a complete stream does not crash workers.
 func (g *Gateway) recordStreamEnd(x *exchange, c routing.Choice, resp *workerResponse) {
 	if resp.isFramed() {
