--- a/plugins/gateway/fleet_test.go
+++ b/plugins/gateway/fleet_test.go
@@ -209,11 +209,15 @@
 
 // call sends a request to a random router.
 func (f *testFleet) call(id, path, prompt string) *httptest.ResponseRecorder {
-	i := f.random.IntN(len(f.gateways))
+	return f.callRouter(f.random.IntN(len(f.gateways)), id, path, prompt)
+}
+
+// callRouter sends a request to a router.
+func (f *testFleet) callRouter(i int, id, path, prompt string, header ...string) *httptest.ResponseRecorder {
 	f.mu.Lock()
 	g := f.gateways[i]
 	f.mu.Unlock()
-	response, _ := callGateway(f.ctx, g, "POST", path, testID, id, testPrompt, prompt)
+	response, _ := callGateway(f.ctx, g, "POST", path, append(header, testID, id, testPrompt, prompt)...)
 	return response
 }
 
--- a/plugins/gateway/harness_test.go
+++ b/plugins/gateway/harness_test.go
@@ -40,7 +40,8 @@
 	testPrompt      = "X-Prompt"
 	testSeal        = "X-Seal"
 	testNotRun      = "X-Not-Run"
-	testLoad        = "X-Load" // requests running
+	testLoad        = "X-Load"  // requests running
+	testLimit       = "X-Limit" // requests a second that the worker takes
 )
 
 // testCodec is a core.HeaderCodec with header names of its own.
