Send evidence and limits with each round only while they are new

A fleet that knows a quarantine or a limit sent it with each of 12 datagrams a second; the limits of 60 workers are about 750 bytes. Now each round carries a message for 3 s after a change, and one a second otherwise, which a restarted router needs.

--- a/plugins/gateway/quarantine.go
+++ b/plugins/gateway/quarantine.go
@@ -38,9 +38,10 @@
 	tracker *quarantine.Tracker
 	gossip  core.ExtensionGossip // nil if routers do not share evidence
 
-	mu       sync.Mutex                   // lock level 90, see internal/core/lockorder.go
-	pending  map[*routing.Worker][]uint64 // prompt parts of lost answers, until the worker has been probed
-	sharedAt time.Time                    // when evidence was last sent
+	pace sharePace
+
+	mu      sync.Mutex                   // lock level 90, see internal/core/lockorder.go
+	pending map[*routing.Worker][]uint64 // prompt parts of lost answers, until the worker has been probed
 }
 
 func newCrashDetector(g *Gateway, extensions core.ExtensionGossip) *crashDetector {
@@ -158,26 +159,12 @@
 	return true
 }
 
-// Evidence is sent with each round for newEvidenceTime after a change, and once per
-// evidencePeriod otherwise, for routers that have restarted.
-const (
-	newEvidenceTime = 3 * time.Second
-	evidencePeriod  = time.Second
-)
-
 // Type implements core.GossipExtension.
 func (d *crashDetector) Type() byte { return gossip.ExtensionCrashes }
 
 // Encode implements core.GossipExtension.
 func (d *crashDetector) Encode(now time.Time, limit int) []byte {
-	isNew := now.Sub(d.tracker.ChangedAt()) <= newEvidenceTime
-	d.mu.Lock()
-	due := isNew || now.Sub(d.sharedAt) >= evidencePeriod
-	if due {
-		d.sharedAt = now
-	}
-	d.mu.Unlock()
-	if !due {
+	if !d.pace.isDue(now, d.tracker.ChangedAt()) {
 		return nil
 	}
 	return d.tracker.Encode(now, limit)
--- a/plugins/gateway/querydeath_test.go
+++ b/plugins/gateway/querydeath_test.go
@@ -145,6 +145,7 @@
 		{"rare requests", 6, "/chat/once/x", "1 666 %[1]d %[2]d", 4 * time.Second},
 	} {
 		t.Run(test.desc, func(t *testing.T) {
+			t.Parallel()
 			inFleet(t, "After five crashes at most three more requests reach workers, and sound requests begin", test.seed, 9, 9, func(f *testFleet) {
 				const before, total = 8 * time.Second, 60 * time.Second
 				d := &deadlyTraffic{fleet: f, deadlyPart: deadly, deadlyPeriod: test.period, path: test.path}
@@ -191,6 +192,7 @@
 		{"all together, twice", 13, 9, 2, 8 * time.Second},
 	} {
 		t.Run(test.desc, func(t *testing.T) {
+			t.Parallel()
 			inFleet(t, "Routers that start again send at most three more requests", test.seed, 9, 9, func(f *testFleet) {
 				d := &deadlyTraffic{fleet: f, deadlyPart: deadly, deadlyPeriod: 500 * time.Millisecond, path: "/chat/once/x"}
 				d.prompt = func(i int) string { return fmt.Sprintf("1 666 %d", 20_000+i) }
@@ -231,26 +233,29 @@
 // reasons than a request.
 func TestCrashesWithoutQueryOfDeath(t *testing.T) {
 	for seed := uint64(1); seed <= 6; seed++ {
-		inFleet(t, "Workers that crash one by one, two at a time or all at once cause no refusal of prompts", seed, 9, 9, func(f *testFleet) {
-			d := &deadlyTraffic{fleet: f}
-			f.serve = d.serve
-			go func() {
-				for i := 0; f.ctx.Err() == nil; i++ {
-					sleep(time.Duration(500+f.random.IntN(2500)) * time.Millisecond)
-					n := []int{1, 2, 1, 9}[i%4]
-					for range n {
-						f.randomEngine().crash()
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			inFleet(t, "Workers that crash one by one, two at a time or all at once cause no refusal of prompts", seed, 9, 9, func(f *testFleet) {
+				d := &deadlyTraffic{fleet: f}
+				f.serve = d.serve
+				go func() {
+					for i := 0; f.ctx.Err() == nil; i++ {
+						sleep(time.Duration(500+f.random.IntN(2500)) * time.Millisecond)
+						n := []int{1, 2, 1, 9}[i%4]
+						for range n {
+							f.randomEngine().crash()
+						}
 					}
+				}()
+				d.run(40*time.Second, 0)
+				So(len(f.crashTimes()), ShouldBeGreaterThan, 20)
+				f.stop()
+				refused := 0
+				for _, g := range f.gateways {
+					refused += int(counterValue(g, "quarantine_refusals"))
 				}
-			}()
-			d.run(40*time.Second, 0)
-			So(len(f.crashTimes()), ShouldBeGreaterThan, 20)
-			f.stop()
-			refused := 0
-			for _, g := range f.gateways {
-				refused += int(counterValue(g, "quarantine_refusals"))
-			}
-			So(refused, ShouldEqual, 0)
+				So(refused, ShouldEqual, 0)
+			})
 		})
 	}
 }
--- a/plugins/gateway/ratelimit.go
+++ b/plugins/gateway/ratelimit.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/auburnlead/auburnlead/gossip"
@@ -17,7 +18,9 @@
 // with other routers, so that each router keeps to its part before it has got such an
 // answer. It implements core.GossipExtension.
 type rateLimits struct {
-	g *Gateway
+	g         *Gateway
+	pace      sharePace
+	changedAt atomic.Int64 // Unix time in ns at which a limit last changed here
 }
 
 func newRateLimits(g *Gateway, extensions core.ExtensionGossip) *rateLimits {
@@ -53,6 +56,7 @@
 }
 
 func (l *rateLimits) logChange(w *routing.Worker, rate float64, source string) {
+	l.changedAt.Store(time.Now().UnixNano())
 	l.g.decisions.logChange("worker limit changed", "worker", w.ID, "upstream", w.Upstream, "per_second", rate, "source", source)
 }
 
@@ -73,6 +77,9 @@
 // Encode implements core.GossipExtension. If not all limits fit, a random selection is
 // sent.
 func (l *rateLimits) Encode(now time.Time, limit int) []byte {
+	if !l.pace.isDue(now, time.Unix(0, l.changedAt.Load())) {
+		return nil
+	}
 	var b []byte
 	for _, r := range l.g.fleet.RateLimits(now) {
 		if len(b)+limitBytes > limit {
