Quarantine also when several workers crash at a time

Found by reading the change again: such crashes did not count at all, since a failing host or network takes several workers down together.

Cause: the threshold for a mass crash was a number of workers within 0.2 s, which also fits frequent independent crashes. Class: a filter that removes the signal with the noise. Change: a mass crash is three workers or more within 50 ms, and counts half. TestThreshold said that mass crashes do not count; it is replaced by two cases that bound their weight from both sides (less than a single crash, six alone quarantine). What is kept of a part's crashes now prefers separate ones. Suspects beyond the limit of 4,096 took the place of nothing, so a mass crash in a large fleet could keep the right part out; now the one with fewest crashes of a sample makes room.

--- a/plugins/gateway/querydeath_test.go
+++ b/plugins/gateway/querydeath_test.go
@@ -131,22 +131,24 @@
 func TestQueryOfDeath(t *testing.T) {
 	const deadly = "666"
 	for _, test := range []struct {
-		desc   string
-		seed   uint64
-		path   string
-		prompt string // format, with the subject and the part of the request
-		period time.Duration
+		desc             string
+		seed             uint64
+		path             string
+		prompt           string // format, with the subject and the part of the request
+		period           time.Duration
+		routers, engines int
 	}{
-		{"last shared part", 1, "/chat/once/x", "1 666 %[2]d", 500 * time.Millisecond},
-		{"last shared part, often", 2, "/chat/once/x", "1 666 %[2]d", 120 * time.Millisecond},
-		{"first part", 3, "/chat/once/x", "666 %[1]d %[2]d", 700 * time.Millisecond},
-		{"middle part, requests that may be repeated", 4, "/chat/x", "1 666 %[1]d %[2]d", 600 * time.Millisecond},
-		{"middle part, other parts as of sound requests", 5, "/chat/x", "2 %[1]d 666 %[2]d", 400 * time.Millisecond},
-		{"rare requests", 6, "/chat/once/x", "1 666 %[1]d %[2]d", 4 * time.Second},
+		{"last shared part", 1, "/chat/once/x", "1 666 %[2]d", 500 * time.Millisecond, 9, 9},
+		{"last shared part, often", 2, "/chat/once/x", "1 666 %[2]d", 120 * time.Millisecond, 9, 9},
+		{"first part", 3, "/chat/once/x", "666 %[1]d %[2]d", 700 * time.Millisecond, 9, 9},
+		{"middle part, requests that may be repeated", 4, "/chat/x", "1 666 %[1]d %[2]d", 600 * time.Millisecond, 9, 9},
+		{"middle part, other parts as of sound requests", 5, "/chat/x", "2 %[1]d 666 %[2]d", 400 * time.Millisecond, 9, 9},
+		{"rare requests", 6, "/chat/once/x", "1 666 %[1]d %[2]d", 4 * time.Second, 9, 9},
+		{"several at a time, anywhere", 7, "/chat/once/x", "1 666 %[2]d %[1]d", 15 * time.Millisecond, 20, 40},
 	} {
 		t.Run(test.desc, func(t *testing.T) {
 			t.Parallel()
-			inFleet(t, "After five crashes at most three more requests reach workers, and sound requests begin", test.seed, 9, 9, func(f *testFleet) {
+			inFleet(t, "After five crashes at most three more requests reach workers, and sound requests begin", test.seed, test.routers, test.engines, func(f *testFleet) {
 				const before, total = 8 * time.Second, 60 * time.Second
 				d := &deadlyTraffic{fleet: f, deadlyPart: deadly, deadlyPeriod: test.period, path: test.path}
 				d.prompt = func(i int) string { return fmt.Sprintf(test.prompt, 100+i%soundSubjects, 20_000+i) }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -16,11 +16,12 @@
 // crash renews it.
 //
 // Failure behaviour: routers that cannot reach each other each need their own
-// evidence. Workers that crash within Config.MinGap of each other count as one crash;
-// when they are massCrash or more, they do not count, since a failing host or network
-// takes several workers down together. Therefore a crash counts only after MinGap. Where two
-// parts crashed the same workers, both are quarantined, and requests that have only
-// one of them are let through now and then until it is known which one is sound.
+// evidence. Workers that crash within Config.MinGap of each other count as one crash,
+// and as half a crash when massCrash or more of them crash at the same moment, since a
+// failing host or network takes several workers down together. Therefore a crash counts
+// only after MinGap. Where two parts crashed the same workers, both are quarantined, and
+// requests that have only one of them are let through now and then until it is known
+// which one is sound.
 //
 // Concurrency: a Tracker is safe for concurrent use.
 //
@@ -66,9 +67,18 @@
 	// successTTL is the age of a generation of successes. It is longer than the time
 	// that a report of a crash takes to reach all routers.
 	successTTL = 5 * time.Second
-	// massCrash is the number of workers that crash together from which the cause is
-	// not a request.
-	massCrash = 3
+	// massCrash is the number of workers that crash within massCrashTime from which the
+	// cause is probably not a request. Reports of the same moment differ by the rounding
+	// and transit times of some hops.
+	massCrash     = 3
+	massCrashTime = 50 * time.Millisecond
+	// crashWeight and massCrashWeight are what a crash counts towards the threshold, in
+	// units of 1/crashWeight.
+	crashWeight     = 2
+	massCrashWeight = 1
+	// evictionSample is the number of parts of which the least suspicious one makes room
+	// for a new one.
+	evictionSample = 16
 	// maxRecentCrashes limits the crashes that are compared to find a mass crash.
 	maxRecentCrashes = 64
 )
@@ -79,6 +89,8 @@
 
 	mu       sync.Mutex // lock level 90, see internal/core/lockorder.go
 	suspects map[uint64]*suspect
+	// quarantined holds the suspects that are or were quarantined.
+	quarantined map[uint64]*suspect
 	// Successes of parts without crashes. A report of a crash that took place before
 	// them may still arrive.
 	successes, olderSuccesses map[uint64]time.Time
@@ -115,7 +127,7 @@
 type Change struct {
 	Kind    Kind
 	Part    uint64
-	Crashes int // workers that crashed under the part since its last success
+	Crashes int // workers that crashed under the part, the last maxCrashes at most
 	Until   time.Time
 }
 
@@ -129,7 +141,7 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.IntN
 	}
-	return &Tracker{cfg: cfg, suspects: map[uint64]*suspect{}, successes: map[uint64]time.Time{}}
+	return &Tracker{cfg: cfg, suspects: map[uint64]*suspect{}, quarantined: map[uint64]*suspect{}, successes: map[uint64]time.Time{}}
 }
 
 func setDefault[T int | time.Duration](v *T, value T) {
@@ -161,11 +173,11 @@
 	t.recent = append(t.recent, crash{worker: worker, at: at})
 }
 
-// isMassCrash reports whether several workers crashed at about a time.
+// isMassCrash reports whether several workers crashed at the same moment.
 func (t *Tracker) isMassCrash(at time.Time) bool {
 	n := 0
 	for _, c := range t.recent {
-		if c.at.Sub(at).Abs() < t.cfg.MinGap {
+		if c.at.Sub(at).Abs() < massCrashTime {
 			n++
 		}
 	}
@@ -225,7 +237,7 @@
 	if now.Before(s.trialAt) {
 		return false
 	}
-	for other, o := range t.suspects {
+	for other, o := range t.quarantined {
 		if other != part && now.Before(o.until) && o.covers(s) {
 			s.trialAt = now.Add(t.cfg.TrialPeriod)
 			return true
@@ -272,13 +284,24 @@
 	s.crashes = append(s.crashes, crash{worker: worker, at: at, explained: t.isExplained(now, part, worker)})
 	s.sort()
 	if len(s.crashes) > maxCrashes {
-		i := max(slices.IndexFunc(s.crashes, func(c crash) bool { return !t.counts(s, c) }), 0)
+		i := s.leastUseful(t.cfg.MinGap)
 		s.crashes = slices.Delete(s.crashes, i, i+1)
 	}
 	t.changedAt = now
 	return true
 }
 
+// leastUseful returns the index of a crash that does not count, also because it came
+// too soon after another, or else of the oldest.
+func (s *suspect) leastUseful(minGap time.Duration) int {
+	for i, c := range s.crashes {
+		if !s.counts(c) || i > 0 && c.at.Sub(s.crashes[i-1].at) < minGap {
+			return i
+		}
+	}
+	return 0
+}
+
 func (s *suspect) sort() {
 	slices.SortFunc(s.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
 }
@@ -286,6 +309,9 @@
 // suspect returns the entry of a part and creates it if there is room, nil otherwise.
 func (t *Tracker) suspect(part uint64) *suspect {
 	s := t.suspects[part]
+	if s == nil && len(t.suspects) >= maxSuspects {
+		t.evictLeastSuspicious()
+	}
 	if s == nil && len(t.suspects) < maxSuspects {
 		s = &suspect{lastSuccess: t.successes[part]}
 		if older := t.olderSuccesses[part]; older.After(s.lastSuccess) {
@@ -296,9 +322,32 @@
 	return s
 }
 
+// evictLeastSuspicious removes one of a few parts, the one with fewest crashes that
+// count, unless all of them have several.
+func (t *Tracker) evictLeastSuspicious() {
+	least, fewest, n := uint64(0), 2, 0
+	for part, s := range t.suspects {
+		crashes := 0
+		for _, c := range s.crashes {
+			if s.counts(c) {
+				crashes++
+			}
+		}
+		if crashes < fewest && s.until.IsZero() {
+			least, fewest = part, crashes
+		}
+		if n++; n == evictionSample {
+			break
+		}
+	}
+	if fewest < 2 {
+		delete(t.suspects, least)
+	}
+}
+
 // isExplained reports whether another quarantined part was on a worker that crashed.
 func (t *Tracker) isExplained(now time.Time, part uint64, worker uint32) bool {
-	for other, o := range t.suspects {
+	for other, o := range t.quarantined {
 		if other != part && now.Before(o.until) && o.find(worker) != nil {
 			return true
 		}
@@ -319,30 +368,36 @@
 		t.changedAt = now
 	}
 	s.lastSuccess = at
-	if !now.Before(s.until) || t.count(now, s) >= t.cfg.Threshold {
+	if !now.Before(s.until) || t.score(now, s) >= crashWeight*t.cfg.Threshold {
 		return nil
 	}
 	s.until = time.Time{}
+	delete(t.quarantined, part)
 	return []Change{{Kind: Cleared, Part: part}}
 }
 
-// count returns the number of separate crashes since the last success of a part that
-// no other part and no mass crash explains.
-func (t *Tracker) count(now time.Time, s *suspect) int {
-	n := 0
+// score returns the weights of the separate crashes under a part.
+func (t *Tracker) score(now time.Time, s *suspect) int {
+	score := 0
 	var last time.Time
 	for _, c := range s.crashes {
-		if !t.counts(s, c) || now.Sub(c.at) < t.cfg.MinGap || n > 0 && c.at.Sub(last) < t.cfg.MinGap {
+		if !s.counts(c) || now.Sub(c.at) < t.cfg.MinGap || c.at.Sub(last) < t.cfg.MinGap {
 			continue
 		}
-		n, last = n+1, c.at
+		last = c.at
+		if t.isMassCrash(c.at) {
+			score += massCrashWeight
+		} else {
+			score += crashWeight
+		}
 	}
-	return n
+	return score
 }
 
-// counts reports whether a crash under a part may be due to the part.
-func (t *Tracker) counts(s *suspect, c crash) bool {
-	return !c.explained && c.at.After(s.lastSuccess) && !t.isMassCrash(c.at)
+// counts reports whether a crash may be due to the part: it came after the part's last
+// success, and no other part explains it.
+func (s *suspect) counts(c crash) bool {
+	return !c.explained && c.at.After(s.lastSuccess)
 }
 
 // evaluate begins or renews the quarantine of those of the given parts that have
@@ -354,8 +409,7 @@
 		if s == nil || len(s.crashes) < t.cfg.Threshold {
 			continue
 		}
-		n := t.count(now, s)
-		if n < t.cfg.Threshold {
+		if t.score(now, s) < crashWeight*t.cfg.Threshold {
 			continue
 		}
 		until := s.crashes[len(s.crashes)-1].at.Add(t.cfg.Period)
@@ -366,7 +420,8 @@
 			s.trialAt = now.Add(time.Duration(t.cfg.Random(int(t.cfg.TrialPeriod))))
 		}
 		s.until = until
-		changes = append(changes, Change{Kind: Quarantined, Part: part, Crashes: n, Until: until})
+		t.quarantined[part] = s
+		changes = append(changes, Change{Kind: Quarantined, Part: part, Crashes: len(s.crashes), Until: until})
 	}
 	for _, c := range changes {
 		t.explain(now, t.suspects[c.Part])
@@ -398,6 +453,7 @@
 		s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return now.Sub(c.at) > ttl })
 		if len(s.crashes) == 0 && now.Sub(s.lastSuccess) > successTTL {
 			delete(t.suspects, part)
+			delete(t.quarantined, part)
 		}
 	}
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -66,7 +66,7 @@
 		}
 		So(q.isQuarantined(at(1), deadly), ShouldBeFalse)
 	})
-	Convey("Workers that crash together in threes or more do not count at all, two count as one", t, func() {
+	Convey("Workers that crash together in threes or more count as half a crash, two as one", t, func() {
 		q := newTestTracker()
 		worker := uint32(0)
 		crash := func(seconds float64, n int) {
@@ -75,13 +75,38 @@
 				q.RecordCrash(at(seconds), worker, []uint64{deadly})
 			}
 		}
-		for i, n := range []int{3, 9, 2, 4, 1, 3} {
+		for i, n := range []int{3, 9, 2, 4} {
 			crash(float64(i), n)
 		}
-		So(q.isQuarantined(at(7), deadly), ShouldBeFalse)
-		crash(8, 1)
-		So(q.isQuarantined(at(8.1), deadly), ShouldBeFalse) // others may follow
-		So(q.isQuarantined(at(8.3), deadly), ShouldBeTrue)
+		So(q.isQuarantined(at(4), deadly), ShouldBeFalse)
+		crash(5, 1)
+		So(q.isQuarantined(at(5.1), deadly), ShouldBeFalse) // others may follow
+		So(q.isQuarantined(at(5.3), deadly), ShouldBeTrue)
+	})
+	Convey("Mass crashes alone need six", t, func() {
+		q := newTestTracker()
+		for i := range 6 {
+			So(q.isQuarantined(at(float64(i)), deadly), ShouldBeFalse)
+			for n := range 5 {
+				q.RecordCrash(at(float64(i)), uint32(10*i+n), []uint64{deadly})
+			}
+		}
+		So(q.isQuarantined(at(6), deadly), ShouldBeTrue)
+	})
+	Convey("A part with several crashes keeps its place when many others have one", t, func() {
+		q := newTestTracker()
+		for i := range 2 {
+			q.RecordCrash(at(float64(i)), uint32(i), []uint64{deadly})
+		}
+		others := make([]uint64, 3*maxSuspects)
+		for i := range others {
+			others[i] = uint64(1000 + i)
+		}
+		q.RecordCrash(at(2), 2, others)
+		So(len(q.suspects), ShouldEqual, maxSuspects)
+		q.RecordCrash(at(3), 3, []uint64{deadly, 7})
+		So(q.isQuarantined(at(4), deadly), ShouldBeTrue)
+		So(q.suspects[7], ShouldNotBeNil)
 	})
 	Convey("Crashes that are older than EvidenceTTL do not count", t, func() {
 		q := newTestTracker()
@@ -211,10 +236,12 @@
 	})
 	Convey("Memory is limited", t, func() {
 		q := newTestTracker()
-		for i := range 2 * maxSuspects {
-			q.RecordCrash(at(0), uint32(i), []uint64{uint64(i)})
-			q.RecordSuccess(at(0), []uint64{uint64(100_000 + i), uint64(200_000 + i)})
+		var parts []uint64
+		for i := range uint64(2 * maxSuspects) {
+			parts = append(parts, i)
+			q.RecordSuccess(at(0), []uint64{100_000 + i, 200_000 + i})
 		}
+		q.RecordCrash(at(0), 1, parts)
 		So(len(q.suspects), ShouldEqual, maxSuspects)
 		So(len(q.successes), ShouldBeLessThanOrEqualTo, maxSuccesses+2)
 		q.Encode(at(900), 1000)
