Keep workers without a limit to their slots while others name limits

Cause: the load bound among workers without a limit has no meaning for a single one, and a request whose workers are all above the bound goes to the least loaded. Class: load shifted from one overloaded worker to another. Ruled out: slow workers (its load rose from 5 to hundreds within two seconds of the limits).

Change: while a worker of the upstream names a limit, one with as many requests as slots has no place either. What no worker takes is refused at once. Nothing changes for upstreams without limits.

Measured: routing.TestLoadBesideRateLimits failed with 100 requests at 8 slots, and passes.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -112,12 +112,15 @@
 func (f *Fleet) pickWorker(p *pool, r Request, now time.Time) (Choice, bool) {
 	reachable := func(w *Worker) bool { return !w.unreachable }
 	healthy := func(w *Worker) bool { return reachable(w) && !p.ejector.Ejected(now, w.ID) }
+	limited := p.hasRateLimit()
 	for _, try := range []struct {
 		accept func(*Worker) bool
 		early  time.Duration
 	}{{healthy, 0}, {healthy, earlyPlace}, {reachable, earlyPlace}} {
 		candidates, hashes := p.candidates(r.Tried, try.accept)
-		hasPlace := func(w *Worker) bool { return f.hasPlace(w, now, try.early) }
+		hasPlace := func(w *Worker) bool {
+			return f.hasPlace(w, now, try.early) && !(limited && p.isFull(w, now))
+		}
 		if !slices.ContainsFunc(candidates, hasPlace) {
 			continue
 		}
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -26,7 +26,7 @@
 //     at most a third of an upstream's workers; unreachable workers get nothing. If
 //     no other worker is left, ejected ones are used.
 //   - Workers that name a limit. Each router uses its part of the limit, spread over
-//     time; other requests go to the next preference (ratelimit.go).
+//     time; other requests go to the next preference, up to its slots (ratelimit.go).
 //   - Retry storms. The retries of all routers together stay within a fraction of
 //     the requests plus a slack, without messages between routers.
 //   - Workers that never respond, as opposed to slow ones. The first-byte timeout
--- a/routing/load.go
+++ b/routing/load.go
@@ -31,8 +31,10 @@
 // estimated to have left. Workers with a rate limit carry little, and the others carry
 // what they cannot, so these are compared among themselves.
 func (f *Fleet) loadLimit(candidates []*Worker, now time.Time) float64 {
-	if unlimited := withoutRateLimit(candidates); len(unlimited) > 0 {
-		candidates = unlimited
+	if f.pool(candidates[0].Upstream).hasRateLimit() {
+		if unlimited := withoutRateLimit(candidates); len(unlimited) > 0 {
+			candidates = unlimited
+		}
 	}
 	totalLoad := 0
 	for _, w := range candidates {
--- a/routing/ratelimit.go
+++ b/routing/ratelimit.go
@@ -70,11 +70,19 @@
 // isSet reports whether the worker names a limit.
 func (l *rateLimit) isSet() bool { return !l.reportedAt.IsZero() && l.perSecond >= 0 }
 
+// hasRateLimit reports whether a worker of the upstream names a limit.
+func (p *pool) hasRateLimit() bool {
+	return slices.ContainsFunc(p.workers, func(w *Worker) bool { return w.rateLimit.isSet() })
+}
+
+// isFull reports whether a worker has as many requests as slots. Where others name
+// limits, requests beyond the slots would gather at the workers that name none.
+func (p *pool) isFull(w *Worker, now time.Time) bool {
+	return w.Slots > 0 && p.estimatedLoad(w, now) >= float64(w.Slots)
+}
+
 // withoutRateLimit returns the workers that name no limit.
 func withoutRateLimit(workers []*Worker) []*Worker {
-	if !slices.ContainsFunc(workers, func(w *Worker) bool { return w.rateLimit.isSet() }) {
-		return workers
-	}
 	var list []*Worker
 	for _, w := range workers {
 		if !w.rateLimit.isSet() {
--- a/routing/ratelimit_test.go
+++ b/routing/ratelimit_test.go
@@ -89,6 +89,35 @@
 	})
 }
 
+// Guards against the one worker without a limit that gets all requests that the others
+// do not take.
+func TestLoadBesideRateLimits(t *testing.T) {
+	Convey("A worker without a limit gets as many requests as it has slots, the others are refused", t, func() {
+		f, now := newTestFleet(3)
+		slots := workers(3)[2].Slots
+		for _, id := range []string{"engine-0", "engine-1"} {
+			f.RecordRateLimit(f.Worker(id), 0.1, now)
+		}
+		sent := map[string]int{}
+		for i := range 100 {
+			if c, ok := f.Choose(prompt(1, uint64(i), 3), now); ok {
+				sent[c.Worker.ID]++
+			}
+		}
+		So(sent["engine-2"], ShouldBeBetweenOrEqual, 1, slots)
+		_, limited := f.NextPlace(testUpstream, now)
+		So(limited, ShouldEqual, 2)
+		Convey("Without limits all requests are sent", func() {
+			f.RecordRateLimit(f.Worker("engine-0"), NoRateLimit, now)
+			f.RecordRateLimit(f.Worker("engine-1"), NoRateLimit, now)
+			for i := range 100 {
+				_, ok := f.Choose(prompt(1, uint64(i), 3), now)
+				So(ok, ShouldBeTrue)
+			}
+		})
+	})
+}
+
 // Guards against limits that routers do not learn from each other, or that old reports
 // bring back.
 func TestSharedRateLimits(t *testing.T) {
