--- a/gossip/message.go
+++ b/gossip/message.go
@@ -52,19 +52,6 @@
 	unread error
 }
 
-// Extension is the part of a message that another component of the routers writes
-// and reads.
-type Extension struct {
-	Type    byte // one of the types below
-	Payload []byte
-}
-
-// Types of extensions.
-const (
-	ExtensionCrashes    byte = 1 // package quarantine
-	ExtensionRateLimits byte = 2 // limits that workers name
-)
-
 type tableEntry struct {
 	newest       uint64         // version of the newest row known to any router
 	peer         netip.AddrPort // a router that has it
@@ -231,16 +218,3 @@
 	m.decodeExtensions(d)
 	return m, nil
 }
-
-// decodeExtensions reads the extensions after the last load report. A truncated
-// extension costs only itself.
-func (m *message) decodeExtensions(d *decoder) {
-	for len(d.rest) > 0 {
-		kind, n := d.byte(), d.uvarint()
-		if d.failed || n > uint64(len(d.rest)) {
-			m.unread = fmt.Errorf("gossip: truncated extension of type %d", kind)
-			return
-		}
-		m.extensions = append(m.extensions, Extension{kind, d.next(int(n))})
-	}
-}
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -408,29 +408,6 @@
 	return m.encode()
 }
 
-// header returns a message without routers and loads.
-func (v *View) header(now time.Time) *message {
-	m := &message{leaving: v.leaving, routerHash: v.routerHash, domainHash: v.domainHash, capacity: v.capacity()}
-	for _, t := range v.tables {
-		m.tables = append(m.tables, tableEntry{newest: t.newest, peer: t.peer, contactAgeMs: ageMs(now, t.lastContact), version: t.version})
-	}
-	return m
-}
-
-// ExtensionLimit returns the largest payload of an extension, in bytes.
-func (v *View) ExtensionLimit() int {
-	return MessageBytes - headerBytes - len(v.tables)*tableBytes - extensionBytes
-}
-
-// ExtensionMessage returns a message that carries an extension. It is separate from
-// Message, so that routers that do not read extensions lose nothing else. The payload
-// must not be longer than ExtensionLimit.
-func (v *View) ExtensionMessage(now time.Time, e Extension) []byte {
-	m := v.header(now)
-	m.extensions = []Extension{e}
-	return m.encode()
-}
-
 // ageMs returns the age of a time in ms, at most one hour. A zero time stands
 // for never and gets the maximum age.
 func ageMs(now, at time.Time) uint64 {
