Confirm limits that no answer has confirmed for a second

Cause: prompts that leave a limited worker stay away, so a worker with none left gets no request, and only an answer tells that its limit has ended. Class: state that can only be corrected by the traffic that it prevents. Ruled out: old reports that bring a limit back (2 of 8,250 changes after the end set a limit, in the second of the end).

Change: a limited worker without a report for a second gets the next request that has a place there, whatever its prompt.

Measured: routing.TestEndOfRateLimit fails without it.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -52,6 +52,7 @@
 	ReasonLaterPreference = "next"       // a later preference; those before it are above the limit
 	ReasonLeastLoaded     = "least busy" // the request has no prompt to place by
 	ReasonAllAboveLimit   = "all busy"   // every preference tried is above the limit
+	ReasonLimitCheck      = "limit"      // the answer will tell whether the worker's rate limit is still in force
 )
 
 const (
@@ -124,6 +125,13 @@
 		if !slices.ContainsFunc(candidates, hasPlace) {
 			continue
 		}
+		if w := staleRateLimit(candidates, hasPlace, now); w != nil {
+			c := Choice{Worker: w, Reason: ReasonLimitCheck, PreferenceIndex: len(candidates)}
+			if len(r.SharedParts) > 0 {
+				c.FetchFrom = f.fetchSource(r.SharedParts, c, now)
+			}
+			return c, true
+		}
 		if len(r.SharedParts) > 0 {
 			return f.pickByPrompt(r.SharedParts, candidates, hashes, hasPlace, now), true
 		}
--- a/routing/ratelimit.go
+++ b/routing/ratelimit.go
@@ -26,6 +26,8 @@
 	// minRateLimit is the least rate at which a limited worker is tried, in requests
 	// per second, since only its answers tell that the limit has ended.
 	minRateLimit = 0.05
+	// rateLimitCheckPeriod is the age from which a limit has to be confirmed.
+	rateLimitCheckPeriod = time.Second
 	// minPlacePeriod and maxPlacePeriod bound the time between two places.
 	minPlacePeriod = time.Microsecond
 	maxPlacePeriod = time.Hour
@@ -48,6 +50,7 @@
 	reportedAt time.Time
 	reportID   uint16
 	nextPlace  time.Time
+	checkedAt  time.Time // when a request was last sent to confirm the limit
 	// wanted is the exponentially decayed count of the requests of this router that
 	// preferred the worker, as of wantedAt.
 	wanted   float64
@@ -81,6 +84,18 @@
 	return w.Slots > 0 && p.estimatedLoad(w, now) >= float64(w.Slots)
 }
 
+// staleRateLimit returns a worker with a place whose limit no answer has confirmed for
+// rateLimitCheckPeriod, nil if there is none.
+func staleRateLimit(workers []*Worker, hasPlace func(*Worker) bool, now time.Time) *Worker {
+	for _, w := range workers {
+		if l := &w.rateLimit; l.isSet() && now.Sub(l.reportedAt) > rateLimitCheckPeriod && now.Sub(l.checkedAt) > rateLimitCheckPeriod && hasPlace(w) {
+			l.checkedAt = now
+			return w
+		}
+	}
+	return nil
+}
+
 // withoutRateLimit returns the workers that name no limit.
 func withoutRateLimit(workers []*Worker) []*Worker {
 	var list []*Worker
--- a/routing/ratelimit_test.go
+++ b/routing/ratelimit_test.go
@@ -118,6 +118,39 @@
 	})
 }
 
+// Guards against a limit that stays in force after its end because the worker gets no
+// request whose answer would tell.
+func TestEndOfRateLimit(t *testing.T) {
+	Convey("A limited worker that has not answered for a second gets the next request with a place, whatever its prompt", t, func() {
+		f, now := newTestFleet(4)
+		w := f.Worker("engine-0")
+		f.RecordRateLimit(w, 2, now)
+		choose := func(key uint64, at time.Time) Choice {
+			c, _ := f.Choose(prompt(1, key, 3), at)
+			f.RecordEnd(c, true, at)
+			return c
+		}
+		key := uint64(1)
+		for choose(key, now).Worker == w { // a prompt of another worker
+			key++
+		}
+		sent := 0
+		for ms := range 4000 {
+			at := now.Add(time.Duration(ms) * time.Millisecond)
+			if c := choose(key, at); c.Worker == w {
+				So(c.Reason, ShouldEqual, ReasonLimitCheck)
+				sent++
+				So(at.Sub(now), ShouldBeGreaterThan, time.Second)
+				f.RecordRateLimit(w, 2, at)
+				now = at
+				break
+			}
+		}
+		So(sent, ShouldEqual, 1)
+		So(choose(key, now.Add(500*time.Millisecond)).Worker, ShouldNotEqual, w)
+	})
+}
+
 // Guards against limits that routers do not learn from each other, or that old reports
 // bring back.
 func TestSharedRateLimits(t *testing.T) {
