Evaluate all suspected parts together, and withdraw what a cleared part explained

Callers would see sound requests refused and the crashes go on.

Cause: a request's own parts were evaluated alone. Of two parts with the same crashes, the one that a request asked for first was quarantined and its crashes were marked as explained for the other, for good: if that was the sound one, its first success cleared it, and the deadly part needed three more crashes. Class: a verdict that depends on the order of questions, and a mark that outlives its reason.

Change: when a part reaches the threshold, all parts are evaluated on the same state. Whether a quarantined part explains a crash is computed when it is asked, so it ends with the quarantine; the mark is gone.

Test: two cases of quarantine.TestThreshold failed before and pass.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -246,7 +246,7 @@
 		}
 		return false
 	}
-	s.crashes = append(s.crashes, crash{worker: worker, at: at, explained: t.isExplained(now, part, worker)})
+	s.crashes = append(s.crashes, crash{worker, at})
 	s.sort()
 	if len(s.crashes) > maxCrashes {
 		i := s.leastUseful(t.cfg.MinGap)
@@ -279,7 +279,7 @@
 	for part, s := range t.suspects {
 		crashes := 0
 		for _, c := range s.crashes {
-			if s.counts(c) {
+			if c.at.After(s.lastSuccess) {
 				crashes++
 			}
 		}
@@ -295,14 +295,22 @@
 	}
 }
 
-// isExplained reports whether another quarantined part was on a worker that crashed.
-func (t *Tracker) isExplained(now time.Time, part uint64, worker uint32) bool {
-	for other, o := range t.quarantined {
-		if other != part && now.Before(o.until) && o.find(worker) != nil {
-			return true
+// counts reports whether a crash may be due to a part: it came after the part's last
+// success, and no quarantined part was on the worker too. Quarantined parts do not
+// excuse each other.
+func (t *Tracker) counts(now time.Time, s *suspect, c crash) bool {
+	if !c.at.After(s.lastSuccess) {
+		return false
+	}
+	if now.Before(s.until) {
+		return true
+	}
+	for _, other := range t.quarantined {
+		if now.Before(other.until) && other.find(c.worker) != nil {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // successResolution is the smallest difference between two successes of a part that
@@ -331,7 +339,7 @@
 	score := 0
 	var last time.Time
 	for _, c := range s.crashes {
-		if !s.counts(c) || now.Sub(c.at) < t.cfg.MinGap || c.at.Sub(last) < t.cfg.MinGap {
+		if !t.counts(now, s, c) || now.Sub(c.at) < t.cfg.MinGap || c.at.Sub(last) < t.cfg.MinGap {
 			continue
 		}
 		last = c.at
@@ -344,47 +352,45 @@
 	return score
 }
 
-// evaluate begins or renews the quarantine of those of the given parts that have
-// reached the threshold.
+// evaluate begins or renews the quarantine of the given parts that have reached the
+// threshold. If there are any, all other parts are evaluated with them, since a
+// quarantine keeps crashes from counting for parts that are not quarantined.
 func (t *Tracker) evaluate(now time.Time, parts []uint64) []Change {
+	if !slices.ContainsFunc(parts, func(part uint64) bool { return t.isDue(now, t.suspects[part]) }) {
+		return nil
+	}
+	var due []uint64
+	for part, s := range t.suspects {
+		if t.isDue(now, s) {
+			due = append(due, part)
+		}
+	}
+	slices.Sort(due)
 	var changes []Change
-	for _, part := range parts {
+	for _, part := range due {
 		s := t.suspects[part]
-		if s == nil || len(s.crashes) < t.cfg.Threshold {
-			continue
-		}
-		if t.score(now, s) < crashWeight*t.cfg.Threshold {
-			continue
-		}
-		until := s.crashes[len(s.crashes)-1].at.Add(t.cfg.Period)
-		if !until.After(s.until) || !until.After(now) {
-			continue
-		}
 		if !now.Before(s.until) {
 			s.trialAt = now.Add(time.Duration(t.cfg.Random(int(t.cfg.TrialPeriod))))
 		}
-		s.until = until
+		s.until = t.end(s)
 		t.quarantined[part] = s
-		changes = append(changes, Change{Kind: Quarantined, Part: part, Crashes: len(s.crashes), Until: until})
-	}
-	for _, c := range changes {
-		t.explain(now, t.suspects[c.Part])
+		changes = append(changes, Change{Kind: Quarantined, Part: part, Crashes: len(s.crashes), Until: s.until})
 	}
 	return changes
 }
 
-// explain marks the crashes under parts that are not quarantined themselves.
-func (t *Tracker) explain(now time.Time, culprit *suspect) {
-	for _, s := range t.suspects {
-		if now.Before(s.until) {
-			continue
-		}
-		for i := range s.crashes {
-			if culprit.find(s.crashes[i].worker) != nil {
-				s.crashes[i].explained = true
-			}
-		}
+// isDue reports whether the quarantine of a part is to begin or to be renewed.
+func (t *Tracker) isDue(now time.Time, s *suspect) bool {
+	if s == nil || len(s.crashes) < t.cfg.Threshold {
+		return false
 	}
+	end := t.end(s)
+	return end.After(s.until) && end.After(now) && t.score(now, s) >= crashWeight*t.cfg.Threshold
+}
+
+// end returns when a quarantine ends after the last crash under a part.
+func (t *Tracker) end(s *suspect) time.Time {
+	return s.crashes[len(s.crashes)-1].at.Add(t.cfg.Period)
 }
 
 // evict removes parts whose evidence has expired.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -139,6 +139,30 @@
 		So(q.isQuarantined(at(7), deadly), ShouldBeTrue)
 		So(q.isQuarantined(at(7), sound), ShouldBeFalse)
 	})
+	Convey("Which of two parts with the same crashes a request asks for first makes no difference", t, func() {
+		q := newTestTracker()
+		for i := range 3 {
+			q.RecordCrash(at(float64(i)), uint32(i), []uint64{deadly, sound})
+		}
+		So(q.isQuarantined(at(2.5), sound), ShouldBeTrue)
+		So(q.isQuarantined(at(2.6), deadly), ShouldBeTrue)
+		q.RecordSuccess(at(2.7), []uint64{sound})
+		So(q.isQuarantined(at(2.8), sound), ShouldBeFalse)
+		So(q.isQuarantined(at(2.8), deadly), ShouldBeTrue)
+	})
+	Convey("A part that turns out to be sound explains no crashes", t, func() {
+		q := newTestTracker()
+		for i := range 3 {
+			q.RecordCrash(at(float64(i)), uint32(i), []uint64{sound})
+		}
+		So(q.isQuarantined(at(2.5), sound), ShouldBeTrue)
+		for i := range 3 {
+			q.RecordCrash(at(float64(3+i)), uint32(3+i), []uint64{deadly, sound})
+		}
+		q.RecordSuccess(at(5.5), []uint64{sound})
+		So(q.isQuarantined(at(6), sound), ShouldBeFalse)
+		So(q.isQuarantined(at(6), deadly), ShouldBeTrue)
+	})
 	Convey("Of two parts with the same crashes, the sound one is found by requests that have only one of them", t, func() {
 		q := newTestTracker()
 		for i := range 3 {
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -16,8 +16,6 @@
 type crash struct {
 	worker uint32
 	at     time.Time
-	// explained says that a quarantined part was on the worker too.
-	explained bool
 }
 
 // covers reports whether all workers that crashed under another part crashed under
@@ -40,17 +38,11 @@
 	return nil
 }
 
-// counts reports whether a crash may be due to the part: it came after the part's last
-// success, and no other part explains it.
-func (s *suspect) counts(c crash) bool {
-	return !c.explained && c.at.After(s.lastSuccess)
-}
-
-// leastUseful returns the index of a crash that does not count, also because it came
-// too soon after another, or else of the oldest.
+// leastUseful returns the index of a crash that a success followed or that came too
+// soon after another to count, or else of the oldest.
 func (s *suspect) leastUseful(minGap time.Duration) int {
 	for i, c := range s.crashes {
-		if !s.counts(c) || i > 0 && c.at.Sub(s.crashes[i-1].at) < minGap {
+		if !c.at.After(s.lastSuccess) || i > 0 && c.at.Sub(s.crashes[i-1].at) < minGap {
 			return i
 		}
 	}
