Count two workers that crash at the same moment as half a crash

Cause, traced in a denser storm of crashes (one each 0.3 to 1.5 s, of all nine workers each fourth time): crashes of three and more workers counted as single ones, because the routers notice only those workers that were answering a prompt; with three in a row and no success in between a sound part was quarantined. Ruled out: reports of one crash that count twice (each worker counts once), and late reports.

Change: the threshold of a mass crash is two workers within 50 ms.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -17,9 +17,9 @@
 //
 // Failure behaviour: routers that cannot reach each other each need their own
 // evidence. Workers that crash within Config.MinGap of each other count as one crash,
-// and as half a crash when massCrash or more of them crash at the same moment, since a
-// failing host or network takes several workers down together. Therefore a crash counts
-// only after MinGap. Where two parts crashed the same workers, both are quarantined, and
+// and as half a crash when several of them crash at the same moment, since a failing
+// host or network takes several workers down together, of which the routers notice those
+// that were answering a prompt. Therefore a crash counts only after MinGap. Where two parts crashed the same workers, both are quarantined, and
 // requests that have only one of them are let through now and then until it is known
 // which one is sound.
 //
@@ -70,7 +70,7 @@
 	// massCrash is the number of workers that crash within massCrashTime from which the
 	// cause is probably not a request. Reports of the same moment differ by the rounding
 	// and transit times of some hops.
-	massCrash     = 3
+	massCrash     = 2
 	massCrashTime = 50 * time.Millisecond
 	// crashWeight and massCrashWeight are what a crash counts towards the threshold, in
 	// units of 1/crashWeight.
