Mend what misled in the change read as a whole

- A place is a permit now, the field's word for one request under a rate limit (Fleet.NextPermit, next_permit_ms); the count of requests that prefer a worker is its demand. keeps and staleRateLimit changed state under names that read like questions: admit, startLimitCheck.
- Successes were dropped by age and by number; by number alone bounds the memory, and old ones have no effect.

--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -261,18 +260,3 @@
 	g.decisions.count("attempt_failures", "reason", f.reason)
 	g.decisions.logRequest("attempt failed", "request", x.header.ID, "worker", c.Worker.ID, "attempt", len(x.tried), "reason", f.reason, "outcome", f.outcome, "shared_parts", formatParts(x.sharedParts()), "error", f.err)
 }
-
-// formatParts returns the IDs of prompt parts in hexadecimal, separated by commas.
-func formatParts(parts []routing.PromptPart) string {
-	ids := make([]string, len(parts))
-	for i, p := range parts {
-		ids[i] = strconv.FormatUint(p.ID, 16)
-	}
-	return strings.Join(ids, ",")
-}
-
-// sharedParts returns the parts of the prompt that other requests may share: all but
-// the last.
-func (x *exchange) sharedParts() []routing.PromptPart {
-	return x.header.Prompt[:max(len(x.header.Prompt)-1, 0)]
-}
--- a/plugins/gateway/buffered.go
+++ b/plugins/gateway/buffered.go
@@ -180,7 +180,7 @@
 		g.refuseQuarantined(x)
 	case last == nil && x.limitedWorkers > 0:
 		g.decisions.count("limit_refusals", "upstream", x.upstream)
-		g.refuseFor(x, "workers are at their limits", x.nextPlace+time.Duration(rand.Int64N(int64(retryAfterOverloaded))))
+		g.refuseFor(x, "workers are at their limits", x.nextPermit+time.Duration(rand.Int64N(int64(retryAfterOverloaded))))
 	case last == nil:
 		g.refuse(x, "no worker", retryAfterNoWorker)
 	default:
--- a/plugins/gateway/choose.go
+++ b/plugins/gateway/choose.go
@@ -22,8 +22,8 @@
 	}
 	c, ok := g.fleet.Choose(r, time.Now())
 	if !ok {
-		x.nextPlace, x.limitedWorkers = g.fleet.NextPlace(x.upstream, time.Now())
-		g.decisions.logRequest("no worker to choose", "request", x.header.ID, "upstream", x.upstream, "tried", len(x.tried), "limited", x.limitedWorkers, "next_place_ms", x.nextPlace.Milliseconds())
+		x.nextPermit, x.limitedWorkers = g.fleet.NextPermit(x.upstream, time.Now())
+		g.decisions.logRequest("no worker to choose", "request", x.header.ID, "upstream", x.upstream, "tried", len(x.tried), "limited", x.limitedWorkers, "next_permit_ms", x.nextPermit.Milliseconds())
 		return c, false
 	}
 	x.tried = append(x.tried, c.Worker)
--- a/plugins/gateway/crash_test.go
+++ b/plugins/gateway/crash_test.go
@@ -60,6 +60,24 @@
 	})
 }
 
+// Guards against messages with each round of gossip that nobody needs.
+func TestSharePace(t *testing.T) {
+	Convey("Each round is due after a change, one per second later", t, func() {
+		var p sharePace
+		changedAt := time.Unix(1_000_000, 0)
+		due := func(from time.Duration) (n int) {
+			for round := range 8 {
+				if p.isDue(changedAt.Add(from+time.Duration(round)*250*time.Millisecond), changedAt) {
+					n++
+				}
+			}
+			return n
+		}
+		So(due(0), ShouldEqual, 8)
+		So(due(10*time.Second), ShouldEqual, 2)
+	})
+}
+
 // Guards against a refusal that does not say when the request can be served, and
 // against a request that ran and is called not run because its prompt part is
 // quarantined meanwhile.
--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -36,7 +36,7 @@
 	// Workers of the upstream that take no more requests for now because of their
 	// limits, and the time until one of them takes one of this router again.
 	limitedWorkers int
-	nextPlace      time.Duration
+	nextPermit     time.Duration
 	quarantined    time.Duration // remaining quarantine of one of its prompt parts, 0 for none
 	status         int
 	outcome        string // one of the outcomes below
--- a/plugins/gateway/quarantine.go
+++ b/plugins/gateway/quarantine.go
@@ -4,6 +4,7 @@
 	"errors"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -52,8 +53,22 @@
 	return d
 }
 
-// sharedPartIDs returns the IDs of the prompt parts that other requests may share: all
-// but the last.
+// formatParts returns the IDs of prompt parts in hexadecimal, separated by commas.
+func formatParts(parts []routing.PromptPart) string {
+	ids := make([]string, len(parts))
+	for i, p := range parts {
+		ids[i] = strconv.FormatUint(p.ID, 16)
+	}
+	return strings.Join(ids, ",")
+}
+
+// sharedParts returns the parts of the prompt that other requests may share: all but
+// the last.
+func (x *exchange) sharedParts() []routing.PromptPart {
+	return x.header.Prompt[:max(len(x.header.Prompt)-1, 0)]
+}
+
+// sharedPartIDs returns the IDs of sharedParts.
 func (x *exchange) sharedPartIDs() []uint64 {
 	parts := x.sharedParts()
 	ids := make([]uint64, len(parts))
--- a/plugins/gateway/ratelimit_test.go
+++ b/plugins/gateway/ratelimit_test.go
@@ -32,12 +32,12 @@
 	limit  func(engine string, at time.Time) float64 // requests a second, 0 for none
 	router func() int                                // router of the next request; nil for a random one
 
-	mu       sync.Mutex
-	arrivals map[string][]limitedArrival     // by address of the engine
-	told     map[string]map[string]time.Time // when a router first got an answer with a limit, by address and router
-	named    map[string]time.Time            // when an engine first named a limit
-	statuses map[int]int
-	late     []time.Duration // Retry-After of refusals
+	mu         sync.Mutex
+	arrivals   map[string][]limitedArrival     // by address of the engine
+	told       map[string]map[string]time.Time // when a router first got an answer with a limit, by address and router
+	named      map[string]time.Time            // when an engine first named a limit
+	statuses   map[int]int
+	retryAfter []time.Duration // Retry-After of refusals
 }
 
 type limitedArrival struct {
@@ -99,7 +99,7 @@
 	d.statuses[response.Code]++
 	if response.Code == http.StatusServiceUnavailable {
 		if wait, err := strconv.ParseFloat(response.Header().Get("Retry-After"), 64); err == nil {
-			d.late = append(d.late, time.Duration(wait*float64(time.Second)))
+			d.retryAfter = append(d.retryAfter, time.Duration(wait*float64(time.Second)))
 		}
 	}
 }
@@ -190,7 +190,7 @@
 // Guards against routers that refuse more than the workers' limits require, or that
 // let requests wait that cannot be served.
 func TestAllWorkersLimited(t *testing.T) {
-	inFleet(t, "With half of the capacity, half of the requests are refused at once with the time of the next place", 6, 9, 9, func(f *testFleet) {
+	inFleet(t, "With half of the capacity, half of the requests are refused at once with the time of the next permit", 6, 9, 9, func(f *testFleet) {
 		d := newLimitedTraffic(f)
 		start := time.Now()
 		d.limit = func(string, time.Time) float64 { return 2.6 }
@@ -198,9 +198,9 @@
 		So(d.excess(), ShouldBeLessThanOrEqualTo, 0)
 		So(d.usedShare(start.Add(5*time.Second), start.Add(29*time.Second)), ShouldBeBetween, 0.75, 1.25)
 		So(d.statuses[http.StatusServiceUnavailable], ShouldBeGreaterThan, 0)
-		So(d.late, ShouldHaveLength, d.statuses[http.StatusServiceUnavailable])
+		So(d.retryAfter, ShouldHaveLength, d.statuses[http.StatusServiceUnavailable])
 		So(d.statuses, ShouldHaveLength, 2)
-		for _, wait := range d.late {
+		for _, wait := range d.retryAfter {
 			So(wait, ShouldBeBetween, 0, 5*time.Second)
 		}
 	})
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -64,8 +64,8 @@
 	maxCrashes = 8
 	// maxSuccesses limits each of the two generations of successes.
 	maxSuccesses = 4096
-	// successTTL is the age of a generation of successes. It is longer than the time
-	// that a report of a crash takes to reach all routers.
+	// successTTL is how long the success of a part without crashes is kept. It is longer
+	// than the time that a report of a crash takes to reach all routers.
 	successTTL = 5 * time.Second
 	// massCrash is the number of workers that crash within massCrashTime from which the
 	// cause is probably not a request. Reports of the same moment differ by the rounding
@@ -94,7 +94,6 @@
 	// Successes of parts without crashes. A report of a crash that took place before
 	// them may still arrive.
 	successes, olderSuccesses map[uint64]time.Time
-	rotatedAt                 time.Time
 	recent                    []crash   // one for each worker, in the order of arrival
 	changedAt                 time.Time // when a report was added
 }
@@ -173,8 +172,8 @@
 func (t *Tracker) RecordSuccess(now time.Time, parts []uint64) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if now.Sub(t.rotatedAt) > successTTL || len(t.successes) >= maxSuccesses {
-		t.successes, t.olderSuccesses, t.rotatedAt = map[uint64]time.Time{}, t.successes, now
+	if len(t.successes) >= maxSuccesses {
+		t.successes, t.olderSuccesses = map[uint64]time.Time{}, t.successes
 	}
 	var changes []Change
 	for _, part := range parts {
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -78,7 +78,7 @@
 }
 
 // Choose picks a worker that the request has not been sent to, and counts the
-// attempt on it until RecordEnd. It returns false if there is none, see NextPlace.
+// attempt on it until RecordEnd. It returns false if there is none, see NextPermit.
 func (f *Fleet) Choose(r Request, now time.Time) (Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -106,7 +106,7 @@
 	}
 	c.ListVersion, c.ListAge = f.listVersion, now.Sub(f.listReadAt)
 	c.Worker.recordSent(now)
-	f.takePlace(c.Worker)
+	f.takePermit(c.Worker)
 	return c, true
 }
 
@@ -117,15 +117,15 @@
 	for _, try := range []struct {
 		accept func(*Worker) bool
 		early  time.Duration
-	}{{healthy, 0}, {healthy, earlyPlace}, {reachable, earlyPlace}} {
+	}{{healthy, 0}, {healthy, earlyPermit}, {reachable, earlyPermit}} {
 		candidates, hashes := p.candidates(r.Tried, try.accept)
-		hasPlace := func(w *Worker) bool {
-			return f.hasPlace(w, now, try.early) && !(limited && p.isFull(w, now))
+		hasPermit := func(w *Worker) bool {
+			return f.hasPermit(w, now, try.early) && !(limited && p.isFull(w, now))
 		}
-		if !slices.ContainsFunc(candidates, hasPlace) {
+		if !slices.ContainsFunc(candidates, hasPermit) {
 			continue
 		}
-		if w := staleRateLimit(candidates, hasPlace, now); w != nil {
+		if w := startLimitCheck(candidates, hasPermit, now); w != nil {
 			c := Choice{Worker: w, Reason: ReasonLimitCheck, PreferenceIndex: len(candidates)}
 			if len(r.SharedParts) > 0 {
 				c.FetchFrom = f.fetchSource(r.SharedParts, c, now)
@@ -133,9 +133,9 @@
 			return c, true
 		}
 		if len(r.SharedParts) > 0 {
-			return f.pickByPrompt(r.SharedParts, candidates, hashes, hasPlace, now), true
+			return f.pickByPrompt(r.SharedParts, candidates, hashes, hasPermit, now), true
 		}
-		return f.pickLeastLoaded(candidates, hasPlace, now), true
+		return f.pickLeastLoaded(candidates, hasPermit, now), true
 	}
 	return Choice{}, false
 }
@@ -164,25 +164,25 @@
 }
 
 // pickByPrompt picks the first preference of the last shared part whose load is
-// within the limit. Workers without a place are passed over; one candidate has one.
-func (f *Fleet) pickByPrompt(parts []PromptPart, candidates []*Worker, hashes []uint64, hasPlace func(*Worker) bool, now time.Time) Choice {
+// within the limit. Workers without a permit are passed over; one candidate has one.
+func (f *Fleet) pickByPrompt(parts []PromptPart, candidates []*Worker, hashes []uint64, hasPermit func(*Worker) bool, now time.Time) Choice {
 	key := parts[len(parts)-1].ID
 	var indexes [widePreferenceCount]int
 	limit := f.loadLimit(candidates, now)
 	spread := f.spreadSize(f.pool(candidates[0].Upstream), key, limit, now)
 	preferences := placement.Choose(indexes[:max(preferenceCount, min(spread, widePreferenceCount))], key, hashes)
-	keeps := func(w *Worker) bool {
-		return w.rateLimit.keeps(key, w.hash, f.maxRoutersSeen, now) && hasPlace(w)
+	admit := func(w *Worker) bool {
+		return w.rateLimit.admit(key, w.hash, f.maxRoutersSeen, now) && hasPermit(w)
 	}
-	best, withinLimit := f.pickWithinLimit(candidates, preferences, spread, limit, now, keeps)
+	best, withinLimit := f.pickWithinLimit(candidates, preferences, spread, limit, now, admit)
 	if !withinLimit {
 		if len(candidates) > len(preferences) {
 			preferences = placement.Choose(indexes[:], key, hashes)
 		}
-		best, _ = f.pickWithinLimit(candidates, preferences, spread, limit, now, hasPlace)
+		best, _ = f.pickWithinLimit(candidates, preferences, spread, limit, now, hasPermit)
 	}
-	if best.Worker == nil { // all of widePreferenceCount workers are without a place
-		best = f.pickLeastLoaded(candidates, hasPlace, now)
+	if best.Worker == nil { // all of widePreferenceCount workers are without a permit
+		best = f.pickLeastLoaded(candidates, hasPermit, now)
 		best.PreferenceIndex = len(preferences)
 	}
 	best.PlacementKey, best.LoadLimit, best.SpreadSize = key, int(limit), spread
@@ -230,15 +230,15 @@
 	return Choice{Worker: w, Reason: ReasonLaterPreference, PreferenceIndex: preference}
 }
 
-// pickLeastLoaded picks the worker with a place and the lowest load. A worker of another
+// pickLeastLoaded picks the worker with a permit and the lowest load. A worker of another
 // failure domain wins only by a margin of otherDomainPenalty.
-func (f *Fleet) pickLeastLoaded(candidates []*Worker, hasPlace func(*Worker) bool, now time.Time) Choice {
+func (f *Fleet) pickLeastLoaded(candidates []*Worker, hasPermit func(*Worker) bool, now time.Time) Choice {
 	var best *Worker
 	least := 0.0
 	offset := int(now.UnixNano() % int64(len(candidates))) // rotates the choice among equal loads
 	for i := range candidates {
 		w := candidates[(i+offset)%len(candidates)]
-		if !hasPlace(w) {
+		if !hasPermit(w) {
 			continue
 		}
 		load := float64(w.currentLoad(now))
--- a/routing/ratelimit.go
+++ b/routing/ratelimit.go
@@ -9,28 +9,28 @@
 )
 
 // A worker may name the requests per second that it takes from all routers together.
-// Each router uses an equal part of it, without messages for each request: it has
-// places at regular times, and a place that no request has taken for some time lapses.
-// The routers' places begin at random times, so all of them together arrive evenly,
-// also where a router has one only every few seconds.
+// Each router uses an equal part of it, without messages for each request: it gets
+// permits at regular times, and a permit that no request has used for some time lapses.
+// The routers' permits begin at random times, so all of them together arrive evenly,
+// also where a router gets one only every few seconds.
 
 const (
-	// placeTTL is the time after which an unused place lapses. The requests that all
+	// permitTTL is the time after which an unused permit lapses. The requests that all
 	// routers may send at once are those of this time.
-	placeTTL = 1500 * time.Millisecond
-	// earlyPlace is how early a place may be used when no worker has one.
-	earlyPlace = 500 * time.Millisecond
-	// wantedTimeConstant is the time constant with which the count of requests that
+	permitTTL = 1500 * time.Millisecond
+	// earlyPermit is how early a permit may be used when there is none for any worker.
+	earlyPermit = 500 * time.Millisecond
+	// demandTimeConstant is the time constant with which the count of requests that
 	// prefer a worker decays.
-	wantedTimeConstant = 20 * time.Second
+	demandTimeConstant = 20 * time.Second
 	// minRateLimit is the least rate at which a limited worker is tried, in requests
 	// per second, since only its answers tell that the limit has ended.
 	minRateLimit = 0.05
 	// rateLimitCheckPeriod is the age from which a limit has to be confirmed.
 	rateLimitCheckPeriod = time.Second
-	// minPlacePeriod and maxPlacePeriod bound the time between two places.
-	minPlacePeriod = time.Microsecond
-	maxPlacePeriod = time.Hour
+	// minPermitPeriod and maxPermitPeriod bound the time between two permits.
+	minPermitPeriod = time.Microsecond
+	maxPermitPeriod = time.Hour
 )
 
 // RateLimit is the rate that a worker named, as reported to some router.
@@ -49,24 +49,25 @@
 	perSecond  float64
 	reportedAt time.Time
 	reportID   uint16
-	nextPlace  time.Time
+	nextPermit time.Time
 	checkedAt  time.Time // when a request was last sent to confirm the limit
-	// wanted is the exponentially decayed count of the requests of this router that
-	// preferred the worker, as of wantedAt.
-	wanted   float64
-	wantedAt time.Time
-}
-
-// keeps reports whether requests with a key stay at a limited worker: as many keys as
-// its places carry, the same ones at all routers. If each key alternated between the
-// worker and its next preference, its parts would be copied for each request.
-func (l *rateLimit) keeps(key, workerHash uint64, routers int, now time.Time) bool {
-	l.wanted = 1 + l.wanted*math.Exp(-now.Sub(l.wantedAt).Seconds()/wantedTimeConstant.Seconds())
-	l.wantedAt = now
+	// demand is the exponentially decayed count of the requests of this router that
+	// preferred the worker, as of demandAt.
+	demand   float64
+	demandAt time.Time
+}
+
+// admit counts a request that prefers the worker and reports whether requests with its
+// key stay there: as many keys as the permits cover, the same ones at all routers. If
+// each key alternated between the worker and its next preference, its parts would be
+// copied for each request.
+func (l *rateLimit) admit(key, workerHash uint64, routers int, now time.Time) bool {
+	l.demand = 1 + l.demand*math.Exp(-now.Sub(l.demandAt).Seconds()/demandTimeConstant.Seconds())
+	l.demandAt = now
 	if !l.isSet() {
 		return true
 	}
-	share := wantedTimeConstant.Seconds() / l.placePeriod(routers).Seconds() / l.wanted
+	share := demandTimeConstant.Seconds() / l.permitPeriod(routers).Seconds() / l.demand
 	return float64(placement.Score(key, ^workerHash)) < share*math.MaxUint64
 }
 
@@ -84,11 +85,11 @@
 	return w.Slots > 0 && p.estimatedLoad(w, now) >= float64(w.Slots)
 }
 
-// staleRateLimit returns a worker with a place whose limit no answer has confirmed for
-// rateLimitCheckPeriod, nil if there is none.
-func staleRateLimit(workers []*Worker, hasPlace func(*Worker) bool, now time.Time) *Worker {
+// startLimitCheck returns a worker with a permit whose limit no answer has confirmed for
+// rateLimitCheckPeriod, nil if there is none. The caller sends it the next request.
+func startLimitCheck(workers []*Worker, hasPermit func(*Worker) bool, now time.Time) *Worker {
 	for _, w := range workers {
-		if l := &w.rateLimit; l.isSet() && now.Sub(l.reportedAt) > rateLimitCheckPeriod && now.Sub(l.checkedAt) > rateLimitCheckPeriod && hasPlace(w) {
+		if l := &w.rateLimit; l.isSet() && now.Sub(l.reportedAt) > rateLimitCheckPeriod && now.Sub(l.checkedAt) > rateLimitCheckPeriod && hasPermit(w) {
 			l.checkedAt = now
 			return w
 		}
@@ -107,18 +108,18 @@
 	return list
 }
 
-// placePeriod returns the time between two places of one of several routers.
-func (l *rateLimit) placePeriod(routers int) time.Duration {
+// permitPeriod returns the time between two permits of one of several routers.
+func (l *rateLimit) permitPeriod(routers int) time.Duration {
 	seconds := float64(max(routers, 1)) / max(l.perSecond, minRateLimit)
-	return max(time.Duration(min(seconds, maxPlacePeriod.Seconds())*float64(time.Second)), minPlacePeriod)
+	return max(time.Duration(min(seconds, maxPermitPeriod.Seconds())*float64(time.Second)), minPermitPeriod)
 }
 
-// placeAt returns when the next place that has not lapsed begins.
-func (l *rateLimit) placeAt(now time.Time, period time.Duration) time.Time {
-	if lapsed := now.Sub(l.nextPlace) - placeTTL; lapsed > 0 {
-		l.nextPlace = l.nextPlace.Add(time.Duration(math.Ceil(float64(lapsed)/float64(period))) * period)
+// permitAt returns when the next permit that has not lapsed begins.
+func (l *rateLimit) permitAt(now time.Time, period time.Duration) time.Time {
+	if lapsed := now.Sub(l.nextPermit) - permitTTL; lapsed > 0 {
+		l.nextPermit = l.nextPermit.Add(time.Duration(math.Ceil(float64(lapsed)/float64(period))) * period)
 	}
-	return l.nextPlace
+	return l.nextPermit
 }
 
 // RecordRateLimit records the rate that a worker names in an answer, NoRateLimit for
@@ -139,12 +140,12 @@
 	if !l.isSet() {
 		return wasSet
 	}
-	period := l.placePeriod(f.maxRoutersSeen)
-	switch latest := now.Add(period + earlyPlace); {
+	period := l.permitPeriod(f.maxRoutersSeen)
+	switch latest := now.Add(period + earlyPermit); {
 	case !wasSet:
-		l.nextPlace = now.Add(time.Duration(f.cfg.Random(int(period))) - placeTTL)
-	case l.nextPlace.After(latest): // the limit has risen
-		l.nextPlace = latest
+		l.nextPermit = now.Add(time.Duration(f.cfg.Random(int(period))) - permitTTL)
+	case l.nextPermit.After(latest): // the limit has risen
+		l.nextPermit = latest
 	}
 	return !wasSet || math.Abs(perSecond-before) > before/4
 }
@@ -195,23 +196,23 @@
 	return w.rateLimit.perSecond
 }
 
-// hasPlace reports whether this router may send a request to a worker now, with a place
+// hasPermit reports whether this router may send a request to a worker now, with a permit
 // that begins at most early after now.
-func (f *Fleet) hasPlace(w *Worker, now time.Time, early time.Duration) bool {
+func (f *Fleet) hasPermit(w *Worker, now time.Time, early time.Duration) bool {
 	l := &w.rateLimit
-	return !l.isSet() || !l.placeAt(now, l.placePeriod(f.maxRoutersSeen)).After(now.Add(early))
+	return !l.isSet() || !l.permitAt(now, l.permitPeriod(f.maxRoutersSeen)).After(now.Add(early))
 }
 
-// takePlace counts a request that is sent to a worker.
-func (f *Fleet) takePlace(w *Worker) {
+// takePermit counts a request that is sent to a worker.
+func (f *Fleet) takePermit(w *Worker) {
 	if l := &w.rateLimit; l.isSet() {
-		l.nextPlace = l.nextPlace.Add(l.placePeriod(f.maxRoutersSeen))
+		l.nextPermit = l.nextPermit.Add(l.permitPeriod(f.maxRoutersSeen))
 	}
 }
 
-// NextPlace returns the time until one of an upstream's limited workers may get a
+// NextPermit returns the time until one of an upstream's limited workers may get a
 // request of this router, and the number of limited workers.
-func (f *Fleet) NextPlace(upstream string, now time.Time) (wait time.Duration, limited int) {
+func (f *Fleet) NextPermit(upstream string, now time.Time) (wait time.Duration, limited int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.pools[upstream]
@@ -224,7 +225,7 @@
 			continue
 		}
 		limited++
-		if d := max(l.placeAt(now, l.placePeriod(f.maxRoutersSeen)).Sub(now)-earlyPlace, 0); limited == 1 || d < wait {
+		if d := max(l.permitAt(now, l.permitPeriod(f.maxRoutersSeen)).Sub(now)-earlyPermit, 0); limited == 1 || d < wait {
 			wait = d
 		}
 	}
--- a/routing/ratelimit_test.go
+++ b/routing/ratelimit_test.go
@@ -13,14 +13,14 @@
 
 // Guards against a limit that is exceeded by all routers together, that is used in
 // bursts, or that keeps requests from a worker after it has ended.
-func TestRateLimitPlaces(t *testing.T) {
+func TestRateLimitPermits(t *testing.T) {
 	newFleet := func(routers int, seed uint64) (*Fleet, *Worker, time.Time) {
 		f, now := newTestFleet(1)
 		f.cfg.Random = rand.New(rand.NewPCG(seed, 1)).IntN
 		f.RecordRouters(routers)
 		return f, f.Worker("engine-0"), now
 	}
-	Convey("Routers with more requests than places use the limit evenly", t, func() {
+	Convey("Routers with more requests than permits use the limit evenly", t, func() {
 		for _, routers := range []int{1, 9, 60} {
 			const limit, seconds = 3.0, 200
 			sent := make([]int, seconds)
@@ -45,7 +45,7 @@
 			So(most, ShouldBeLessThanOrEqualTo, 1.5*limit*4+5)
 		}
 	})
-	Convey("Places that were not used lapse: after a pause the routers together send little more than the limit of placeTTL", t, func() {
+	Convey("Permits that were not used lapse: after a pause the routers together send little more than the limit of permitTTL", t, func() {
 		const routers, limit = 60, 2.0
 		sent := 0
 		for router := range routers {
@@ -59,7 +59,7 @@
 				sent++
 			}
 		}
-		So(sent, ShouldBeLessThanOrEqualTo, 3*limit*placeTTL.Seconds())
+		So(sent, ShouldBeLessThanOrEqualTo, 3*limit*permitTTL.Seconds())
 	})
 	Convey("A limit ends with an answer that names none, and a limit of 0 is tried now and then", t, func() {
 		f, w, now := newFleet(1, 1)
@@ -82,9 +82,9 @@
 		for _, limit := range []float64{0, 1e-9, 1e6, math.MaxFloat64} {
 			f, w, now := newFleet(400, 1)
 			f.RecordRateLimit(w, limit, now)
-			wait, limited := f.NextPlace(testUpstream, now.Add(time.Hour))
+			wait, limited := f.NextPermit(testUpstream, now.Add(time.Hour))
 			So(limited, ShouldEqual, 1)
-			So(wait, ShouldBeBetweenOrEqual, 0, maxPlacePeriod)
+			So(wait, ShouldBeBetweenOrEqual, 0, maxPermitPeriod)
 		}
 	})
 }
@@ -105,7 +105,7 @@
 			}
 		}
 		So(sent["engine-2"], ShouldBeBetweenOrEqual, 1, slots)
-		_, limited := f.NextPlace(testUpstream, now)
+		_, limited := f.NextPermit(testUpstream, now)
 		So(limited, ShouldEqual, 2)
 		Convey("Without limits all requests are sent", func() {
 			f.RecordRateLimit(f.Worker("engine-0"), NoRateLimit, now)
@@ -118,10 +118,35 @@
 	})
 }
 
+// Guards against workers without a limit that count as overloaded because those with one
+// carry little.
+func TestLoadBoundBesideRateLimits(t *testing.T) {
+	Convey("The load bound compares the workers without a limit among themselves", t, func() {
+		f, now := newTestFleet(9)
+		for i, w := range f.pools[testUpstream].workers {
+			w.reportedAt = now
+			if i < 6 {
+				f.RecordRateLimit(w, 0.01, now)
+				w.rateLimit.nextPermit = now.Add(time.Minute)
+				continue
+			}
+			w.Slots, w.reportedLoad = 64, 20
+		}
+		// Over all nine workers the bound would be 15.
+		for key := range uint64(20) {
+			c, ok := f.Choose(prompt(1, key, 3), now)
+			So(ok, ShouldBeTrue)
+			So(c.Reason, ShouldNotEqual, ReasonAllAboveLimit)
+			f.RecordEnd(c, true, now)
+			c.Worker.sentTimes = nil
+		}
+	})
+}
+
 // Guards against a limit that stays in force after its end because the worker gets no
 // request whose answer would tell.
 func TestEndOfRateLimit(t *testing.T) {
-	Convey("A limited worker that has not answered for a second gets the next request with a place, whatever its prompt", t, func() {
+	Convey("A limited worker that has not answered for a second gets the next request with a permit, whatever its prompt", t, func() {
 		f, now := newTestFleet(4)
 		w := f.Worker("engine-0")
 		f.RecordRateLimit(w, 2, now)
