Clear a suspected prompt part only if its worker still accepts connections

Callers would see a query of death go on where workers answer without length and chunks and crash after the first event.

Cause: the end of such an answer looks complete, and counted as a success of its prompt a second later unless the worker was known to be unreachable; with little traffic nobody had noticed yet. Class: absence of news taken for good news.

Change: if one of the parts is suspected, the router opens a connection to the worker before it records the success. Other parts need no record.

Tests: gateway.TestCrashAtEndOfUnframedAnswer failed before; TestCrashAfterLongAnswers guards the other condition of suspicion, which no test covered.

--- a/plugins/gateway/crash_test.go
+++ b/plugins/gateway/crash_test.go
@@ -60,6 +60,61 @@
 	})
 }
 
+// Guards against prompts that are suspected because a worker crashed long after their
+// answers had begun.
+func TestCrashAfterLongAnswers(t *testing.T) {
+	inBubble(t, "An answer that has gone on for a while leaves no evidence, one that has just begun does", engines(2), func(h *harness) {
+		crashAfter := func(events int) http.HandlerFunc {
+			return func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(testSeal, "s")
+				streamEvents(w, events)
+				h.network.setListener(h.workers[r.Header.Get(testWorker)].Address, nil)
+				panic(http.ErrAbortHandler)
+			}
+		}
+		for i, n := range []int{10, 1} {
+			h.setHandlers(crashAfter(n))
+			h.call("POST", "/chat/once/x", testPrompt, fmt.Sprintf("1%d 12", i))
+			sleep(time.Second)
+			So(h.crashes.tracker.IsSuspected([]uint64{uint64(10 + i)}), ShouldEqual, n == 1)
+		}
+	})
+}
+
+// streamEvents writes events with a pause of 100 ms after each.
+func streamEvents(w http.ResponseWriter, n int) {
+	for i := 1; i <= n; i++ {
+		events(w, i, i)
+		sleep(100 * time.Millisecond)
+	}
+}
+
+// Guards against a crash that clears the prompt which caused it: an answer without a
+// length and chunks ends like a complete one.
+func TestCrashAtEndOfUnframedAnswer(t *testing.T) {
+	for _, crashes := range []bool{true, false} {
+		inBubble(t, fmt.Sprintf("An answer without a length clears a suspected part only if its worker goes on (crash: %v)", crashes), engines(1), func(h *harness) {
+			h.startRawWorker("engine-0:1", func(conn net.Conn, id string) bool {
+				_, _ = io.WriteString(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n\r\nid: 1\ndata: e1\n\n", testID, id, testSeal))
+				if crashes {
+					h.network.setListener("engine-0:1", nil)
+				}
+				return false
+			})
+			for i := range uint32(2) {
+				h.crashes.tracker.RecordCrash(time.Now(), i, []uint64{10})
+				sleep(time.Second)
+			}
+			h.call("POST", "/chat/once/x", testPrompt, "10 12")
+			sleep(2 * settleTime)
+			h.crashes.tracker.RecordCrash(time.Now(), 2, []uint64{10})
+			sleep(time.Second)
+			_, quarantined, _ := h.crashes.tracker.Find(time.Now(), []uint64{10})
+			So(quarantined, ShouldEqual, crashes)
+		})
+	}
+}
+
 // Guards against messages with each round of gossip that nobody needs.
 func TestSharePace(t *testing.T) {
 	Convey("Each round is due after a change, one per second later", t, func() {
--- a/plugins/gateway/quarantine.go
+++ b/plugins/gateway/quarantine.go
@@ -26,8 +26,9 @@
 	// crashCollectTime is the time in which the connections to a crashed worker are
 	// closed one after the other.
 	crashCollectTime = 5 * time.Millisecond
-	// settleTime is the time after the end of an answer without a length after which
-	// a crash of its worker would have been noticed.
+	// settleTime is the time after the end of an answer without a length and chunks
+	// after which a worker that accepts connections has not crashed with it. A crashed
+	// one takes longer to start again.
 	settleTime = time.Second
 )
 
@@ -140,10 +141,14 @@
 	}
 }
 
-// recordSettled records a success after settleTime if the worker is still reachable.
+// recordSettled records a success after settleTime if the worker still accepts
+// connections. Only suspected parts need it.
 func (d *crashDetector) recordSettled(w *routing.Worker, parts []uint64) {
+	if !d.tracker.IsSuspected(parts) {
+		return
+	}
 	time.AfterFunc(settleTime, func() {
-		if !d.g.fleet.IsUnreachable(w) {
+		if d.g.reachability.dial(d.g.reachability.ctx, w.Address) == nil {
 			d.recordSuccess(parts)
 		}
 	})
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -186,6 +186,17 @@
 	return changes
 }
 
+// IsSuspected reports whether a worker crashed under one of the parts and no success of
+// the part followed.
+func (t *Tracker) IsSuspected(parts []uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(parts, func(part uint64) bool {
+		s := t.suspects[part]
+		return s != nil && s.isOpen()
+	})
+}
+
 // Find returns the quarantined part of a request that must not be sent to a worker,
 // and the quarantines that began now.
 func (t *Tracker) Find(now time.Time, parts []uint64) (quarantine Change, found bool, began []Change) {
@@ -321,7 +332,7 @@
 		return nil
 	}
 	// Only a success that contradicts a crash is worth sharing.
-	if len(s.crashes) > 0 && s.crashes[len(s.crashes)-1].at.After(s.lastSuccess) {
+	if s.isOpen() {
 		t.changedAt = now
 	}
 	s.lastSuccess = at
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -18,6 +18,11 @@
 	at     time.Time
 }
 
+// isOpen reports whether a crash under the part has not been followed by a success.
+func (s *suspect) isOpen() bool {
+	return len(s.crashes) > 0 && s.crashes[len(s.crashes)-1].at.After(s.lastSuccess)
+}
+
 // covers reports whether all workers that crashed under another part crashed under
 // this one too.
 func (s *suspect) covers(other *suspect) bool {
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -273,13 +273,6 @@
 	return f.byID[w.ID] == w
 }
 
-// IsUnreachable reports whether a worker is marked as unreachable.
-func (f *Fleet) IsUnreachable(w *Worker) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return w.unreachable
-}
-
 // AcceptsRequests reports whether a worker is on the list and not draining.
 func (f *Fleet) AcceptsRequests(w *Worker) bool {
 	f.mu.Lock()
