Reply at once to routers that start

Callers would see workers crash while routers are restarted one after the other: a router that has started knew no quarantine until the next round that reached it.

Class: state that newcomers get by chance.

Change: a router sends its first round when it starts; its first messages ask for a reply (a flag that older routers ignore), and replies carry all extensions.

Test of the flag: gossip.TestStartingRouter.

--- a/gossip/extension.go
+++ b/gossip/extension.go
@@ -47,7 +47,7 @@
 
 // header returns a message without routers and loads.
 func (v *View) header(now time.Time) *message {
-	m := &message{leaving: v.leaving, routerHash: v.routerHash, domainHash: v.domainHash, capacity: v.capacity()}
+	m := &message{leaving: v.leaving, starting: v.received < startingMessages, routerHash: v.routerHash, domainHash: v.domainHash, capacity: v.capacity()}
 	for _, t := range v.tables {
 		m.tables = append(m.tables, tableEntry{newest: t.newest, peer: t.peer, contactAgeMs: ageMs(now, t.lastContact), version: t.version})
 	}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -348,3 +348,26 @@
 		So(b.TableStatus(f.now, 1).Peer, ShouldResemble, f.addresses[0])
 	})
 }
+
+// Guards against a router that has restarted within the liveness timeout and gets no
+// reply, so that it knows nothing for a round or more.
+func TestStartingRouter(t *testing.T) {
+	Convey("A router that has just started gets a reply though its address is known, and soon asks for none", t, func() {
+		f := newFleet(2, 1)
+		a, b := f.addresses[0], f.addresses[1]
+		for range 4 {
+			f.round()
+		}
+		u, err := f.views[a].Merge(f.now, b, f.views[b].Message(f.now))
+		So(err, ShouldBeNil)
+		So(u.NeedsReply, ShouldBeFalse)
+		restarted := New(f.views[b].cfg)
+		for i := range 4 {
+			u, err = f.views[a].Merge(f.now, b, restarted.Message(f.now))
+			So(err, ShouldBeNil)
+			So(u.NeedsReply, ShouldEqual, i < startingMessages)
+			_, err = restarted.Merge(f.now, a, f.views[a].Message(f.now))
+			So(err, ShouldBeNil)
+		}
+	})
+}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -23,6 +23,8 @@
 	// router that does not set it rejects such messages, so a version that adds an
 	// extension must send it only to routers that set the flag.
 	flagReadsExtensions
+	// flagStarting asks for a reply: the sender has started and knows nothing yet.
+	flagStarting
 )
 
 // Units of the ages in a message.
@@ -38,6 +40,7 @@
 // since the clocks of routers differ.
 type message struct {
 	leaving    bool
+	starting   bool
 	routerHash uint64 // hash of the sender's ID
 	domainHash uint32 // hash of the sender's failure domain
 	// capacity is the sender's Config.Capacity.
@@ -93,6 +96,9 @@
 	if m.leaving {
 		flags |= flagLeaving
 	}
+	if m.starting {
+		flags |= flagStarting
+	}
 	b = append(b, messageFormat, flags)
 	b = binary.BigEndian.AppendUint64(b, m.routerHash)
 	b = binary.BigEndian.AppendUint32(b, m.domainHash)
@@ -186,7 +192,8 @@
 	if format := d.byte(); format != messageFormat {
 		return nil, fmt.Errorf("%w: format %d", errMalformed, format)
 	}
-	m := &message{leaving: d.byte()&flagLeaving != 0, routerHash: d.uint64(), domainHash: d.uint32(), capacity: d.uint16()}
+	flags := d.byte()
+	m := &message{leaving: flags&flagLeaving != 0, starting: flags&flagStarting != 0, routerHash: d.uint64(), domainHash: d.uint32(), capacity: d.uint16()}
 	tables, members, loads := int(d.byte()), int(d.byte()), int(d.byte())
 	for range tables {
 		t := tableEntry{newest: d.uvarint(), peer: d.address(), contactAgeMs: d.uvarint(), version: d.uvarint()}
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -51,6 +51,10 @@
 	maxLoads   = 16384
 )
 
+// startingMessages is the number of messages after which a router no longer asks for
+// replies.
+const startingMessages = 2
+
 // Config configures a View.
 type Config struct {
 	Router string // ID of this router
@@ -80,6 +84,7 @@
 	routerHash uint64
 	domainHash uint32
 	leaving    bool
+	received   int // messages merged, at most startingMessages
 	members    map[netip.AddrPort]*member
 	loads      map[uint32]loadReport
 	tables     []tableState
@@ -215,8 +220,8 @@
 type Update struct {
 	TablesChanged bool   // a table has a newer version
 	Loads         []Load // loads more recent than those known before
-	// NeedsReply says that the sender was not known and should get a message,
-	// since it may know no other router yet.
+	// NeedsReply says that the sender was not known or has just started, and should
+	// get messages, since it may know no other router yet.
 	NeedsReply bool
 	// Extensions are those of the message, of all types. Their payloads share memory
 	// with the message.
@@ -240,12 +245,13 @@
 	if err != nil {
 		return Update{}, err
 	}
+	v.received = min(v.received+1, startingMessages)
 	u := Update{Unread: m.unread, Extensions: m.extensions}
 	if m.leaving {
 		delete(v.members, from)
 	} else {
 		existing := v.members[from]
-		u.NeedsReply = existing == nil || !v.isLive(now, existing)
+		u.NeedsReply = existing == nil || !v.isLive(now, existing) || m.starting
 		sender := v.recordMember(memberEntry{address: from, routerHash: m.routerHash, domainHash: m.domainHash, capacity: m.capacity}, now)
 		sender.tableVersions = nil
 		for _, t := range m.tables {
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -63,8 +63,9 @@
 type GossipExtension interface {
 	// Type is the type of the component's messages, see package gossip.
 	Type() byte
-	// Encode returns the next message in at most limit bytes, nil for none.
-	Encode(now time.Time, limit int) []byte
+	// Encode returns the next message in at most limit bytes, nil for none. starting
+	// says that it is for a router that has just started.
+	Encode(now time.Time, limit int, starting bool) []byte
 	// Merge reads a message of another router. The payload is not valid after the
 	// call. Errors: the message is malformed.
 	Merge(now time.Time, payload []byte) error
--- a/plugins/gateway/crash_test.go
+++ b/plugins/gateway/crash_test.go
@@ -117,12 +117,12 @@
 
 // Guards against messages with each round of gossip that nobody needs.
 func TestSharePace(t *testing.T) {
-	Convey("Each round is due after a change, one per second later", t, func() {
+	Convey("Each round is due after a change, one per second later, and each for a router that starts", t, func() {
 		var p sharePace
 		changedAt := time.Unix(1_000_000, 0)
 		due := func(from time.Duration) (n int) {
 			for round := range 8 {
-				if p.isDue(changedAt.Add(from+time.Duration(round)*250*time.Millisecond), changedAt) {
+				if p.isDue(changedAt.Add(from+time.Duration(round)*250*time.Millisecond), changedAt, false) {
 					n++
 				}
 			}
@@ -130,6 +130,7 @@
 		}
 		So(due(0), ShouldEqual, 8)
 		So(due(10*time.Second), ShouldEqual, 2)
+		So(p.isDue(changedAt.Add(12*time.Second), changedAt, true), ShouldBeTrue)
 	})
 }
 
--- a/plugins/gateway/fleet_test.go
+++ b/plugins/gateway/fleet_test.go
@@ -248,8 +248,8 @@
 // run sends messages until the fleet is closed.
 func (p *testGossip) run() {
 	for p.ctx.Err() == nil {
-		sleep(testGossipPeriod*3/4 + time.Duration(p.fleet.random.IntN(int(testGossipPeriod/2))))
 		p.round(2, 1)
+		sleep(testGossipPeriod*3/4 + time.Duration(p.fleet.random.IntN(int(testGossipPeriod/2))))
 	}
 }
 
@@ -257,7 +257,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	targets := p.view.Targets(now, sameDomain, otherDomains)
-	messages := append(p.extensionMessages(now), p.view.Message(now))
+	messages := append(p.extensionMessages(now, false), p.view.Message(now))
 	p.mu.Unlock()
 	for _, to := range targets {
 		for _, message := range messages {
@@ -266,10 +266,10 @@
 	}
 }
 
-func (p *testGossip) extensionMessages(now time.Time) [][]byte {
+func (p *testGossip) extensionMessages(now time.Time, starting bool) [][]byte {
 	var messages [][]byte
 	for _, e := range p.extensions {
-		if payload := e.Encode(now, p.view.ExtensionLimit()); payload != nil {
+		if payload := e.Encode(now, p.view.ExtensionLimit(), starting); payload != nil {
 			messages = append(messages, p.view.ExtensionMessage(now, gossip.Extension{Type: e.Type(), Payload: payload}))
 		}
 	}
@@ -282,7 +282,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	targets := p.view.Targets(now, 4, 2)
-	messages := p.extensionMessages(now)
+	messages := p.extensionMessages(now, false)
 	p.mu.Unlock()
 	for _, to := range targets {
 		for _, message := range messages {
@@ -300,7 +300,10 @@
 func (p *testGossip) receive(from netip.AddrPort, message []byte) {
 	p.mu.Lock()
 	update, err := p.view.Merge(time.Now(), from, message)
-	reply := p.view.Message(time.Now())
+	var replies [][]byte
+	if update.NeedsReply {
+		replies = append(p.extensionMessages(time.Now(), true), p.view.Message(time.Now()))
+	}
 	p.mu.Unlock()
 	if err != nil {
 		panic(err)
@@ -315,7 +318,7 @@
 			}
 		}
 	}
-	if update.NeedsReply {
+	for _, reply := range replies {
 		p.send(from, reply)
 	}
 	if len(update.Loads) > 0 && p.onLoads != nil {
--- a/plugins/gateway/quarantine.go
+++ b/plugins/gateway/quarantine.go
@@ -183,8 +183,8 @@
 func (d *crashDetector) Type() byte { return gossip.ExtensionCrashes }
 
 // Encode implements core.GossipExtension.
-func (d *crashDetector) Encode(now time.Time, limit int) []byte {
-	if !d.pace.isDue(now, d.tracker.ChangedAt()) {
+func (d *crashDetector) Encode(now time.Time, limit int, starting bool) []byte {
+	if !d.pace.isDue(now, d.tracker.ChangedAt(), starting) {
 		return nil
 	}
 	return d.tracker.Encode(now, limit)
--- a/plugins/gateway/ratelimit.go
+++ b/plugins/gateway/ratelimit.go
@@ -76,8 +76,8 @@
 
 // Encode implements core.GossipExtension. If not all limits fit, a random selection is
 // sent.
-func (l *rateLimits) Encode(now time.Time, limit int) []byte {
-	if !l.pace.isDue(now, time.Unix(0, l.changedAt.Load())) {
+func (l *rateLimits) Encode(now time.Time, limit int, starting bool) []byte {
+	if !l.pace.isDue(now, time.Unix(0, l.changedAt.Load()), starting) {
 		return nil
 	}
 	var b []byte
--- a/plugins/gateway/ratelimit_test.go
+++ b/plugins/gateway/ratelimit_test.go
@@ -215,7 +215,7 @@
 		h.fleet.RecordRateLimit(h.fleet.Worker("engine-1"), 0, now)
 		h.fleet.RecordRateLimit(h.fleet.Worker("engine-2"), 7, now)
 		h.fleet.RecordRateLimit(h.fleet.Worker("engine-2"), routing.NoRateLimit, now)
-		b := h.limits.Encode(now, 1000)
+		b := h.limits.Encode(now, 1000, false)
 		list, err := decodeRateLimits(now, b)
 		So(err, ShouldBeNil)
 		So(list, ShouldHaveLength, 3)
@@ -231,7 +231,7 @@
 		}
 		So(whole, ShouldEqual, 3) // nothing, one and two entries
 		later := now.Add(sharePeriod)
-		So(len(h.limits.Encode(later, 60)), ShouldBeBetween, 0, 61)
+		So(len(h.limits.Encode(later, 60, false)), ShouldBeBetween, 0, 61)
 	})
 	inBubble(t, "An answer of another process, or a limit that cannot be read, changes no limit", engines(1), func(h *harness) {
 		limit := 3.0
--- a/plugins/gossip/exchange.go
+++ b/plugins/gossip/exchange.go
@@ -16,10 +16,11 @@
 	"github.com/auburnlead/auburnlead/routing"
 )
 
-// run sends a round of messages after each period, which varies by up to a
-// quarter of Settings.Period, until ctx ends.
+// run sends a round of messages at once and after each period, which varies by up to
+// a quarter of Settings.Period, until ctx ends.
 func (g *Gossip) run(ctx context.Context) {
 	for {
+		g.round(sameDomainTargets, otherDomainTargets)
 		period := g.settings.Period
 		timer := time.NewTimer(period*3/4 + rand.N(period/2))
 		select {
@@ -28,7 +29,6 @@
 			return
 		case <-timer.C:
 		}
-		g.round(sameDomainTargets, otherDomainTargets)
 	}
 }
 
@@ -45,7 +45,7 @@
 			targets = append(targets, seed)
 		}
 	}
-	messages := append(g.extensionMessages(now), g.view.Message(now))
+	messages := append(g.extensionMessages(now, false), g.view.Message(now))
 	routers := g.view.RouterCount(now)
 	g.updateRole(now, routers)
 	g.mu.Unlock()
@@ -112,7 +112,7 @@
 // sends a round of messages if a table has changed, and passes new loads to the
 // subscriber.
 func (g *Gossip) merge(from netip.AddrPort, message []byte) {
-	update, reply, err := g.mergeIntoView(from, message)
+	update, replies, err := g.mergeIntoView(from, message)
 	g.received.Inc(1)
 	if err != nil {
 		g.refused.Inc(1)
@@ -126,7 +126,7 @@
 	if err != nil {
 		return
 	}
-	if reply != nil {
+	for _, reply := range replies {
 		g.send(reply, from)
 	}
 	if update.TablesChanged {
@@ -140,9 +140,9 @@
 	}
 }
 
-// mergeIntoView merges a message into the view. The reply is nil if the sender was
-// known.
-func (g *Gossip) mergeIntoView(from netip.AddrPort, message []byte) (update lib.Update, reply []byte, err error) {
+// mergeIntoView merges a message into the view. There are replies only to a sender that
+// was not known or has just started.
+func (g *Gossip) mergeIntoView(from netip.AddrPort, message []byte) (update lib.Update, replies [][]byte, err error) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -153,9 +153,9 @@
 	}
 	if update.NeedsReply {
 		g.updateTables()
-		reply = g.view.Message(now)
+		replies = append(g.extensionMessages(now, true), g.view.Message(now))
 	}
-	return update, reply, err
+	return update, replies, err
 }
 
 func (g *Gossip) loadSubscriber() func([]routing.Load) {
--- a/plugins/gossip/extensions.go
+++ b/plugins/gossip/extensions.go
@@ -21,7 +21,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	targets := g.view.Targets(now, urgentFactor*sameDomainTargets, urgentFactor*otherDomainTargets)
-	messages := g.extensionMessages(now)
+	messages := g.extensionMessages(now, false)
 	g.mu.Unlock()
 	for _, message := range messages {
 		g.send(message, targets...)
@@ -30,10 +30,10 @@
 
 // extensionMessages returns the messages of the components that have something to
 // send. The caller holds mu.
-func (g *Gossip) extensionMessages(now time.Time) [][]byte {
+func (g *Gossip) extensionMessages(now time.Time, starting bool) [][]byte {
 	var messages [][]byte
 	for _, e := range g.extensions {
-		if payload := e.Encode(now, g.view.ExtensionLimit()); payload != nil {
+		if payload := e.Encode(now, g.view.ExtensionLimit(), starting); payload != nil {
 			messages = append(messages, g.view.ExtensionMessage(now, lib.Extension{Type: e.Type(), Payload: payload}))
 		}
 	}
--- a/plugins/gossip/fakes_test.go
+++ b/plugins/gossip/fakes_test.go
@@ -25,8 +25,8 @@
 	payloads []string
 }
 
-func (*fakeExtension) Type() byte                     { return lib.ExtensionCrashes }
-func (e *fakeExtension) Encode(time.Time, int) []byte { return e.next }
+func (*fakeExtension) Type() byte                           { return lib.ExtensionCrashes }
+func (e *fakeExtension) Encode(time.Time, int, bool) []byte { return e.next }
 func (e *fakeExtension) Merge(_ time.Time, payload []byte) error {
 	e.payloads = append(e.payloads, string(payload))
 	return e.err
