--- /dev/null
+++ b/review/kit/rawworker.go
@@ -0,0 +1,105 @@
+package kit
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// RawWorker is a worker of a plain service that writes its answers byte by byte as the
+// examples of the wire show them: one that sheds answers 503 with Auburnlead-Not-Executed
+// and no request ID. While Garble is above 0, this share of its refusals is followed by a
+// second copy. The copy arrives late, at the point where the next response is expected.
+type RawWorker struct {
+	ID, Service, Zone, Address string
+	Slots                      int
+	Work                       time.Duration
+	Journal                    *Journal
+	Record                     *Record
+
+	garble  atomic.Int64 // in 1/1000
+	Doubled atomic.Int64 // second copies sent
+	running chan struct{}
+	born    int64
+}
+
+// SetGarble sets the share of refusals that are sent twice.
+func (w *RawWorker) SetGarble(share float64) { w.garble.Store(int64(share * 1000)) }
+
+// StartRawWorker starts a worker.
+func StartRawWorker(ip, id, service, zone string, slots int, work time.Duration, j *Journal, r *Record) *RawWorker {
+	l, err := net.Listen("tcp4", ip+":0")
+	if err != nil {
+		Unable("worker: %v", err)
+	}
+	w := &RawWorker{ID: id, Service: service, Zone: zone, Address: l.Addr().String(), Slots: slots, Work: work, Journal: j, Record: r, running: make(chan struct{}, slots), born: time.Now().UnixMilli()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go w.serve(c)
+		}
+	}()
+	return w
+}
+
+// Entry is what the worker writes about itself to the store.
+func (w *RawWorker) Entry(state string) map[string]any {
+	return map[string]any{"service": w.Service, "address": w.Address, "zone": w.Zone, "version": "v1", "slots": w.Slots, "state": state, "coldLeftMs": 0, "callSeq": 0, "born": w.born}
+}
+
+const shed = "HTTP/1.1 503 Service Unavailable\r\nAuburnlead-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+func (w *RawWorker) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	extra := false // a second copy of the last answer is due
+	for {
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		id := r.Header.Get("Auburnlead-Request-Id")
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if extra {
+			extra = false
+			w.Doubled.Add(1)
+			w.Record.Line("worker %s: second copy of its last refusal, on the channel on which request %s has just come", w.ID, id)
+			if _, err := io.WriteString(c, shed); err != nil {
+				return
+			}
+		}
+		if want := r.Header.Get("Auburnlead-Expect-Instance"); want != "" && want != w.ID {
+			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nAuburnlead-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", w.ID)
+			continue
+		}
+		select {
+		case w.running <- struct{}{}:
+		default:
+			w.Journal.Add(Arrival{ID: id, Worker: w.ID, At: time.Now()})
+			extra = rand.Int64N(1000) < w.garble.Load()
+			if _, err := io.WriteString(c, shed); err != nil {
+				return
+			}
+			continue
+		}
+		w.Journal.Add(Arrival{ID: id, Worker: w.ID, At: time.Now(), Ran: true})
+		time.Sleep(w.Work)
+		<-w.running
+		answer := fmt.Appendf(nil, "%s ran %s with %d bytes\n", w.ID, id, len(body))
+		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAuburnlead-Request-Id: %s\r\nAuburnlead-Response-Seal: %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", id, Seal(answer), len(answer), answer); err != nil {
+			return
+		}
+	}
+}
