--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,5 +3,5 @@
 # deploy/system.toml and review/build.sh come first.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/auburnlead ] && [ -x review/bin/route ] || { echo "could not run: build first"; exit 2; }
-exec ./review/bin/route review/3/record.txt
+[ -x target/auburnlead ] && [ -x review/bin/smuggle ] || { echo "could not run: build first"; exit 2; }
+exec ./review/bin/smuggle review/3/record.txt
--- a/review/kit/gateway.go
+++ b/review/kit/gateway.go
@@ -40,8 +40,10 @@
 
 var (
 	allMu sync.Mutex
-	all   []*Machine
-	dir   string
+	all   []child
+	// stopped is set once StopAll has begun; nothing starts after that.
+	stopped bool
+	dir     string
 )
 
 // TempDir returns the temporary folder of the script.
@@ -164,24 +166,35 @@
 
 // Start starts the machine's process.
 func (m *Machine) Start() {
+	if err := m.start(); err != nil {
+		Unable("%s: %v (the build of the deploy file comes first)", m.Name, err)
+	}
+}
+
+func (m *Machine) start() error {
 	words := RunWords()
+	allMu.Lock()
+	defer allMu.Unlock()
+	if stopped {
+		return nil
+	}
 	cmd := exec.Command(filepath.Join(Root, words[0]), words[1:]...)
 	cmd.Env = append(os.Environ(), "AUBURNLEAD_SETTINGS="+m.settings)
 	out, err := os.OpenFile(m.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		Unable("%v", err)
+		return err
 	}
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
-		Unable("%s: %v (the build of the deploy file comes first)", m.Name, err)
+		return err
 	}
 	m.mu.Lock()
 	m.cmd = cmd
 	m.mu.Unlock()
-	go func() { _ = cmd.Wait(); _ = out.Close() }()
-	allMu.Lock()
-	all = append(all, m)
-	allMu.Unlock()
+	ended := make(chan struct{})
+	go func() { _ = cmd.Wait(); _ = out.Close(); close(ended) }()
+	all = append(all, child{cmd, ended})
+	return nil
 }
 
 // Signal sends a signal to the machine's process.
@@ -240,12 +253,23 @@
 	return string(b)
 }
 
-// StopAll kills all processes that the script has started and removes its folder.
+// child is a process that the script has started; ended is closed after its end.
+type child struct {
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+// StopAll kills all processes that the script has started, waits for their end and removes
+// its folder.
 func StopAll() {
 	allMu.Lock()
 	defer allMu.Unlock()
-	for _, m := range all {
-		m.Kill()
+	stopped = true
+	for _, c := range all {
+		_ = c.cmd.Process.Kill()
+	}
+	for _, c := range all {
+		<-c.ended
 	}
 	if dir != "" && os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(dir)
--- a/review/kit/record.go
+++ b/review/kit/record.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -16,8 +18,22 @@
 	start time.Time
 }
 
-// NewRecord creates the file.
+// longest is the time after which a script gives up, within the 120 s that it may run.
+const longest = 110 * time.Second
+
+// NewRecord creates the file. It also sees to it that the script ends its processes when it
+// is stopped from outside or takes too long.
 func NewRecord(path string) *Record {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		select {
+		case s := <-stop:
+			Unable("stopped by signal: %v", s)
+		case <-time.After(longest):
+			Unable("not done after %v", longest)
+		}
+	}()
 	f, err := os.Create(path)
 	if err != nil {
 		Unable("record: %v", err)
