Refuse requests whose body has two ends

Cause: net/http accepts a request with Content-Length and Transfer-Encoding, takes the chunks, drops the length without a trace and keeps the connection; the bytes after the last chunk count as the next request. The gateway had no check of its own.

Ruled out: a check in the handler (the length is gone from the header by then); closing the connection after each request in chunks, which would keep the rule but cost sound callers a connection for each request.

Package framing scans what is read from a caller's connection and keeps, for each request, which fields say where its body ends. A request with both, an HTTP/1.0 request with a Transfer-Encoding, and one whose length continues on a further line get 400, and the connection is closed.

TestRequestInsideRequest failed before: ran ["outer" "hidden"] in place of nothing.

--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/internal/framing"
 	"github.com/auburnlead/auburnlead/objects"
 	"github.com/auburnlead/auburnlead/routing"
 )
@@ -168,8 +169,17 @@
 // prepare finds the route and the caller and reads the body. If the request
 // cannot be served, it writes the response and returns false.
 func (g *Gateway) prepare(x *exchange) bool {
+	ambiguous := framing.Check(x.r)
+	if ambiguous != nil {
+		x.w.Header().Set("Connection", "close")
+	}
 	var err error
-	if x.header, err = g.wire.DecodeRequest(x.r.Header); err != nil {
+	x.header, err = g.wire.DecodeRequest(x.r.Header)
+	if ambiguous != nil {
+		g.deny(x, http.StatusBadRequest, "ambiguous framing", ambiguous)
+		return false
+	}
+	if err != nil {
 		g.deny(x, http.StatusBadRequest, "malformed header", err)
 		return false
 	}
--- a/plugins/gateway/server.go
+++ b/plugins/gateway/server.go
@@ -13,6 +13,7 @@
 	"github.com/gorilla/mux"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/auburnlead/auburnlead/internal/framing"
 	"github.com/auburnlead/auburnlead/internal/metrics"
 )
 
@@ -42,15 +43,15 @@
 }
 
 func (s *server) start(ctx context.Context) error {
-	if err := s.listen(ctx, "readiness", s.g.settings.Readiness, s.newAuxServer(s.g.settings.ReadinessPath, s.readyz)); err != nil {
+	if err := s.listen(ctx, "readiness", s.g.settings.Readiness, s.newAuxServer(s.g.settings.ReadinessPath, s.readyz).Serve); err != nil {
 		return err
 	}
 	if s.g.settings.Metrics != "" {
-		if err := s.listen(ctx, "metrics", s.g.settings.Metrics, s.newAuxServer("/metrics", s.metrics)); err != nil {
+		if err := s.listen(ctx, "metrics", s.g.settings.Metrics, s.newAuxServer("/metrics", s.metrics).Serve); err != nil {
 			return err
 		}
 	}
-	if err := s.listen(ctx, componentName, s.g.settings.Listen, s.callers); err != nil {
+	if err := s.listen(ctx, componentName, s.g.settings.Listen, s.serveCallers); err != nil {
 		return err
 	}
 	s.g.readiness.SetReady(componentName, true, "")
@@ -58,7 +59,7 @@
 }
 
 // listen opens a listener and serves it in the background.
-func (s *server) listen(ctx context.Context, name, address string, h *http.Server) error {
+func (s *server) listen(ctx context.Context, name, address string, serve func(net.Listener) error) error {
 	var config net.ListenConfig
 	l, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
@@ -67,7 +68,7 @@
 	s.g.addresses.Set(name, l.Addr().String())
 	s.g.decisions.logChange("listening", "for", name, "address", l.Addr().String())
 	go func() {
-		if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := serve(l); !errors.Is(err, http.ErrServerClosed) {
 			s.g.decisions.logWarning("listener failed", "for", name, "error", err)
 			s.g.readiness.SetReady(name, false, "listener failed")
 		}
@@ -75,6 +76,9 @@
 	return nil
 }
 
+// serveCallers serves a listener until the server is closed.
+func (s *server) serveCallers(l net.Listener) error { return framing.Serve(s.callers, l) }
+
 // newAuxServer returns a server with one handler that stop closes last.
 func (s *server) newAuxServer(path string, handler http.HandlerFunc) *http.Server {
 	r := mux.NewRouter()
