Refuse requests whose body has two ends in the role router as well

The same cause on related paths: the caller API and the admin API of the role router read requests with net/http alone. The requests inside the bodies were served with the key that they named.

Both call framing.Check once for each request. The readiness, metrics and gossip listeners serve GET without a body, and nobody in front of them divides a connection among clients; they are unchanged.

caller.TestRequestInsideRequest failed before with another problem and an open connection, admin.TestRequestInsideRequest with a 200 and a second answer.

--- a/plugins/admin/admin_test.go
+++ b/plugins/admin/admin_test.go
@@ -12,8 +12,11 @@
 	"github.com/charmbracelet/log"
 	. "github.com/smartystreets/goconvey/convey"
 	"github.com/uber-go/tally/v4"
+	"go.uber.org/fx/fxtest"
+	"google.golang.org/grpc/test/bufconn"
 
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/internal/framing"
 	"github.com/auburnlead/auburnlead/objects"
 	"github.com/auburnlead/auburnlead/store/storetest"
 )
@@ -28,7 +31,7 @@
 
 func newTestAPI() (*API, http.Handler) {
 	api := NewAPI(Params{
-		Settings: &Settings{RequestTimeout: time.Minute}, Log: log.New(io.Discard), Config: noConfig{}, Objects: noConfig{}, Scope: NewScope(),
+		Settings: &Settings{RequestTimeout: time.Minute, Key: "operators"}, Log: log.New(io.Discard), Config: noConfig{}, Objects: noConfig{}, Scope: NewScope(),
 		Client:    storetest.New(storetest.Options{Now: time.Now}),
 		Readiness: core.NewReadiness(), Addresses: core.NewAddresses(),
 	})
@@ -45,6 +48,28 @@
 	return w
 }
 
+// Guards against a request that is hidden in the body of another one, whose fields
+// name two ends of the body: the hidden request was served.
+func TestRequestInsideRequest(t *testing.T) {
+	Convey("A request with a length and in chunks is refused and its connection closed", t, func() {
+		l := bufconn.Listen(4096)
+		api, _ := newTestAPI()
+		server := NewServer(api.params.Settings, core.NewAddresses(), log.New(io.Discard), api, fxtest.NewLifecycle(t))
+		defer server.http.Close()
+		go func() { _ = framing.Serve(server.http, l) }() // ends with Close
+		conn, err := l.Dial()
+		So(err, ShouldBeNil)
+		defer conn.Close()
+		_, err = io.WriteString(conn, "GET /healthz HTTP/1.1\r\nHost: a\r\nContent-Length: 45\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /admin/v1/status HTTP/1.1\r\nHost: a\r\n\r\n")
+		So(err, ShouldBeNil)
+		So(conn.SetReadDeadline(time.Now().Add(10*time.Second)), ShouldBeNil)
+		text, err := io.ReadAll(conn)
+		So(err, ShouldBeNil)
+		So(string(text), ShouldStartWith, "HTTP/1.1 400 ")
+		So(strings.Count(string(text), "HTTP/1.1 "), ShouldEqual, 1)
+	})
+}
+
 // Guards against admin paths that can be used without the operators' key, and
 // against bodies of unlimited size.
 func TestRequests(t *testing.T) {
--- a/plugins/admin/server.go
+++ b/plugins/admin/server.go
@@ -17,6 +17,7 @@
 	"go.uber.org/fx"
 
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/internal/framing"
 )
 
 // Limits of the admin API.
@@ -40,7 +41,7 @@
 func NewServer(s *Settings, a *core.Addresses, l *log.Logger, api *API, lc fx.Lifecycle) *Server {
 	server := &Server{settings: s, addresses: a, log: l.WithPrefix("admin")}
 	server.http = &http.Server{
-		Handler:           api.routes(s.Key),
+		Handler:           rejectAmbiguous(api.routes(s.Key)),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       s.RequestTimeout,
 		WriteTimeout:      2 * s.RequestTimeout,
@@ -59,7 +60,7 @@
 	s.addresses.Set(componentName, l.Addr().String())
 	s.log.Info("listening", "address", l.Addr().String())
 	go func() {
-		if err := s.http.Serve(newLimitedListener(l, s.settings.MaxConnections)); !errors.Is(err, http.ErrServerClosed) {
+		if err := framing.Serve(s.http, newLimitedListener(l, s.settings.MaxConnections)); !errors.Is(err, http.ErrServerClosed) {
 			s.log.Error("listener failed", "err", err)
 		}
 	}()
@@ -75,6 +76,19 @@
 	return nil
 }
 
+// rejectAmbiguous responds with 400 to requests whose end is ambiguous and closes
+// their connection.
+func rejectAmbiguous(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := framing.Check(r); err != nil {
+			w.Header().Set("Connection", "close")
+			writeError(w, core.NewProblem(core.KindInvalidRequest, "%v", err))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // requireKey returns middleware that responds with 401 to requests without the
 // operators' key. It compares digests, which have equal lengths, so that the
 // duration of the comparison reveals nothing about the key.
--- a/plugins/caller/routes.go
+++ b/plugins/caller/routes.go
@@ -16,6 +16,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/internal/framing"
 	"github.com/auburnlead/auburnlead/objects"
 )
 
@@ -85,9 +86,13 @@
 	}
 }
 
-// admit runs the handler unless the server is shutting down, has no configuration
-// or cannot authenticate the caller.
+// admit runs the handler unless the end of the request is ambiguous, the server is
+// shutting down, has no configuration or cannot authenticate the caller.
 func (s *Server) admit(r *apiRequest, h handler) *core.Problem {
+	if err := framing.Check(r.Request); err != nil {
+		r.w.Header().Set("Connection", "close")
+		return core.NewProblem(core.KindInvalidRequest, "%v", err)
+	}
 	if !s.requests.start() {
 		r.w.Header().Set("Connection", "close")
 		return core.NewProblem(core.KindShuttingDown, "the router accepts no new requests")
--- a/plugins/caller/server_test.go
+++ b/plugins/caller/server_test.go
@@ -158,6 +158,23 @@
 
 const chatBody = `{"model":"m","messages":[{"role":"user","content":"hi"}]}`
 
+// Guards against a request that is hidden in the body of another one, whose fields
+// name two ends of the body: the hidden request was served.
+func TestRequestInsideRequest(t *testing.T) {
+	inBubble(t, "A request with a length and in chunks is refused and its connection closed", func(h *harness) {
+		hidden := "0\r\n\r\n" + requestText("GET", "/v1/models", "")
+		outer := strings.Replace(requestText("POST", "/v1/chat/completions", hidden), "\r\n\r\n", "\r\nTransfer-Encoding: chunked\r\n\r\n", 1)
+		conn := h.dial()
+		defer conn.Close()
+		status, _, text := exchange(conn, outer)
+		So(status, ShouldEqual, http.StatusBadRequest)
+		So(text, ShouldContainSubstring, "both a Content-Length and a Transfer-Encoding")
+		So(conn.SetReadDeadline(time.Now().Add(time.Second)), ShouldBeNil)
+		_, err := conn.Read(make([]byte, 1))
+		So(err, ShouldEqual, io.EOF)
+	})
+}
+
 // Guards against requests that reach an upstream without authorization or in a
 // form that the engine reads differently from the router.
 func TestRefusals(t *testing.T) {
--- a/plugins/caller/setup.go
+++ b/plugins/caller/setup.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx"
 
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/internal/framing"
 	"github.com/auburnlead/auburnlead/kernel"
 )
 
@@ -134,7 +135,7 @@
 }
 
 func (s *Server) serve(l net.Listener) {
-	if err := s.http.Serve(l); err != http.ErrServerClosed {
+	if err := framing.Serve(s.http, l); err != http.ErrServerClosed {
 		s.log.Error("listener failed", "error", err)
 		s.readiness.SetReady(componentName, false, "listener failed")
 	}
