Learn from a restarted peer which rows were removed

Its peers asked it for the changes since their version, got the rows that had changed, reached its version and were current by it. Evidence: the new test does the same with two copies; the peer keeps the row.

A set of rows has a digest of the keys and versions of all rows.

Peers of the release before send no digest and are read as before.

TestCopy compares the digest as well now.

--- a/plugins/gossip/tables.go
+++ b/plugins/gossip/tables.go
@@ -83,6 +83,7 @@
 type rowSetKey struct {
 	table, query string
 	version      int64
+	digest       uint64
 }
 
 // maxEncodedRowSets limits the number of cached row sets. A full cache is
@@ -91,7 +92,7 @@
 
 // encode returns a row set as gzip-compressed JSON, from the cache if possible.
 func (e *encodedRowSets) encode(table, query string, rows replica.RowSet) ([]byte, error) {
-	key := rowSetKey{table, query, rows.Version}
+	key := rowSetKey{table, query, rows.Version, rows.Digest}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if body, ok := e.byKey[key]; ok {
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -193,24 +193,36 @@
 	defer cancel()
 	set, err := status.Peer.Changes(callCtx, f.Table, f.Copy.Version(), 0)
 	var gone *HistoryGoneError
-	if errors.As(err, &gone) {
-		set, err = status.Peer.Read(callCtx, f.Table)
-		if err == nil {
-			f.applyChanges(f.Copy.replaceAll(set), set.Version)
-			return true
-		}
+	switch {
+	case errors.As(err, &gone):
+		return f.readPeerSnapshot(callCtx, status.Peer)
+	case err != nil:
+		f.Events.Warning("cannot read changes from a peer", err)
+		return false
+	}
+	complete := f.Copy.applyChanges(set)
+	f.reportChanges(set.Rows, set.Version)
+	if !complete {
+		f.Events.Warning("peer lacks a change of before its start, reading its snapshot", nil)
+		return f.readPeerSnapshot(callCtx, status.Peer)
 	}
+	return true
+}
+
+// readPeerSnapshot replaces the rows of the copy by those of a peer and reports
+// whether this succeeded.
+func (f *Follower) readPeerSnapshot(ctx context.Context, peer Source) bool {
+	set, err := peer.Read(ctx, f.Table)
 	if err != nil {
-		f.Events.Warning("cannot read changes from a peer", err)
+		f.Events.Warning("cannot read a snapshot from a peer", err)
 		return false
 	}
-	f.applyChanges(set.Rows, set.Version)
+	f.reportChanges(f.Copy.replaceAll(set), set.Version)
 	return true
 }
 
-// applyChanges applies changed rows to the copy and announces them.
-func (f *Follower) applyChanges(rows []Row, version int64) {
-	f.Copy.apply(rows)
+// reportChanges reports rows that were applied to the copy and announces them.
+func (f *Follower) reportChanges(rows []Row, version int64) {
 	if len(rows) > 0 {
 		f.Events.Changed(rows, version)
 		f.Peers.AnnounceChange()
@@ -245,7 +257,8 @@
 	}
 	f.storeVersion = set.Version
 	if len(set.Rows) > 0 {
-		f.applyChanges(set.Rows, set.Version)
+		f.Copy.apply(set.Rows)
+		f.reportChanges(set.Rows, set.Version)
 		sleep(ctx, batchDelay)
 	}
 	return nil
--- a/replica/follower_test.go
+++ b/replica/follower_test.go
@@ -366,7 +366,7 @@
 		c.replaceAll(RowSet{Rows: []Row{{Key: "b", Version: 3}}, Version: 7})
 		set, err := c.ChangesSince(3)
 		So(err, ShouldBeNil)
-		So(set, ShouldResemble, RowSet{Rows: []Row{{Key: "a", Version: 7, Removed: true}}, Version: 7})
+		So(set, ShouldResemble, RowSet{Rows: []Row{{Key: "a", Version: 7, Removed: true}}, Version: 7, Digest: emptyDigest ^ Row{Key: "b", Version: 3}.digest()})
 	})
 	Convey("An older version of a row is not applied, and a peer that is further behind than the dropped tombstones gets an error", t, func() {
 		c := NewCopy()
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -21,10 +21,13 @@
 import (
 	"cmp"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Row is a row of a table. All versions come from a single counter of the
@@ -37,10 +40,23 @@
 }
 
 // RowSet holds rows of a table, either all of them or those that changed after
-// a version. All changes of the table up to Version are included.
+// a version. All changes of the table up to Version are included, unless the
+// source was itself filled after the version that was asked for: it does not know
+// the rows that were removed before that.
 type RowSet struct {
 	Rows    []Row `json:"rows"`
 	Version int64 `json:"version"`
+	// Digest covers the keys and versions of all rows of the table at Version. It
+	// shows whether a copy lacks a change. It is 0 if it is not known.
+	Digest uint64 `json:"digest,omitempty"`
+}
+
+// emptyDigest is the Digest of a table without rows.
+const emptyDigest = 1
+
+// digest returns the part of a row in RowSet.Digest, which combines them by XOR.
+func (r Row) digest() uint64 {
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(r.Key), uint64(r.Version)))
 }
 
 // HistoryGoneError reports that the requested changes are no longer available.
@@ -117,16 +133,17 @@
 type Copy struct {
 	mu             sync.Mutex // lock level 90, see internal/core/lockorder.go
 	rows           map[string]Row
-	tombstones     []Row // removed rows, oldest first
-	droppedVersion int64 // version of the newest tombstone that was dropped
-	version        int64 // version of the newest row
+	tombstones     []Row  // removed rows, oldest first
+	droppedVersion int64  // version of the newest tombstone that was dropped
+	version        int64  // all changes up to it are included
+	digest         uint64 // see RowSet.Digest
 	lastContact    time.Time
 }
 
 // NewCopy returns an empty copy.
-func NewCopy() *Copy { return &Copy{rows: map[string]Row{}} }
+func NewCopy() *Copy { return &Copy{rows: map[string]Row{}, digest: emptyDigest} }
 
-// Version returns the version of the newest row.
+// Version returns the version up to which the copy holds all changes.
 func (c *Copy) Version() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -152,11 +169,16 @@
 	defer c.mu.Unlock()
 	for _, r := range rows {
 		c.version = max(c.version, r.Version)
-		if r.Version < c.rows[r.Key].Version {
+		old, listed := c.rows[r.Key]
+		if r.Version < old.Version {
 			continue // the source has an older version of the row
 		}
+		if listed {
+			c.digest ^= old.digest()
+		}
 		if !r.Removed {
 			c.rows[r.Key] = r
+			c.digest ^= r.digest()
 			continue
 		}
 		delete(c.rows, r.Key)
@@ -168,6 +190,22 @@
 	}
 }
 
+// applyChanges merges the changes that a peer sent into the copy. It returns false
+// if the copy then differs from the peer's.
+func (c *Copy) applyChanges(set RowSet) bool {
+	c.apply(set.Rows)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if set.Digest == 0 || set.Version < c.version {
+		return true // a peer of an older release, or a peer that is behind
+	}
+	if set.Digest != c.digest {
+		return false
+	}
+	c.version = set.Version
+	return true
+}
+
 // replaceAll applies a snapshot and returns its rows together with a tombstone,
 // at the snapshot's version, for each row of the copy that the snapshot lacks.
 func (c *Copy) replaceAll(snapshot RowSet) []Row {
@@ -184,6 +222,11 @@
 	}
 	c.mu.Unlock()
 	c.apply(rows)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// Rows may have been removed after the newest one changed. Peers that still
+	// have them read the changes only from a copy with a newer version.
+	c.version = max(c.version, snapshot.Version)
 	return rows
 }
 
@@ -191,7 +234,7 @@
 func (c *Copy) Snapshot() RowSet {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	set := RowSet{Version: c.version}
+	set := RowSet{Version: c.version, Digest: c.digest}
 	for _, r := range c.rows {
 		set.Rows = append(set.Rows, r)
 	}
@@ -199,15 +242,15 @@
 	return set
 }
 
-// ChangesSince returns the rows that changed after a version. Errors:
-// *HistoryGoneError.
+// ChangesSince returns the rows that changed after a version, without those that
+// were removed before the copy was filled. Errors: *HistoryGoneError.
 func (c *Copy) ChangesSince(version int64) (RowSet, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if version < c.droppedVersion && version < c.version {
 		return RowSet{}, &HistoryGoneError{version}
 	}
-	set := RowSet{Version: max(c.version, version)}
+	set := RowSet{Version: c.version, Digest: c.digest}
 	for _, r := range c.rows {
 		if r.Version > version {
 			set.Rows = append(set.Rows, r)
--- /dev/null
+++ b/replica/restart_test.go
@@ -0,0 +1,110 @@
+package replica
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// countingPeer is a peer that counts what is read from it.
+type countingPeer struct {
+	peerCopy
+	snapshots int
+	reads     int // of changes
+}
+
+func (p *countingPeer) Changes(ctx context.Context, table string, since int64, wait time.Duration) (RowSet, error) {
+	if p.reads++; p.reads > 1000 {
+		<-ctx.Done() // ends a loop without a pause, in which virtual time stands still
+	}
+	return p.peerCopy.Changes(ctx, table, since, wait)
+}
+
+func (p *countingPeer) Read(ctx context.Context, table string) (RowSet, error) {
+	p.snapshots++
+	return p.peerCopy.Read(ctx, table)
+}
+
+// Guards against a row that is kept for good after it was removed while the router
+// that reads the store for the others was down: its copy is filled anew and does
+// not know that the row ever existed.
+func TestRemovedWhileReaderWasDown(t *testing.T) {
+	before := []Row{{Key: "a", Value: []byte("1"), Version: 2}, {Key: "b", Value: []byte("2"), Version: 3}}
+	for _, test := range []struct {
+		desc      string
+		snapshot  RowSet
+		expected  map[string]string
+		snapshots int
+	}{
+		{"another row was added after that", RowSet{Rows: []Row{before[1], {Key: "c", Value: []byte("3"), Version: 5}}, Version: 6}, map[string]string{"b": "2", "c": "3"}, 1},
+		{"no row changed after that", RowSet{Rows: before[1:], Version: 6}, map[string]string{"b": "2"}, 1},
+		{"it was the last row", RowSet{Version: 6}, map[string]string{}, 1},
+		{"nothing was removed", RowSet{Rows: before, Version: 6}, map[string]string{"a": "1", "b": "2"}, 0},
+		{"a row was added and nothing removed", RowSet{Rows: append(before[:2:2], Row{Key: "c", Value: []byte("3"), Version: 5}), Version: 6}, map[string]string{"a": "1", "b": "2", "c": "3"}, 0},
+	} {
+		inBubble(t, "A router learns from a restarted reader what was removed, where "+test.desc, func(ctx context.Context) {
+			peers, old := newFakePeers(), NewCopy()
+			old.apply(before)
+			peers.setStatus(TableStatus{Version: old.Version(), Peer: peerCopy{old}})
+			f := startFollower(ctx, newFakeStore(), peers)
+			advanceTime(time.Second)
+			So(f.values, ShouldHaveLength, 2)
+
+			restarted := &countingPeer{peerCopy: peerCopy{NewCopy()}}
+			restarted.replaceAll(test.snapshot)
+			peers.setStatus(TableStatus{Version: restarted.Version(), Peer: restarted})
+			advanceTime(time.Second)
+			synctest.Wait()
+			So(f.values, ShouldResemble, test.expected)
+			So(restarted.snapshots, ShouldEqual, test.snapshots)
+			So(f.Copy.Version(), ShouldEqual, restarted.Version())
+		})
+	}
+}
+
+// Guards against copies that differ although they have the same version, in any
+// order of changes, restarts and reads among a few routers.
+func TestCopiesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store, copies := NewCopy(), []*Copy{NewCopy(), NewCopy(), NewCopy()}
+		version := int64(1)
+		pull := func(to, from *Copy) {
+			set, err := from.ChangesSince(to.Version())
+			if err != nil || !to.applyChanges(set) {
+				if set := from.Snapshot(); set.Version >= to.Version() {
+					to.replaceAll(set)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			i := rapid.IntRange(0, len(copies)-1).Draw(t, "router")
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				version++
+				store.apply([]Row{{Key: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key"), Version: version, Removed: rapid.Bool().Draw(t, "removed")}})
+			case 1:
+				copies[i] = NewCopy()
+			case 2:
+				snapshot := store.Snapshot()
+				version++ // a row of another table was written
+				snapshot.Version = version
+				copies[i].replaceAll(snapshot)
+			case 3, 4:
+				pull(copies[i], copies[rapid.IntRange(0, len(copies)-1).Draw(t, "peer")])
+			}
+		}
+		snapshot := store.Snapshot()
+		snapshot.Version = version + 1
+		copies[0].replaceAll(snapshot)
+		for _, c := range copies {
+			pull(c, copies[0])
+			if c.Snapshot().Digest != store.Snapshot().Digest || len(c.Snapshot().Rows) != len(store.Snapshot().Rows) {
+				t.Fatalf("a copy has %v, the store %v", c.Snapshot(), store.Snapshot())
+			}
+		}
+	})
+}
