--- a/replica/follower.go
+++ b/replica/follower.go
@@ -217,6 +217,10 @@
 		f.Events.Warning("cannot read a snapshot from a peer", err)
 		return false
 	}
+	if set.Version < f.Copy.Version() {
+		f.Events.Warning("peer's snapshot is older than the copy", nil)
+		return false
+	}
 	f.reportChanges(f.Copy.replaceAll(set), set.Version)
 	return true
 }
--- a/replica/restart_test.go
+++ b/replica/restart_test.go
@@ -66,6 +66,31 @@
 	}
 }
 
+// Guards against a snapshot of a peer that restarted in between: it is empty, and
+// its rows would be removed here.
+func TestSnapshotOfRestartedPeer(t *testing.T) {
+	inBubble(t, "A peer's snapshot that is older than the copy is not applied", func(ctx context.Context) {
+		peers, old := newFakePeers(), NewCopy()
+		old.apply([]Row{{Key: "a", Value: []byte("1"), Version: 2}})
+		peers.setStatus(TableStatus{Version: 2, Peer: peerCopy{old}})
+		s := newFakeStore()
+		s.refuses = true
+		f := startFollower(ctx, s, peers)
+		advanceTime(time.Second)
+		peers.setStatus(TableStatus{Version: 9, Peer: &forgetfulPeer{peerCopy{NewCopy()}}})
+		advanceTime(time.Second)
+		synctest.Wait()
+		So(f.values, ShouldResemble, map[string]string{"a": "1"})
+	})
+}
+
+// forgetfulPeer is a peer whose history is gone and whose copy is empty.
+type forgetfulPeer struct{ peerCopy }
+
+func (p *forgetfulPeer) Changes(_ context.Context, _ string, since int64, _ time.Duration) (RowSet, error) {
+	return RowSet{}, &HistoryGoneError{since}
+}
+
 // Guards against copies that differ although they have the same version, in any
 // order of changes, restarts and reads among a few routers.
 func TestCopiesConverge(t *testing.T) {
