--- a/replica/follower.go
+++ b/replica/follower.go
@@ -145,12 +145,15 @@
 	if f.isStale(status) {
 		return false
 	}
-	if status.Version > f.Copy.Version() {
+	if version := f.Copy.Version(); status.Version > version {
 		if !f.readPeer(ctx, status) {
 			return false
 		}
-		f.reportSourcesRecovered()
-		return true
+		if f.Copy.Version() > version {
+			f.reportSourcesRecovered()
+			return true
+		}
+		// The peer restarted after it announced the version, which no other has.
 	}
 	f.reportSourcesRecovered()
 	timer := time.NewTimer(statusRecheckInterval)
--- a/replica/restart_test.go
+++ b/replica/restart_test.go
@@ -84,6 +84,21 @@
 	})
 }
 
+// Guards against calls without a pause to a peer that restarted after it announced a
+// version and no longer has it.
+func TestPeerBehindItsStatus(t *testing.T) {
+	inBubble(t, "A peer that has not reached the version that it announced is asked again after a while", func(ctx context.Context) {
+		peers, peer := newFakePeers(), &countingPeer{peerCopy: peerCopy{NewCopy()}}
+		peer.apply([]Row{{Key: "a", Value: []byte("1"), Version: 2}})
+		peers.setStatus(TableStatus{Version: 9, Peer: peer})
+		f := startFollower(ctx, newFakeStore(), peers)
+		advanceTime(time.Second)
+		synctest.Wait()
+		So(f.values, ShouldResemble, map[string]string{"a": "1"})
+		So(peer.reads, ShouldBeLessThanOrEqualTo, 6)
+	})
+}
+
 // forgetfulPeer is a peer whose history is gone and whose copy is empty.
 type forgetfulPeer struct{ peerCopy }
 
