Do not take an earlier refusal for the answer to the next request

Cause: a refusal without an ID counted on any connection. Ruled out: refusals with the ID of the earlier request (never counted), a second send of a request to one worker (each is tried once).

On a connection that was used before, such a refusal leaves the outcome open: the request is repeated if its route allows that, otherwise the caller gets 502. A worker whose refusals lack the ID gets requests that must not be repeated on connections of their own, where its refusals count, so that a sound worker of this kind costs callers one 502 and not one for each refusal.

--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -60,6 +60,7 @@
 	failWrongRequest = "foreign answer" // the response belongs to another request
 	failUnsealed     = "unsealed answer"
 	failRefused      = "worker refused"
+	failUnattributed = "refusal without a request ID on a used connection"
 	failUnstated     = "refusal without a statement that it was not run"
 	failOversized    = "answer too large"
 	failTruncated    = "answer cut"
@@ -75,12 +76,12 @@
 // lastEvent of 0 keeps the Last-Event-ID of the caller's request.
 func (g *Gateway) send(x *exchange, c routing.Choice, lastEvent uint64) (*workerResponse, *failure) {
 	ctx, cancel := context.WithCancel(x.ctx)
-	connected := false
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	connected, reused := false, false
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connected, reused = true, info.Reused }}
 	req := g.newAttemptRequest(httptrace.WithClientTrace(ctx, trace), x, c, lastEvent)
 	stall := g.startStallTimer(x, c, cancel)
 	start := time.Now()
-	resp, err := g.conns.transport.RoundTrip(req)
+	resp, err := g.transportFor(x, c.Worker).RoundTrip(req)
 	if err != nil {
 		cancel()
 		f := classifySendError(err, connected)
@@ -97,7 +98,10 @@
 	if h.RequestID == x.header.ID && !isMisdirected(resp.StatusCode) {
 		g.limits.record(c.Worker, h)
 	}
-	if f := checkResponseHeader(x.header.ID, resp.StatusCode, h); f != nil {
+	if h.NotRun && h.RequestID == "" && x.header.ID != "" && g.fleet.RecordAnonymousRefusal(c.Worker) {
+		g.decisions.logChange("worker refuses without a request ID", "worker", c.Worker.ID, "upstream", c.Worker.Upstream, "request", x.header.ID, "status", resp.StatusCode, "reused_connection", reused)
+	}
+	if f := checkResponseHeader(x.header.ID, resp.StatusCode, h, reused); f != nil {
 		stall.stop()
 		cancel()
 		_ = resp.Body.Close() // the connection is not reused
@@ -124,11 +128,14 @@
 
 // checkResponseHeader returns a failure if the response cannot be forwarded: it
 // is a refusal, it belongs to another request, or it is a success without the
-// worker's seal, a digest of the body. Only a refusal may lack the request ID. A
-// status that promises callers that the request was not run is not forwarded if the
-// worker does not state that.
-func checkResponseHeader(id string, status int, h core.ResponseHeader) *failure {
+// worker's seal, a digest of the body. Only a refusal may lack the request ID, and
+// only on a new connection: on one that was used before it may be an additional
+// response to an earlier request. A status that promises callers that the request was
+// not run is not forwarded if the worker does not state that.
+func checkResponseHeader(id string, status int, h core.ResponseHeader, reused bool) *failure {
 	switch {
+	case h.RequestID == "" && id != "" && h.NotRun && reused:
+		return &failure{outcome: core.OutcomeUnknown, sent: true, reason: failUnattributed, err: fmt.Errorf("status %d", status)}
 	case h.RequestID != id && (h.RequestID != "" || !h.NotRun):
 		return &failure{outcome: core.OutcomeUnknown, sent: true, reason: failWrongRequest, err: fmt.Errorf("answer to %q", h.RequestID)}
 	case h.NotRun:
--- a/plugins/gateway/upstream.go
+++ b/plugins/gateway/upstream.go
@@ -6,12 +6,15 @@
 	"net/http"
 
 	"github.com/auburnlead/auburnlead/internal/dial"
+	"github.com/auburnlead/auburnlead/routing"
 )
 
 // workerConns opens and pools the connections to workers.
 type workerConns struct {
 	transport *http.Transport
-	dialOnce  func(ctx context.Context, network, address string) (net.Conn, error)
+	// unshared opens a connection for each request.
+	unshared *http.Transport
+	dialOnce func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // dialError means that no connection to a worker could be opened; nothing was
@@ -32,9 +35,21 @@
 		ReadBufferSize:         bufferBytes,
 		WriteBufferSize:        bufferBytes,
 	}
+	c.unshared = c.transport.Clone()
+	c.unshared.DisableKeepAlives = true
 	return c
 }
 
+// transportFor returns the transport for a request to a worker. A refusal without a
+// request ID is attributed by its connection, so workers that write such refusals get
+// requests that must not be repeated on connections of their own.
+func (g *Gateway) transportFor(x *exchange, w *routing.Worker) *http.Transport {
+	if !x.route.Retryable() && g.fleet.RefusesAnonymously(w) {
+		return g.conns.unshared
+	}
+	return g.conns.transport
+}
+
 // dial opens a connection to a worker. A lost packet delays the connection
 // setup by a second, so a timeout is retried once.
 func (c *workerConns) dial(ctx context.Context, network, address string) (net.Conn, error) {
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -259,6 +259,24 @@
 	return changed
 }
 
+// RecordAnonymousRefusal records that a worker refused a request without a request
+// ID, and reports whether this is the first time.
+func (f *Fleet) RecordAnonymousRefusal(w *Worker) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	first := !w.anonymous
+	w.anonymous = true
+	return first
+}
+
+// RefusesAnonymously reports whether a worker has refused a request without a
+// request ID.
+func (f *Fleet) RefusesAnonymously(w *Worker) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return w.anonymous
+}
+
 // Worker returns the listed worker with an ID, nil if there is none.
 func (f *Fleet) Worker(id string) *Worker {
 	f.mu.Lock()
--- a/routing/worker.go
+++ b/routing/worker.go
@@ -46,6 +46,7 @@
 	sentTimes    []time.Time // send times of this router's requests in the last loadTTL
 	leftAt       time.Time   // when it began to drain or left the list
 	unreachable  bool        // connections to it fail
+	anonymous    bool        // it has refused a request without naming it
 	rateLimit    rateLimit
 }
 
