Do not end a resumed stream whose worker crashes before the next event

Report of other operators: a stream broke off, the next worker answered with an error, and the stream ended as if it were complete. It can happen here: the next worker answers 200 without a length and its connection ends before the first event. The caller got a complete stream without its last events.

Cause: such an end counted as a crash only if the caller had no event at all, not if this attempt had none. The same holds for a stream that the caller itself resumes.

Ruled out by the test, for a stream that breaks off between or within events: failures, rejections, redirects, with and without a length and above the buffer, a success that is no stream, a stream from the begin, half a head. None reached the caller.

An end without a length cannot be told from a crash. A worker that resumes a stream and ends so counts as failed; if a second worker says the same, the stream is complete.

--- a/plugins/gateway/stream.go
+++ b/plugins/gateway/stream.go
@@ -16,6 +16,17 @@
 type streamState struct {
 	lastEventID uint64 // ID of the last event that the caller has received
 	headerSent  bool   // the response header was sent to the caller
+	emptyRests  int    // workers that resumed it and ended with their connection before the first event
+}
+
+// confirmEmptyRest records that a worker's connection ended before the first event.
+// It reports whether the stream is complete because of that: two workers that resumed
+// it agree that no event is left.
+func (s *streamState) confirmEmptyRest() bool {
+	if s.lastEventID > 0 {
+		s.emptyRests++
+	}
+	return s.emptyRests > 1
 }
 
 // serveStream forwards the events of a worker as they arrive. A resumable
@@ -100,7 +111,7 @@
 	survived := false
 	for {
 		e, err := events.Next()
-		if errors.Is(err, io.EOF) && !resp.isFramed() && s.lastEventID == 0 {
+		if errors.Is(err, io.EOF) && !resp.isFramed() && firstEventAt.IsZero() && !s.confirmEmptyRest() {
 			err = errNoEvent
 		}
 		if errors.Is(err, io.EOF) {
