End a stream at the head of another response

A worker that breaks off within an event and writes a failure on the stream gives the event's ID to the lines of the head; a reader of event streams takes them for unknown fields. The caller got an event that was none.

Cause: an event was complete at the next empty line, whatever its lines were. Bytes between events were no fault: without an ID they are out of order.

A line that begins with HTTP/ ends the stream with a StatusLineError, and the stream is resumed after the last complete event where the route allows it. The name of a field has no slash, so no sound event has such a line.

TestResumeMeetsAnError with a stream that breaks off within an event failed before (the head was in the caller's stream) and passes.

--- a/answer/rawevent.go
+++ b/answer/rawevent.go
@@ -40,6 +40,17 @@
 	maxEventBytes int
 }
 
+// StatusLineError means that a response begins within the stream of another one.
+type StatusLineError struct{ AfterBytes int }
+
+func (e *StatusLineError) Error() string {
+	return fmt.Sprintf("answer: another response begins %d bytes into an event; resume the stream after the last complete event", e.AfterBytes)
+}
+
+// statusLineStart begins a status line. No line of an event begins with it: the name
+// of a field has no slash.
+const statusLineStart = "HTTP/"
+
 // NewRawReader returns a RawReader for events of at most maxEventBytes bytes.
 func NewRawReader(r io.Reader, maxEventBytes int) *RawReader {
 	return &RawReader{r: bufio.NewReaderSize(r, rawBufferBytes), maxEventBytes: maxEventBytes}
@@ -50,9 +61,9 @@
 const rawBufferBytes = 2048
 
 // Next returns the next complete event. It returns io.EOF if the stream ends
-// between two events, a *TruncatedError if it ends within one, a *LimitError
-// for an event that is too long, and otherwise the error of the underlying
-// reader.
+// between two events, a *TruncatedError if it ends within one, a *StatusLineError if
+// another response begins in it, a *LimitError for an event that is too long, and
+// otherwise the error of the underlying reader.
 func (s *RawReader) Next() (RawEvent, error) {
 	s.buf = s.buf[:0]
 	var id uint64
@@ -61,6 +72,9 @@
 		if err != nil {
 			return RawEvent{}, s.streamError(err)
 		}
+		if bytes.HasPrefix(line, []byte(statusLineStart)) {
+			return RawEvent{}, &StatusLineError{AfterBytes: len(s.buf) - len(line)}
+		}
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id, _ = strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 64) // an ID that is not a number counts as none
 		}
--- a/plugins/gateway/resume_test.go
+++ b/plugins/gateway/resume_test.go
@@ -25,6 +25,7 @@
 		{"between two events", begin},
 		{"within an event", begin + "id: 3\nda"},
 		{"and goes on with a failure's head", begin + "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nerror\n\n"},
+		{"within an event and goes on with a failure's head", begin + "id: 3\nHTTP/1.1 500 Internal Server Error\r\n\r\nerror"},
 	} {
 		for _, next := range []struct {
 			desc, text string
