Keep to what workers say of themselves in their responses

Workers say in all their answers that they leave (Server-Leaving), and in a 503 for how long they want no requests (Retry-After).

routing.Fleet keeps both for each process, and Choose asks it for every attempt: first ones, repeats, resumed streams. A worker that leaves is passed over; if no other worker takes the request it gets it within leaving_grace (drainMs on the platform). A paused worker is passed over until the latest end that it named, at most max_pause; it is not ejected. If all are paused, requests are refused at once with the time of the earliest end, spread over a quarter of it. For two seconds after a pause a worker gets no more of a router's requests than the mean worker. Statements end with the process and survive a registration that was missing for up to 10 minutes; those of at most 4,096 unlisted workers are kept. Responses to other requests, of other workers and refusals without an ID on used connections say nothing.

--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -92,6 +92,10 @@
 	NotRun    bool        // the worker states that it did not run the request
 	Load      *WorkerLoad // nil if the worker reported none
 	RateLimit *float64    // requests per second that the worker takes from all routers, nil if it names no limit
+	Leaving   bool        // the worker says that it shuts down
+	// Pause is how long the worker wants no requests of this router, from the receipt
+	// of a response that turned a request away. 0 for no pause.
+	Pause time.Duration
 	// Unread lists the values that are treated as not set because they are
 	// malformed.
 	Unread []unreadable.Input
--- a/internal/unreadable/unreadable.go
+++ b/internal/unreadable/unreadable.go
@@ -22,6 +22,8 @@
 const (
 	LoadReport    Kind = "load report"    // header of a worker's response
 	RateLimit     Kind = "rate limit"     // header of a worker's response
+	Leaving       Kind = "leaving"        // header of a worker's response
+	Pause         Kind = "pause"          // header of a worker's response
 	PromptParts   Kind = "prompt parts"   // header of a caller's request
 	TokenCounts   Kind = "token counts"   // header of a caller's request
 	Registration  Kind = "registration"   // row that a worker writes
--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -38,6 +38,7 @@
 type failure struct {
 	outcome       core.Outcome
 	sent          bool          // the worker may have received bytes of the request
+	paused        bool          // the worker asked for a pause, which is no fault of it
 	retryReserved bool          // the retry has already been taken from the retry budget
 	reason        string        // one of the reasons below, used in logs and metrics
 	progress      time.Duration // time since the first event of the attempt, 0 for no event
@@ -98,6 +99,9 @@
 	if h.RequestID == x.header.ID && !isMisdirected(resp.StatusCode) {
 		g.limits.record(c.Worker, h)
 	}
+	if isAttributed(x.header.ID, h, reused) && !isMisdirected(resp.StatusCode) {
+		g.recordStatements(x, c.Worker, h)
+	}
 	if h.NotRun && h.RequestID == "" && x.header.ID != "" && g.fleet.RecordAnonymousRefusal(c.Worker) {
 		g.decisions.logChange("worker refuses without a request ID", "worker", c.Worker.ID, "upstream", c.Worker.Upstream, "request", x.header.ID, "status", resp.StatusCode, "reused_connection", reused)
 	}
@@ -105,6 +109,7 @@
 		stall.stop()
 		cancel()
 		_ = resp.Body.Close() // the connection is not reused
+		f.paused = f.reason == failUnstated && h.Pause > 0
 		return nil, f
 	}
 	return &workerResponse{resp, h, cancel, stall, start}, nil
@@ -128,16 +133,17 @@
 
 // checkResponseHeader returns a failure if the response cannot be forwarded: it
 // is a refusal, it belongs to another request, or it is a success without the
-// worker's seal, a digest of the body. Only a refusal may lack the request ID, and
-// only on a new connection: on one that was used before it may be an additional
-// response to an earlier request. A status that promises callers that the request was
-// not run is not forwarded if the worker does not state that.
+// worker's seal, a digest of the body. A status that promises callers that the request
+// was not run is not forwarded if the worker does not state that.
 func checkResponseHeader(id string, status int, h core.ResponseHeader, reused bool) *failure {
 	switch {
-	case h.RequestID == "" && id != "" && h.NotRun && reused:
+	case isAttributed(id, h, reused):
+	case h.RequestID == "" && h.NotRun:
 		return &failure{outcome: core.OutcomeUnknown, sent: true, reason: failUnattributed, err: fmt.Errorf("status %d", status)}
-	case h.RequestID != id && (h.RequestID != "" || !h.NotRun):
+	default:
 		return &failure{outcome: core.OutcomeUnknown, sent: true, reason: failWrongRequest, err: fmt.Errorf("answer to %q", h.RequestID)}
+	}
+	switch {
 	case h.NotRun:
 		return &failure{outcome: core.OutcomeNotRun, sent: true, reason: failRefused, err: fmt.Errorf("status %d", status)}
 	case isPromise(status):
@@ -148,6 +154,28 @@
 	return nil
 }
 
+// isAttributed reports whether a response belongs to the request that was sent on its
+// connection. Only a refusal may lack the request ID, and only on a connection that was
+// not used before: on another one it may be an additional response to an earlier
+// request.
+func isAttributed(id string, h core.ResponseHeader, reused bool) bool {
+	return h.RequestID == id || h.RequestID == "" && h.NotRun && !reused
+}
+
+// recordStatements records what a worker said of itself in a response.
+func (g *Gateway) recordStatements(x *exchange, w *routing.Worker, h core.ResponseHeader) {
+	now := time.Now()
+	if h.Leaving && g.fleet.RecordLeaving(w, now) {
+		g.decisions.logChange("worker says that it leaves", "worker", w.ID, "upstream", w.Upstream, "request", x.header.ID)
+	}
+	if h.Pause <= 0 {
+		return
+	}
+	if until, started := g.fleet.RecordPause(w, h.Pause, now); started {
+		g.decisions.logChange("worker paused", "worker", w.ID, "upstream", w.Upstream, "request", x.header.ID, "asked_ms", h.Pause.Milliseconds(), "pause_ms", until.Sub(now).Milliseconds())
+	}
+}
+
 // isMisdirected reports whether a response is of another worker than the one chosen,
 // which uses its address now.
 func isMisdirected(status int) bool { return status == http.StatusMisdirectedRequest }
@@ -255,7 +283,7 @@
 	if f.outcome != core.OutcomeNotRun {
 		x.possibleRuns++
 	}
-	if x.r.Context().Err() == nil && f.reason != failRefused {
+	if x.r.Context().Err() == nil && f.reason != failRefused && !f.paused {
 		g.reachability.handleFailure(c.Worker, f.err)
 		if f.isSuspect() {
 			g.crashes.handleLostAnswer(c.Worker, x.sharedPartIDs())
--- a/plugins/gateway/buffered.go
+++ b/plugins/gateway/buffered.go
@@ -178,6 +178,11 @@
 		g.fail(x, http.StatusBadGateway, last.reason, last)
 	case x.quarantined > 0:
 		g.refuseQuarantined(x)
+	case x.pausedWorkers > 0:
+		if last != nil {
+			x.err = last
+		}
+		g.refusePaused(x)
 	case last == nil && x.limitedWorkers > 0:
 		g.decisions.count("limit_refusals", "upstream", x.upstream)
 		g.refuseFor(x, "workers are at their limits", x.nextPermit+time.Duration(rand.Int64N(int64(retryAfterOverloaded))))
--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -38,6 +38,8 @@
 	// limits, and the time until one of them takes one of this router again.
 	limitedWorkers int
 	nextPermit     time.Duration
+	pausedWorkers  int           // workers of the upstream that want no requests for now
+	nextOpening    time.Duration // time until one of them takes requests again
 	quarantined    time.Duration // remaining quarantine of one of its prompt parts, 0 for none
 	status         int
 	outcome        string // one of the outcomes below
--- a/plugins/gateway/refuse.go
+++ b/plugins/gateway/refuse.go
@@ -48,6 +48,16 @@
 	g.refuseFor(x, "prompt part is quarantined", x.quarantined+time.Duration(rand.Int64N(int64(retryAfterStarting))))
 }
 
+// pauseSpread is the inverse part of a pause over which callers return after it.
+const pauseSpread = 4
+
+// refusePaused refuses a request because the workers that could run it want no
+// requests. The callers return after the first pause has ended, not all at once.
+func (g *Gateway) refusePaused(x *exchange) {
+	g.decisions.count("pause_refusals", "upstream", x.upstream)
+	g.refuseFor(x, "workers are paused", x.nextOpening+rand.N(x.nextOpening/pauseSpread+retryAfterOverloaded))
+}
+
 // refuseFor refuses a request and tells the caller how long to wait.
 func (g *Gateway) refuseFor(x *exchange, reason string, wait time.Duration) {
 	x.w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -86,6 +86,14 @@
 	// LoadBound is the multiple of the mean load of an upstream's workers that no
 	// worker should exceed. Default 2.
 	LoadBound float64 `ini:"load_bound" default:"2" min:"1.05" max:"100"`
+	// LeavingGrace is how long a worker that says in a response that it leaves still
+	// gets requests that no other worker takes. It has to be shorter than the time for
+	// which workers keep serving after that. Default 1s.
+	LeavingGrace time.Duration `ini:"leaving_grace" default:"1s" min:"0s" max:"10m"`
+	// MaxPause limits the time for which a worker gets no requests because it turned
+	// one away with a Retry-After; a new process of it gets requests before that.
+	// Default 24h.
+	MaxPause time.Duration `ini:"max_pause" default:"24h" min:"1s" max:"8760h"`
 	// RetryRatio is the fraction of an upstream's requests in 10 s that may be
 	// retried. Default 0.1.
 	RetryRatio float64 `ini:"retry_ratio" default:"0.1" min:"0" max:"1"`
@@ -198,15 +206,16 @@
 )
 
 func fleetConfig(domain string, s *Settings) routing.Config {
-	return routing.Config{Domain: domain, LoadBound: s.LoadBound, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, MinRouters: s.Routers}
+	return routing.Config{Domain: domain, LoadBound: s.LoadBound, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, MinRouters: s.Routers, LeavingGrace: s.LeavingGrace, MaxPause: s.MaxPause}
 }
 
-// reload applies the settings that can change without a restart: the load bound
-// and the settings of the retry budget and of the log.
+// reload applies the settings that can change without a restart: the load bound,
+// the leaving grace, the longest pause and the settings of the retry budget and of
+// the log.
 func (g *Gateway) reload(s *Settings) {
 	g.fleet.Configure(fleetConfig(g.identity.FailureDomain, s))
 	g.decisions.lines.SetMaxLines(s.LogLines)
-	g.decisions.logChange("settings in force", "retry_ratio", s.RetryRatio, "retry_slack", s.RetrySlack, "routers", s.Routers, "log_lines", s.LogLines)
+	g.decisions.logChange("settings in force", "retry_ratio", s.RetryRatio, "retry_slack", s.RetrySlack, "routers", s.Routers, "leaving_grace", s.LeavingGrace, "max_pause", s.MaxPause, "log_lines", s.LogLines)
 }
 
 func (g *Gateway) applyConfig(revision *core.ConfigRevision) {
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -52,6 +52,7 @@
 	ReasonLaterPreference = "next"       // a later preference; those before it are above the limit
 	ReasonLeastLoaded     = "least busy" // the request has no prompt to place by
 	ReasonAllAboveLimit   = "all busy"   // every preference tried is above the limit
+	ReasonLeaving         = "leaving"    // only workers that leave can be chosen
 	ReasonLimitCheck      = "limit"      // the answer will tell whether the worker's rate limit is still in force
 )
 
@@ -111,8 +112,10 @@
 }
 
 func (f *Fleet) pickWorker(p *pool, r Request, now time.Time) (Choice, bool) {
-	reachable := func(w *Worker) bool { return !w.unreachable }
-	healthy := func(w *Worker) bool { return reachable(w) && !p.ejector.Ejected(now, w.ID) }
+	reachable := func(w *Worker) bool { return !w.unreachable && !w.said.isPaused(now) }
+	healthy := func(w *Worker) bool {
+		return reachable(w) && !p.ejector.Ejected(now, w.ID) && p.isWithinShare(w, now)
+	}
 	limited := p.hasRateLimit()
 	for _, try := range []struct {
 		accept func(*Worker) bool
@@ -137,7 +140,7 @@
 		}
 		return f.pickLeastLoaded(candidates, hasPermit, now), true
 	}
-	return Choice{}, false
+	return f.pickLeaving(p, r.Tried, now)
 }
 
 // candidates returns the workers that the request has not been sent to and for
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -25,6 +25,12 @@
 	// MinRouters is the minimum number of routers that the slack is divided
 	// among.
 	MinRouters int
+	// LeavingGrace is how long a worker that says in its responses that it leaves
+	// still gets requests that no other worker takes.
+	LeavingGrace time.Duration
+	// MaxPause limits the time for which a worker gets no requests because it said
+	// so.
+	MaxPause time.Duration
 	// Random returns a number in [0, n); nil for math/rand/v2.
 	Random func(n int) int
 }
@@ -37,7 +43,8 @@
 	mu             sync.Mutex // lock level 60, see internal/core/lockorder.go
 	byID           map[string]*Worker
 	pools          map[string]*pool
-	leaving        []*Worker // workers that left or began to drain recently, oldest first
+	leaving        []*Worker          // workers that left or began to drain recently, oldest first
+	departed       map[string]*Worker // unlisted workers by ID whose statements still count
 	listVersion    int64
 	listReadAt     time.Time // when the worker list was read
 	placements     placements
@@ -49,6 +56,7 @@
 type pool struct {
 	workers      []*Worker // workers that accept new requests, sorted by ID
 	hashes       []uint64  // hashes of the workers' IDs, in the same order
+	leaving      []*Worker // listed workers that say that they leave
 	ejector      *retry.Ejector
 	budget       *retry.Budget
 	firstByte    firstByteTimes
@@ -92,7 +100,7 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.IntN
 	}
-	return &Fleet{cfg: cfg, byID: map[string]*Worker{}, pools: map[string]*pool{}, placements: newPlacements()}
+	return &Fleet{cfg: cfg, byID: map[string]*Worker{}, departed: map[string]*Worker{}, pools: map[string]*pool{}, placements: newPlacements()}
 }
 
 // Change is a difference between two worker lists.
@@ -115,6 +123,7 @@
 			changes = append(changes, Change{"joined", info.ID, info.Upstream})
 			w = &Worker{WorkerInfo: info, hash: placement.Hash(info.ID)}
 			w.Draining = false
+			f.restoreStatements(w, list.At)
 			if !firstList {
 				w.joinedAt = list.At
 			}
@@ -130,6 +139,7 @@
 		if listed[id] == nil {
 			changes = append(changes, Change{"left", id, w.Upstream})
 			f.markLeaving(w, list.At)
+			f.keepStatements(w, list.At)
 		}
 	}
 	f.byID = listed
@@ -153,11 +163,15 @@
 func (f *Fleet) rebuildPools(now time.Time) {
 	f.leaving = slices.DeleteFunc(f.leaving, func(w *Worker) bool { return now.Sub(w.leftAt) > departedTTL })
 	for _, p := range f.pools {
-		p.workers, p.hashes = nil, nil
+		p.workers, p.hashes, p.leaving = nil, nil, nil
 	}
 	for _, w := range f.byID {
-		if !w.Draining {
-			p := f.pool(w.Upstream)
+		p := f.pool(w.Upstream)
+		switch {
+		case w.Draining:
+		case w.said.isLeaving():
+			p.leaving = append(p.leaving, w)
+		default:
 			p.workers = append(p.workers, w)
 		}
 	}
@@ -291,11 +305,12 @@
 	return f.byID[w.ID] == w
 }
 
-// AcceptsRequests reports whether a worker is on the list and not draining.
+// AcceptsRequests reports whether a worker is on the list and neither draining nor
+// leaving.
 func (f *Fleet) AcceptsRequests(w *Worker) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.byID[w.ID] == w && !w.Draining
+	return f.byID[w.ID] == w && !w.Draining && !w.said.isLeaving()
 }
 
 // SameDomainWorkers returns the other reachable workers of a worker's failure
--- /dev/null
+++ b/routing/statements.go
@@ -0,0 +1,137 @@
+package routing
+
+import (
+	"slices"
+	"time"
+)
+
+// Workers say in their responses that they leave or that they want no requests for a
+// while. A router acts on what it was told itself: every router that sends to a worker
+// is told by the worker's next response.
+
+// statements is what a worker process has said about the requests that it takes. A
+// new process of the same ID starts without any.
+type statements struct {
+	leavingSince time.Time // when it first said that it leaves; zero if it did not
+	pausedUntil  time.Time // until then it wants no requests of this router; zero if it never said so
+}
+
+func (s statements) isLeaving() bool            { return !s.leavingSince.IsZero() }
+func (s statements) isPaused(at time.Time) bool { return at.Before(s.pausedUntil) }
+
+const (
+	// statementTTL is how long the statements of a worker that is no longer listed
+	// are kept. Registrations expire while the store does not reply, and the same
+	// process is listed again later.
+	statementTTL = 10 * time.Minute
+	// maxDeparted limits the unlisted workers whose statements are kept.
+	maxDeparted = 4096
+	// resumePeriod is the time after a pause in which a worker gets no more requests
+	// than the others, so that it is not the least loaded one for all at once. Each
+	// worker's requests of the last resumeWindow are compared.
+	resumePeriod = 2 * time.Second
+	resumeWindow = time.Second
+)
+
+// RecordLeaving records that a worker said that it leaves, and reports whether this
+// is the first time. It gets no more requests while its upstream has another worker
+// to choose, and none after Config.LeavingGrace.
+func (f *Fleet) RecordLeaving(w *Worker, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w.said.isLeaving() {
+		return false
+	}
+	w.said.leavingSince = now
+	f.markLeaving(w, now)
+	f.rebuildPools(now)
+	return true
+}
+
+// RecordPause records that a worker wants no requests of this router for a duration,
+// at most Config.MaxPause. Of several pauses the latest end counts. It returns the
+// end, and whether the worker was not paused before.
+func (f *Fleet) RecordPause(w *Worker, d time.Duration, now time.Time) (until time.Time, started bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	started = !w.said.isPaused(now)
+	if end := now.Add(min(d, f.cfg.MaxPause)); end.After(w.said.pausedUntil) {
+		w.said.pausedUntil = end
+	}
+	return w.said.pausedUntil, started && w.said.isPaused(now)
+}
+
+// NextOpening returns the time until the first paused worker of an upstream takes
+// requests again, and the number of paused workers. The number is 0 if another worker
+// takes requests. Unreachable workers and those that leave do not count.
+func (f *Fleet) NextOpening(upstream string, now time.Time) (wait time.Duration, paused int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.pools[upstream]
+	if p == nil {
+		return 0, 0
+	}
+	for _, w := range p.workers {
+		if w.unreachable {
+			continue
+		}
+		if !w.said.isPaused(now) {
+			return 0, 0
+		}
+		paused++
+		if d := w.said.pausedUntil.Sub(now); paused == 1 || d < wait {
+			wait = d
+		}
+	}
+	return wait, paused
+}
+
+// isWithinShare reports whether a worker that has resumed after a pause got no more
+// of this router's requests than the mean worker. It is true for all other workers.
+func (p *pool) isWithinShare(w *Worker, now time.Time) bool {
+	if now.Sub(w.said.pausedUntil) >= resumePeriod {
+		return true
+	}
+	since, sent := now.Add(-resumeWindow), 0
+	for _, other := range p.workers {
+		sent += other.sentSince(since)
+	}
+	return w.sentSince(since)*len(p.workers) <= sent
+}
+
+// pickLeaving picks a worker that leaves, for requests that no other worker takes.
+func (f *Fleet) pickLeaving(p *pool, tried []*Worker, now time.Time) (Choice, bool) {
+	var candidates []*Worker
+	for _, w := range p.leaving {
+		if now.Sub(w.said.leavingSince) < f.cfg.LeavingGrace && !w.unreachable && !w.said.isPaused(now) && !slices.Contains(tried, w) {
+			candidates = append(candidates, w)
+		}
+	}
+	hasPermit := func(w *Worker) bool { return f.hasPermit(w, now, 0) }
+	if !slices.ContainsFunc(candidates, hasPermit) {
+		return Choice{}, false
+	}
+	c := f.pickLeastLoaded(candidates, hasPermit, now)
+	c.Reason = ReasonLeaving
+	return c, true
+}
+
+// keepStatements keeps the statements of a worker that is no longer listed.
+func (f *Fleet) keepStatements(w *Worker, now time.Time) {
+	if w.said.isLeaving() || w.said.isPaused(now) {
+		f.departed[w.ID] = w
+	}
+	if len(f.departed) > maxDeparted {
+		clear(f.departed)
+	}
+}
+
+// restoreStatements gives a worker that is listed again what the same process said
+// before. Where the start of the process is not known, it counts as a new one.
+func (f *Fleet) restoreStatements(w *Worker, now time.Time) {
+	before := f.departed[w.ID]
+	delete(f.departed, w.ID)
+	if before != nil && w.StartedAtMs != 0 && before.isSameProcess(w.WorkerInfo) && now.Sub(before.leftAt) < statementTTL {
+		w.said = before.said
+	}
+}
--- a/routing/worker.go
+++ b/routing/worker.go
@@ -48,6 +48,7 @@
 	unreachable  bool        // connections to it fail
 	anonymous    bool        // it has refused a request without naming it
 	rateLimit    rateLimit
+	said         statements
 }
 
 // isSameProcess reports whether an entry of the worker list is about this process.
