Keep what a worker says while its registration is missing

Found when the change was read: a response to a request that was sent before a registration expired sets the statements of an entry that is not listed any more, so the same process, listed again, got requests that it had declined.

The statements go to the entry of the same process that is listed now, or are kept until it is listed again. The new case of TestStatements failed before (the worker that leaves was chosen) and passes.

--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -114,6 +114,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var changes []Change
+	var unlisted []*Worker
 	firstList := f.listVersion == 0 && len(f.byID) == 0
 	f.listVersion, f.listReadAt = list.Version, list.At
 	listed := map[string]*Worker{}
@@ -139,10 +140,13 @@
 		if listed[id] == nil {
 			changes = append(changes, Change{"left", id, w.Upstream})
 			f.markLeaving(w, list.At)
-			f.keepStatements(w, list.At)
+			unlisted = append(unlisted, w)
 		}
 	}
 	f.byID = listed
+	for _, w := range unlisted {
+		f.keepIfUnlisted(w, list.At)
+	}
 	f.byHash = map[uint32]*Worker{}
 	for id, w := range listed {
 		f.byHash[gossip.WorkerHash(id)] = w
--- a/routing/statements.go
+++ b/routing/statements.go
@@ -39,11 +39,13 @@
 func (f *Fleet) RecordLeaving(w *Worker, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	w = f.newestEntry(w)
 	if w.said.isLeaving() {
 		return false
 	}
 	w.said.leavingSince = now
 	f.markLeaving(w, now)
+	f.keepIfUnlisted(w, now)
 	f.rebuildPools(now)
 	return true
 }
@@ -54,9 +56,11 @@
 func (f *Fleet) RecordPause(w *Worker, d time.Duration, now time.Time) (until time.Time, started bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	w = f.newestEntry(w)
 	started = !w.said.isPaused(now)
 	if end := now.Add(min(d, f.cfg.MaxPause)); end.After(w.said.pausedUntil) {
 		w.said.pausedUntil = end
+		f.keepIfUnlisted(w, now)
 	}
 	return w.said.pausedUntil, started && w.said.isPaused(now)
 }
@@ -116,8 +120,20 @@
 	return c, true
 }
 
-// keepStatements keeps the statements of a worker that is no longer listed.
-func (f *Fleet) keepStatements(w *Worker, now time.Time) {
+// newestEntry returns the entry of the same process that is listed now, if the worker
+// was unlisted for a while since the request was sent to it, and otherwise the worker.
+func (f *Fleet) newestEntry(w *Worker) *Worker {
+	if listed := f.byID[w.ID]; listed != nil && listed.isSameProcess(w.WorkerInfo) {
+		return listed
+	}
+	return w
+}
+
+// keepIfUnlisted keeps the statements of a worker that is not listed.
+func (f *Fleet) keepIfUnlisted(w *Worker, now time.Time) {
+	if f.byID[w.ID] == w {
+		return
+	}
 	if w.said.isLeaving() || w.said.isPaused(now) {
 		f.departed[w.ID] = w
 	}
--- a/routing/statements_test.go
+++ b/routing/statements_test.go
@@ -64,6 +64,17 @@
 			So(f.AcceptsRequests(f.Worker("0")), ShouldBeTrue)
 		})
 	})
+	Convey("What an unlisted worker says counts when the same process is listed again", t, func() {
+		f := newStatementFleet()
+		f.Apply(listOf(now, 2, 7))
+		leaving, paused := f.Worker("0"), f.Worker("1")
+		f.Apply(listOf(now, 0, 7))
+		f.RecordLeaving(leaving, now)
+		f.Apply(listOf(now.Add(time.Second), 2, 7))
+		So(choose(f, now.Add(time.Second)), ShouldEqual, "1")
+		f.RecordPause(paused, time.Minute, now.Add(time.Second)) // the response to a request of before
+		So(choose(f, now.Add(3*time.Second)), ShouldBeEmpty)
+	})
 	Convey("A paused worker gets no requests until the latest end that it named", t, func() {
 		f := newStatementFleet()
 		f.Apply(listOf(now, 1, 7))
