Attribute refusals to their attempt in the role router

An additional refusal of a faulty upstream let the attempt run again elsewhere.

A refusal counts if it names the attempt, or if it names none on a new connection; otherwise the outcome is unknown. The stand-ins name the attempt in their refusals.

TestOutcomes with a refusal without an ID on a reused connection failed before (not_run in place of unknown) and passes.

--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -28,6 +28,7 @@
 	if id == "" {
 		id = rand.Text()
 	}
+	w.Header().Set("X-Attempt-Id", id)
 	after, err := resumeSequence(id, r.Header.Get("Last-Event-ID"))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -115,6 +115,7 @@
 	f := s.startCall()
 	defer s.endCall()
 	if f.Refuse > 0 {
+		echoAttemptID(w, r)
 		standin.Refuse(w, http.StatusServiceUnavailable, "the service accepts no calls now; retry later")
 		return
 	}
--- a/plugins/upstream/client.go
+++ b/plugins/upstream/client.go
@@ -147,6 +147,10 @@
 	}
 	response, err := c.transport.RoundTrip(r.WithContext(tracker.trace(r.Context())))
 	if err == nil {
+		if statesNotRun(response) && !isAttributed(r, response, tracker.usedConnection()) {
+			_ = response.Body.Close() // not read, so that the connection is not reused
+			return nil, unknownOutcomeError(fmt.Errorf("refusal with status %d names attempt %q", response.StatusCode, response.Header.Get(headerAttempt)))
+		}
 		return response, nil
 	}
 	if tracker.nothingSent() {
@@ -182,6 +186,14 @@
 	return response.StatusCode >= 400 && response.Header.Get(headerOutcome) == string(core.OutcomeNotRun)
 }
 
+// isAttributed reports whether a response belongs to the attempt of the request. A
+// response that names no attempt may be an additional one to an earlier request, if
+// the connection was used before.
+func isAttributed(r *http.Request, response *http.Response, usedConnection bool) bool {
+	sent, echoed := r.Header.Get(headerAttempt), response.Header.Get(headerAttempt)
+	return sent == "" || echoed == sent || echoed == "" && !usedConnection
+}
+
 // maxRetryAfter is the longest Retry-After that is accepted. A longer one is
 // shortened to it.
 const maxRetryAfter = 10 * time.Minute
--- a/plugins/upstream/client_test.go
+++ b/plugins/upstream/client_test.go
@@ -134,6 +134,8 @@
 			{"response that names the attempt", []string{httpResponse(200, "X-Attempt-Id: a1\r\n", "")}, 1, core.OutcomeRan, 1},
 			{"response to another attempt", []string{httpResponse(200, "X-Attempt-Id: b2\r\n", "")}, 1, core.OutcomeUnknown, 1},
 			{"refusal of another attempt with outcome not_run", []string{httpResponse(503, "X-Attempt-Id: b2\r\nX-Outcome: not_run\r\n", "")}, 1, core.OutcomeUnknown, 1},
+			{"refusal with outcome not_run that names the attempt, on a reused connection", []string{ok, httpResponse(503, "X-Attempt-Id: a1\r\nX-Outcome: not_run\r\n", "")}, 2, core.OutcomeNotRun, 2},
+			{"refusal with outcome not_run that names no attempt, on a reused connection", []string{ok, httpResponse(503, "X-Outcome: not_run\r\n", "")}, 2, core.OutcomeUnknown, 2},
 			{"truncated response", []string{"HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\nshort" + closeAfter}, 1, core.OutcomeUnknown, 1},
 			{"oversized response", []string{httpResponse(200, "", strings.Repeat("x", 1025))}, 1, core.OutcomeUnknown, 1},
 			{"oversized header", []string{httpResponse(200, "X: "+strings.Repeat("x", 70000)+"\r\n", "")}, 1, core.OutcomeUnknown, 1},
--- a/plugins/upstream/sent.go
+++ b/plugins/upstream/sent.go
@@ -75,6 +75,14 @@
 	conn        *countedConn
 	baseline    int64 // bytes that earlier requests wrote to conn
 	sentEarlier bool  // bytes may have been sent on an earlier connection
+	used        bool  // earlier requests used conn
+}
+
+// usedConnection reports whether earlier requests used the connection of the request.
+func (t *sendTracker) usedConnection() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.used
 }
 
 func (t *sendTracker) trace(ctx context.Context) context.Context {
@@ -92,6 +100,7 @@
 	}
 	t.conn = unwrapCountedConn(info.Conn)
 	t.baseline = t.conn.bytesWritten()
+	t.used = info.Reused
 	// net/http retries requests that it considers idempotent, among them every
 	// one with an Idempotency-Key. Retries are decided in plugins/dispatch, so
 	// writes are stopped on the connection of such a retry.
