--- a/internal/bench/routerows.go
+++ b/internal/bench/routerows.go
@@ -53,6 +53,7 @@
 	}
 	b.routeRetries(size)
 	b.routeEjection(size)
+	b.routePauses(size)
 }
 
 // routeRetries lets all requests of all routers fail, with very different shares
