--- a/replica/replica.go
+++ b/replica/replica.go
@@ -163,12 +163,26 @@
 	c.lastContact = now
 }
 
-// apply merges changed rows into the copy.
+// apply merges changed rows into the copy, which then holds all changes up to the
+// newest one.
 func (c *Copy) apply(rows []Row) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.merge(rows)
+	c.version = max(c.version, newestVersion(rows))
+}
+
+func newestVersion(rows []Row) int64 {
+	newest := int64(0)
+	for _, r := range rows {
+		newest = max(newest, r.Version)
+	}
+	return newest
+}
+
+// merge merges rows into the copy. The caller holds mu.
+func (c *Copy) merge(rows []Row) {
 	for _, r := range rows {
-		c.version = max(c.version, r.Version)
 		old, listed := c.rows[r.Key]
 		if r.Version < old.Version {
 			continue // the source has an older version of the row
@@ -193,16 +207,18 @@
 // applyChanges merges the changes that a peer sent into the copy. It returns false
 // if the copy then differs from the peer's.
 func (c *Copy) applyChanges(set RowSet) bool {
-	c.apply(set.Rows)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if set.Digest == 0 || set.Version < c.version {
-		return true // a peer of an older release, or a peer that is behind
-	}
-	if set.Digest != c.digest {
+	c.merge(set.Rows)
+	switch {
+	case set.Digest == 0: // a peer of an older release
+		c.version = max(c.version, newestVersion(set.Rows))
+	case set.Version < c.version: // a peer that is behind
+	case set.Digest != c.digest:
 		return false
+	default:
+		c.version = set.Version
 	}
-	c.version = set.Version
 	return true
 }
 
@@ -215,17 +231,16 @@
 	}
 	rows := snapshot.Rows
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	for key := range c.rows {
 		if !listed[key] {
 			rows = append(rows, Row{Key: key, Version: snapshot.Version, Removed: true})
 		}
 	}
-	c.mu.Unlock()
-	c.apply(rows)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	// Rows may have been removed after the newest one changed. Peers that still
-	// have them read the changes only from a copy with a newer version.
+	c.merge(rows)
+	// Rows may have been removed after the newest one changed, and a snapshot of
+	// several pages has rows of after its version, without the other changes up to
+	// them.
 	c.version = max(c.version, snapshot.Version)
 	return rows
 }
--- a/replica/restart_test.go
+++ b/replica/restart_test.go
@@ -99,6 +99,29 @@
 	})
 }
 
+// Guards against a removed row that returns from a peer whose snapshot had several
+// pages: the row was on an early page, and a later page had a newer row.
+func TestSnapshotOfSeveralPages(t *testing.T) {
+	inBubble(t, "A copy that was filled page by page holds the changes up to its first page only", func(ctx context.Context) {
+		peers, old, filled := newFakePeers(), NewCopy(), NewCopy()
+		old.apply([]Row{{Key: "a", Version: 4}, {Key: "a", Version: 8, Removed: true}, {Key: "b", Value: []byte("1"), Version: 5}})
+		peers.setStatus(TableStatus{Version: old.Version(), Peer: peerCopy{old}})
+		f := startFollower(ctx, newFakeStore(), peers)
+		advanceTime(time.Second)
+		filled.replaceAll(RowSet{Rows: []Row{{Key: "a", Value: []byte("1"), Version: 4}, {Key: "b", Value: []byte("2"), Version: 12}}, Version: 7})
+		So(filled.Version(), ShouldEqual, 7)
+		peers.setStatus(TableStatus{Version: filled.Version(), Peer: peerCopy{filled}})
+		advanceTime(time.Second)
+		synctest.Wait()
+		So(f.values, ShouldResemble, map[string]string{"b": "1"})
+		filled.apply([]Row{{Key: "a", Version: 8, Removed: true}, {Key: "b", Value: []byte("2"), Version: 12}})
+		peers.setStatus(TableStatus{Version: filled.Version(), Peer: peerCopy{filled}})
+		advanceTime(time.Second)
+		synctest.Wait()
+		So(f.values, ShouldResemble, map[string]string{"b": "2"})
+	})
+}
+
 // forgetfulPeer is a peer whose history is gone and whose copy is empty.
 type forgetfulPeer struct{ peerCopy }
 
