Spare callers the refusals of workers that name no request

Found when the change was read: a sound worker that is full and omits the request ID was taken for a faulty one on connections in use. Callers of routes that may be repeated got 502 in place of 503 with the time to return, and the worker was ejected after three refusals.

For a minute after such a refusal each request goes to the worker on a connection of its own, where refusals count, on all routes. A refusal that may answer an earlier request is no fault of the worker.

The new case of TestRefusalOfAnEarlierRequest (all workers refuse without an ID) failed without the connections of their own (502) and passes.

--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -82,7 +82,7 @@
 	req := g.newAttemptRequest(httptrace.WithClientTrace(ctx, trace), x, c, lastEvent)
 	stall := g.startStallTimer(x, c, cancel)
 	start := time.Now()
-	resp, err := g.transportFor(x, c.Worker).RoundTrip(req)
+	resp, err := g.transportFor(c.Worker).RoundTrip(req)
 	if err != nil {
 		cancel()
 		f := classifySendError(err, connected)
@@ -102,7 +102,7 @@
 	if isAttributed(x.header.ID, h, reused) && !isMisdirected(resp.StatusCode) {
 		g.recordStatements(x, c.Worker, h)
 	}
-	if h.NotRun && h.RequestID == "" && x.header.ID != "" && g.fleet.RecordAnonymousRefusal(c.Worker) {
+	if h.NotRun && h.RequestID == "" && x.header.ID != "" && g.fleet.RecordAnonymousRefusal(c.Worker, start) {
 		g.decisions.logChange("worker refuses without a request ID", "worker", c.Worker.ID, "upstream", c.Worker.Upstream, "request", x.header.ID, "status", resp.StatusCode, "reused_connection", reused)
 	}
 	if f := checkResponseHeader(x.header.ID, resp.StatusCode, h, reused); f != nil {
@@ -115,6 +115,12 @@
 	return &workerResponse{resp, h, cancel, stall, start}, nil
 }
 
+// isFault reports whether a failure may be a fault of the worker. A refusal is none,
+// and neither is one that may be an additional response to an earlier request.
+func (f *failure) isFault() bool {
+	return f.reason != failRefused && f.reason != failUnattributed && !f.paused
+}
+
 // markStalled marks a failure that the stall timer caused. Its retry has
 // already been taken from the budget.
 func (f *failure) markStalled(stall *stallTimer) {
@@ -283,7 +289,7 @@
 	if f.outcome != core.OutcomeNotRun {
 		x.possibleRuns++
 	}
-	if x.r.Context().Err() == nil && f.reason != failRefused && !f.paused {
+	if x.r.Context().Err() == nil && f.isFault() {
 		g.reachability.handleFailure(c.Worker, f.err)
 		if f.isSuspect() {
 			g.crashes.handleLostAnswer(c.Worker, x.sharedPartIDs())
--- a/plugins/gateway/refusal_test.go
+++ b/plugins/gateway/refusal_test.go
@@ -74,4 +74,18 @@
 			So(resp.Code, ShouldEqual, http.StatusOK)
 		}
 	})
+	inBubble(t, "If all workers refuse without an ID, callers are told when to return, and no worker is ejected", desks(2), func(h *harness) {
+		for _, w := range h.workers {
+			h.startRawWorker(w.Address, func(conn net.Conn, _ string) bool {
+				_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\n"+testNotRun+": 1\r\nContent-Length: 0\r\n\r\n")
+				return true
+			})
+		}
+		for i := range 12 {
+			resp, _ := h.call("POST", []string{"/book/x", "/read/x"}[i%2], testID, "id-"+strconv.Itoa(i))
+			So(resp.Code, ShouldEqual, http.StatusServiceUnavailable)
+			So(resp.Header().Get("Retry-After"), ShouldNotBeEmpty)
+			sleep(100 * time.Millisecond)
+		}
+	})
 }
--- a/plugins/gateway/upstream.go
+++ b/plugins/gateway/upstream.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/auburnlead/auburnlead/internal/dial"
 	"github.com/auburnlead/auburnlead/routing"
@@ -42,9 +43,9 @@
 
 // transportFor returns the transport for a request to a worker. A refusal without a
 // request ID is attributed by its connection, so workers that write such refusals get
-// requests that must not be repeated on connections of their own.
-func (g *Gateway) transportFor(x *exchange, w *routing.Worker) *http.Transport {
-	if !x.route.Retryable() && g.fleet.RefusesAnonymously(w) {
+// each request on a connection of its own.
+func (g *Gateway) transportFor(w *routing.Worker) *http.Transport {
+	if g.fleet.RefusesAnonymously(w, time.Now()) {
 		return g.conns.unshared
 	}
 	return g.conns.transport
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -277,22 +277,26 @@
 	return changed
 }
 
+// anonymousPeriod is how long a worker counts as one that refuses without a request
+// ID: an overload usually lasts no longer.
+const anonymousPeriod = time.Minute
+
 // RecordAnonymousRefusal records that a worker refused a request without a request
-// ID, and reports whether this is the first time.
-func (f *Fleet) RecordAnonymousRefusal(w *Worker) bool {
+// ID, and reports whether this is the first time within anonymousPeriod.
+func (f *Fleet) RecordAnonymousRefusal(w *Worker, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	first := !w.anonymous
-	w.anonymous = true
+	first := now.Sub(w.anonymousAt) >= anonymousPeriod
+	w.anonymousAt = now
 	return first
 }
 
 // RefusesAnonymously reports whether a worker has refused a request without a
-// request ID.
-func (f *Fleet) RefusesAnonymously(w *Worker) bool {
+// request ID within anonymousPeriod.
+func (f *Fleet) RefusesAnonymously(w *Worker, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return w.anonymous
+	return now.Sub(w.anonymousAt) < anonymousPeriod
 }
 
 // Worker returns the listed worker with an ID, nil if there is none.
--- a/routing/worker.go
+++ b/routing/worker.go
@@ -46,7 +46,7 @@
 	sentTimes    []time.Time // send times of this router's requests in the last loadTTL
 	leftAt       time.Time   // when it began to drain or left the list
 	unreachable  bool        // connections to it fail
-	anonymous    bool        // it has refused a request without naming it
+	anonymousAt  time.Time   // when it last refused a request without naming it
 	rateLimit    rateLimit
 	said         statements
 }
