Close a long rejection that meets a stream in progress

Found while the cases of TestResumeMeetsAnError were written: a worker that rejects the rest of a stream with a 4xx above answer_bytes kept sending until the request ended, while the next worker went on with the stream. Its connection and its work were held for nothing.

Cause: only failures of 500 and more were closed at the buffer; a smaller status was kept to be forwarded, which a stream in progress cannot do. It is closed when the attempt counts as failed.

--- a/plugins/gateway/buffered.go
+++ b/plugins/gateway/buffered.go
@@ -58,6 +58,14 @@
 	unread *workerResponse
 }
 
+// discard closes the connection of a response whose rest is not forwarded.
+func (b *bufferedResponse) discard() {
+	if b.unread != nil {
+		_ = b.unread.Body.Close() // the rest is not read
+		b.unread.cancel()
+	}
+}
+
 func (g *Gateway) attemptBuffered(x *exchange, c routing.Choice) (*bufferedResponse, *failure) {
 	resp, f := g.send(x, c, 0)
 	if f != nil {
--- a/plugins/gateway/resume_test.go
+++ b/plugins/gateway/resume_test.go
@@ -70,6 +70,42 @@
 			})
 		}
 	}
+	inBubble(t, "A long rejection of a stream in progress is closed at once when the next worker goes on", engines(3), func(h *harness) {
+		h.routes.table.Load().match("desk.example", "/chat/x").MaxAttempts = 3
+		var mu sync.Mutex
+		requests := 0
+		var rejecting []*rawWorker
+		for _, w := range h.workers {
+			rejecting = append(rejecting, h.startRawWorker(w.Address, func(conn net.Conn, _ string) bool {
+				mu.Lock()
+				requests++
+				n := requests
+				mu.Unlock()
+				switch n {
+				case 1:
+					_, _ = io.WriteString(conn, head("200 OK", "Content-Length: 100000\r\n")+begin)
+				case 2:
+					_, _ = io.WriteString(conn, head("404 Not Found", ""))
+					return writeForever(conn, strings.Repeat("x", 8192), 0)
+				default:
+					sleep(1500 * time.Millisecond)
+					_, _ = io.WriteString(conn, head("200 OK", "Content-Length: 16\r\n")+"id: 3\ndata: e3\n\n")
+				}
+				return false
+			}))
+		}
+		resp, aborted := h.call("POST", "/chat/x")
+		So(aborted, ShouldBeFalse)
+		So(resp.Body.String(), ShouldEqual, begin+"id: 3\ndata: e3\n\n")
+		sleep(time.Millisecond) // the workers' connections end
+		soon := 0
+		for _, w := range rejecting {
+			if _, longest := w.connections(); longest < 500*time.Millisecond {
+				soon++
+			}
+		}
+		So(soon, ShouldEqual, 2)
+	})
 	inBubble(t, "A stream that the caller resumes and whose worker crashes before the first event is not complete", engines(1), func(h *harness) {
 		h.startRawWorker("engine-0:1", func(conn net.Conn, _ string) bool {
 			_, _ = io.WriteString(conn, head("200 OK", ""))
--- a/plugins/gateway/stream.go
+++ b/plugins/gateway/stream.go
@@ -52,6 +52,7 @@
 			return
 		}
 		if f == nil {
+			resp.discard()
 			failed = resp
 			f = &failure{outcome: core.OutcomeRan, sent: true, reason: failStatus, err: errors.New(http.StatusText(resp.status))}
 		}
