Keep the half-close of connections whose framing is checked

Found when the change was read: net/http half-closes a connection after a response whose request was not read to its end, and waits half a second, so that the client can read the response. The wrapped connection hid the half-close, so clients saw the end half a second later.

TestHalfClose failed before (no CloseWrite) and passes.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -84,6 +84,15 @@
 	return n, err
 }
 
+// CloseWrite implements the half-close by which net/http lets a client read a response
+// before the connection is closed. It does nothing on connections without one.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 func (c *conn) next() (head, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -55,6 +56,31 @@
 	})
 }
 
+// halfClosingConn records a half-close.
+type halfClosingConn struct {
+	net.Conn
+	closed bool
+}
+
+func (c *halfClosingConn) CloseWrite() error {
+	c.closed = true
+	return nil
+}
+
+// Guards against a connection that is closed without the half-close by which a client
+// can read the response to a request whose body was not read.
+func TestHalfClose(t *testing.T) {
+	Convey("A half-close reaches the connection", t, func() {
+		below := &halfClosingConn{}
+		var c net.Conn = &conn{Conn: below}
+		w, ok := c.(interface{ CloseWrite() error })
+		So(ok, ShouldBeTrue)
+		So(w.CloseWrite(), ShouldBeNil)
+		So(below.closed, ShouldBeTrue)
+		So((&conn{}).CloseWrite(), ShouldBeNil)
+	})
+}
+
 // FuzzScanner compares the scanner with net/http: each request that net/http accepts
 // has a head, at the same place and with the same fields.
 func FuzzScanner(f *testing.F) {
