--- a/internal/bench/pauses.go
+++ b/internal/bench/pauses.go
@@ -35,12 +35,12 @@
 // routers that do not read what these say.
 func (b bencher) routePauses(size routeSize) {
 	for _, strategy := range []struct {
-		name  string
-		heeds bool
+		name        string
+		readsPauses bool
 	}{{"auburnlead", true}, {"pauses not read", false}} {
-		r := b.measurePauses(size, strategy.heeds)
+		r := b.measurePauses(size, strategy.readsPauses)
 		inPause, returning, refused := "most requests of a router to a worker in a pause", "requests in the second after a pause / share of the workers", "refused, a third of the workers paused by turns"
-		if strategy.heeds {
+		if strategy.readsPauses {
 			b.report.atMost(size.name, inPause, float64(r.mostInPause), maxInPause)
 			b.report.atMost(size.name, returning, r.returnFactor, maxReturnFactor)
 			b.report.atMost(size.name, refused, float64(r.refused)/float64(r.sent), 0)
@@ -52,7 +52,7 @@
 	}
 }
 
-func (b bencher) measurePauses(size routeSize, heeds bool) pauseResult {
+func (b bencher) measurePauses(size routeSize, readsPauses bool) pauseResult {
 	rnd := rand.New(rand.NewPCG(b.seed, 17))
 	list := &routing.WorkerList{Version: 1, At: routeEpoch}
 	for i := range size.workers {
@@ -120,7 +120,7 @@
 				inPause[p]++
 				result.mostInPause = max(result.mostInPause, inPause[p])
 			}
-			if heeds {
+			if readsPauses {
 				f.RecordPause(c.Worker, turnEnd.Sub(now), now)
 			}
 			tried = append(tried, c.Worker)
--- a/plugins/gateway/statements_test.go
+++ b/plugins/gateway/statements_test.go
@@ -150,7 +150,7 @@
 		{"a response to another request", "HTTP/1.1 503 Service Unavailable\r\n" + testID + ": other\r\n" + testNotRun + ": 1\r\n" + testPause + ": 1m\r\n" + testLeaving + ": 1\r\nContent-Length: 0\r\n\r\n"},
 		{"another worker at its address", "HTTP/1.1 421 Misdirected Request\r\n" + testNotRun + ": 1\r\n" + testPause + ": 1m\r\n" + testLeaving + ": 1\r\nContent-Length: 0\r\n\r\n"},
 	} {
-		inBubble(t, "What "+test.desc+" says is not the worker's word", desks(1), func(h *harness) {
+		inBubble(t, "What "+test.desc+" says is no statement of the worker", desks(1), func(h *harness) {
 			asked := 0
 			h.startRawWorker("desk-0:1", func(conn net.Conn, id string) bool {
 				if asked++; asked == 1 {
