--- a/replica/replica.go
+++ b/replica/replica.go
@@ -8,6 +8,9 @@
 // one call to the store and the time in which table statuses spread among the
 // routers; if no router reads the store, within Config.StaleAfter plus one call.
 //
+// A digest of the rows shows a copy that lacks a change, so that a peer that restarted
+// and does not know which rows were removed before is noticed.
+//
 // Failure behaviour: a store that does not reply is called again with short
 // timeouts, and changes are read from peers meanwhile. The routers that are not
 // selected to read the store call it in turns, so that the calls of a large fleet
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -27,6 +27,9 @@
 //     no other worker is left, ejected ones are used.
 //   - Workers that name a limit. Each router uses its part of the limit, spread over
 //     time; other requests go to the next preference, up to its slots (ratelimit.go).
+//   - Workers that say in their responses that they leave or want no requests for a
+//     while. The router that was told passes them over, until the process ends or the
+//     pause does (statements.go).
 //   - Retry storms. The retries of all routers together stay within a fraction of
 //     the requests plus a slack, without messages between routers.
 //   - Workers that never respond, as opposed to slow ones. The first-byte timeout
