Log what an answer is attributed by, and what a prompt's spread is based on

Two counters, load_reports and loads_above_bound, show from a router's own reports how often workers are above the load bound. The role router logged no attempt at all; it logs each failed one now, with its outcome.

No decision is changed; the tests of routing, gateway and dispatch pass.

--- a/plugins/dispatch/chat.go
+++ b/plugins/dispatch/chat.go
@@ -28,7 +28,7 @@
 	}
 	c := &chatCompletion{
 		requestJob: requestJob{
-			d: d, caller: r.Caller, rank: r.Rank, workspace: r.Workspace, deadline: r.Deadline,
+			d: d, requestID: r.RequestID, caller: r.Caller, rank: r.Rank, workspace: r.Workspace, deadline: r.Deadline,
 			expectedTokens: r.PromptTokens + r.MaxTokens,
 			candidates:     newCandidatePlan(chatPlacementKey(r.Caller.Name, r.Workspace, r.ChatID, r.Body), pools, d.health),
 		},
--- a/plugins/dispatch/dispatch.go
+++ b/plugins/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/auburnlead/auburnlead/internal/boundedlog"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/objects"
 	"github.com/auburnlead/auburnlead/retry"
@@ -33,6 +34,7 @@
 	health   *workerHealth
 	metrics  *metrics
 	log      *log.Logger
+	lines    *boundedlog.Logger // of failed attempts
 	random   func() float64
 	inFlight atomic.Int64
 }
@@ -44,6 +46,7 @@
 // tries candidate workers until one of them has run the request.
 type requestJob struct {
 	d              *Dispatcher
+	requestID      string
 	caller         *objects.Caller
 	rank           *objects.Rank
 	workspace      string
@@ -188,6 +191,7 @@
 		return
 	}
 	j.d.metrics.attemptEnded(r.outcome)
+	j.d.lines.Log(log.InfoLevel, "attempt failed", "attempt failed", "request", j.requestID, "attempt", a.ID, "upstream", a.Upstream, "worker", a.Worker, "outcome", r.outcome, "retryable", r.retryable, "error", r.err)
 	if r.outcome != core.OutcomeNotRun && j.outcome != core.OutcomeRan {
 		j.outcome = r.outcome
 	}
--- a/plugins/dispatch/service.go
+++ b/plugins/dispatch/service.go
@@ -24,7 +24,7 @@
 	}
 	c := &serviceCall{
 		requestJob: requestJob{
-			d: d, caller: r.Caller, rank: r.Rank, workspace: r.Workspace, deadline: r.Deadline,
+			d: d, requestID: r.RequestID, caller: r.Caller, rank: r.Rank, workspace: r.Workspace, deadline: r.Deadline,
 			expectedTokens: callCostTokens,
 			// Service calls gain nothing from reaching the same worker again, so
 			// they are spread evenly.
--- a/plugins/dispatch/setup.go
+++ b/plugins/dispatch/setup.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 
+	"github.com/auburnlead/auburnlead/internal/boundedlog"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/kernel"
 	"github.com/auburnlead/auburnlead/ledger"
@@ -125,6 +126,10 @@
 	l.Close(ctx)
 }
 
+// maxAttemptLines limits the log lines on failed attempts per second; further ones are
+// suppressed and counted.
+const maxAttemptLines = 100
+
 // New returns a dispatcher without a ledger, which refuses at-most-once
 // requests. It subscribes to the configuration.
 func New(p Params) *Dispatcher {
@@ -146,6 +151,7 @@
 		health:   newWorkerHealth(p.Health),
 		metrics:  newMetrics(p.Scope.SubScope("dispatch")),
 		log:      p.Logger.WithPrefix("dispatch"),
+		lines:    boundedlog.New(p.Logger.WithPrefix("dispatch"), maxAttemptLines),
 		random:   rand.Float64,
 	}
 	p.Config.Subscribe(d.apply)
--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -42,6 +42,8 @@
 	retryReserved bool          // the retry has already been taken from the retry budget
 	reason        string        // one of the reasons below, used in logs and metrics
 	progress      time.Duration // time since the first event of the attempt, 0 for no event
+	usedConn      bool          // earlier requests used the connection
+	answerID      string        // request ID in the response, empty for none or for no response
 	err           error
 }
 
@@ -86,6 +88,7 @@
 	if err != nil {
 		cancel()
 		f := classifySendError(err, connected)
+		f.usedConn = reused
 		f.markStalled(stall)
 		return nil, f
 	}
@@ -110,6 +113,7 @@
 		cancel()
 		_ = resp.Body.Close() // the connection is not reused
 		f.paused = f.reason == failUnstated && h.Pause > 0
+		f.usedConn, f.answerID = reused, h.RequestID
 		return nil, f
 	}
 	return &workerResponse{resp, h, cancel, stall, start}, nil
@@ -299,5 +303,5 @@
 		}
 	}
 	g.decisions.count("attempt_failures", "reason", f.reason)
-	g.decisions.logRequest("attempt failed", "request", x.header.ID, "worker", c.Worker.ID, "attempt", len(x.tried), "reason", f.reason, "outcome", f.outcome, "shared_parts", formatParts(x.sharedParts()), "error", f.err)
+	g.decisions.logRequest("attempt failed", "request", x.header.ID, "worker", c.Worker.ID, "attempt", len(x.tried), "reason", f.reason, "outcome", f.outcome, "used_connection", f.usedConn, "answer_id", f.answerID, "shared_parts", formatParts(x.sharedParts()), "error", f.err)
 }
--- a/plugins/gateway/choose.go
+++ b/plugins/gateway/choose.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -29,7 +30,7 @@
 	}
 	x.tried = append(x.tried, c.Worker)
 	g.decisions.count("choices", "reason", c.Reason)
-	g.decisions.logRequest("worker chosen", "request", x.header.ID, "upstream", x.upstream, "worker", c.Worker.ID, "reason", c.Reason, "key", strconv.FormatUint(c.PlacementKey, 16), "shared_tokens", c.SharedTokens, "rank", c.PreferenceIndex, "busy", c.EstimatedLoad, "waiting", c.Unanswered, "limit", c.LoadLimit, "spread", c.SpreadSize, "fetch_from", c.FetchFrom, "load_age_ms", loadAgeMs(c), "work_percent", c.WorkPercent, "rate_limit", c.RateLimit, "list", c.ListVersion, "list_age_ms", c.ListAge.Milliseconds(), "attempt", len(x.tried))
+	g.decisions.logRequest("worker chosen", "request", x.header.ID, "upstream", x.upstream, "worker", c.Worker.ID, "reason", c.Reason, "key", strconv.FormatUint(c.PlacementKey, 16), "shared_tokens", c.SharedTokens, "rank", c.PreferenceIndex, "busy", c.EstimatedLoad, "waiting", c.Unanswered, "limit", c.LoadLimit, "spread", c.SpreadSize, "key_rate", math.Round(c.KeyRate*10)/10, "mean", math.Round(c.MeanLoad*10)/10, "fetch_from", c.FetchFrom, "load_age_ms", loadAgeMs(c), "work_percent", c.WorkPercent, "rate_limit", c.RateLimit, "list", c.ListVersion, "list_age_ms", c.ListAge.Milliseconds(), "attempt", len(x.tried))
 	return c, true
 }
 
@@ -46,7 +47,10 @@
 // routers.
 func (g *Gateway) recordLoad(w *routing.Worker, l core.WorkerLoad) {
 	now, busy := time.Now(), l.Running+l.Waiting
-	g.fleet.RecordLoad(w, busy, l.WorkPercent, now)
+	if g.fleet.RecordLoad(w, busy, l.WorkPercent, now) {
+		g.decisions.count("loads_above_bound", "upstream", w.Upstream)
+	}
+	g.decisions.count("load_reports", "upstream", w.Upstream)
 	if g.loads != nil {
 		g.loads.ReportLoad(gossip.WorkerHash(w.ID), busy, now)
 	}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -32,6 +32,8 @@
 	EstimatedLoad   int           // estimated requests on the worker, including those that other routers may have sent
 	Unanswered      int           // requests of this router on the worker without a first byte
 	SpreadSize      int           // number of workers that the prompt's request rate needs, 0 for no prompt
+	KeyRate         float64       // estimated requests per second of all routers with the same prompt
+	MeanLoad        float64       // estimated mean load of the upstream's workers
 	LoadLimit       int           // load at which the prompt goes to another worker, 0 for none
 	LoadAge         time.Duration // age of the worker's load report, negative for none
 	WorkPercent     int           // how long work took on the worker at that report, in percent of the usual time; 0 if unknown
@@ -97,6 +99,7 @@
 	c.sentAt, c.attempt = now, &attempt{}
 	c.EstimatedLoad = int(p.estimatedLoad(c.Worker, now))
 	c.Unanswered = c.Worker.unanswered
+	c.MeanLoad = p.meanLoad(now)
 	c.LoadAge = -1
 	if !c.Worker.reportedAt.IsZero() {
 		c.LoadAge = now.Sub(c.Worker.reportedAt)
@@ -171,8 +174,9 @@
 func (f *Fleet) pickByPrompt(parts []PromptPart, candidates []*Worker, hashes []uint64, hasPermit func(*Worker) bool, now time.Time) Choice {
 	key := parts[len(parts)-1].ID
 	var indexes [widePreferenceCount]int
+	p := f.pool(candidates[0].Upstream)
 	limit := f.loadLimit(candidates, now)
-	spread := f.spreadSize(f.pool(candidates[0].Upstream), key, limit, now)
+	spread := f.spreadSize(p, key, limit, now)
 	preferences := placement.Choose(indexes[:max(preferenceCount, min(spread, widePreferenceCount))], key, hashes)
 	admit := func(w *Worker) bool {
 		return w.rateLimit.admit(key, w.hash, f.maxRoutersSeen, now) && hasPermit(w)
@@ -189,10 +193,11 @@
 		best.PreferenceIndex = len(preferences)
 	}
 	best.PlacementKey, best.LoadLimit, best.SpreadSize = key, int(limit), spread
+	best.KeyRate = f.keyRate(p, key, now)
 	best.FetchFrom = f.fetchSource(parts, best, now)
-	for _, p := range parts {
-		best.SharedTokens += p.Tokens
-		f.placements.put(p.ID, best.Worker, now)
+	for _, part := range parts {
+		best.SharedTokens += part.Tokens
+		f.placements.put(part.ID, best.Worker, now)
 	}
 	return best
 }
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -370,11 +370,13 @@
 }
 
 // RecordLoad records the number of requests that a worker reports, and how long
-// work takes there now, in percent of the usual time; 0 if unknown.
-func (f *Fleet) RecordLoad(w *Worker, inFlight, workPercent int, now time.Time) {
+// work takes there now, in percent of the usual time; 0 if unknown. It reports whether
+// the worker is above the load bound.
+func (f *Fleet) RecordLoad(w *Worker, inFlight, workPercent int, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w.reportedLoad, w.reportedAt, w.workPercent = inFlight, now, workPercent
+	return float64(inFlight) > f.cfg.LoadBound*f.pool(w.Upstream).meanLoad(now)+loadAllowance
 }
 
 // RecordSharedLoads records load reports that other routers shared, and the
--- a/routing/load.go
+++ b/routing/load.go
@@ -49,6 +49,15 @@
 	return f.limitFor(totalLoad, len(candidates))
 }
 
+// meanLoad estimates the mean load of the workers of an upstream, 0 if it has none.
+func (p *pool) meanLoad(now time.Time) float64 {
+	total := 0
+	for _, w := range p.workers {
+		total += w.currentLoad(now)
+	}
+	return float64(total) / float64(max(len(p.workers), 1))
+}
+
 func (f *Fleet) limitFor(totalLoad, workers int) float64 {
 	return boundFraction*f.cfg.LoadBound*float64(totalLoad)/float64(workers) + loadAllowance
 }
@@ -70,11 +79,16 @@
 // arrive too late to keep several routers from sending to the same worker at the
 // same time.
 func (f *Fleet) spreadSize(p *pool, key uint64, limit float64, now time.Time) int {
-	rate := f.placements.recentRequests(key, now) / keyRateTimeConstant.Seconds() * float64(p.routers)
+	rate := f.keyRate(p, key, now)
 	mean := (limit - loadAllowance) / (boundFraction * f.cfg.LoadBound)
 	return 1 + int(rate*p.meanDuration.Seconds()/(limit-mean))
 }
 
+// keyRate estimates the rate of the requests of all routers for a key, per second.
+func (f *Fleet) keyRate(p *pool, key uint64, now time.Time) float64 {
+	return f.placements.recentRequests(key, now) / keyRateTimeConstant.Seconds() * float64(p.routers)
+}
+
 // remainingLoad estimates the requests left on a worker that gets no new ones.
 func (p *pool) remainingLoad(w *Worker, now time.Time) int {
 	load := w.currentLoad(now)
