--- /dev/null
+++ b/internal/bench/hotprompt_test.go
@@ -0,0 +1,29 @@
+package bench
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against workers above the load bound when prompts get much of the traffic of
+// a large fleet, in which each router sees a small part of it and learns of loads late
+// (incident 0014).
+func TestHotPrompts(t *testing.T) {
+	for _, size := range routeSizes() {
+		for _, hot := range []struct {
+			share   float64 // of all requests
+			prompts int
+		}{{0, 1}, {0.05, 1}, {0.1, 1}, {0.2, 1}, {0.4, 1}, {0.3, 3}} {
+			Convey(fmt.Sprintf("%s: %.2f of the requests use %d prompts", size.name, hot.share, hot.prompts), t, func() {
+				scenario := routeScenario{length: 22 * time.Second, surge: [2]time.Duration{8 * time.Second, 16 * time.Second}, surgeFactor: 1, hotShare: hot.share, hotPrompts: hot.prompts}
+				for seed := range uint64(2) {
+					result := simulateRoutes(size, scenario, routeStrategies()[0], seed)
+					So(result.maxOverBoundShare(), ShouldBeLessThanOrEqualTo, maxOverBoundShare)
+				}
+			})
+		}
+	}
+}
--- a/internal/bench/routerows.go
+++ b/internal/bench/routerows.go
@@ -27,7 +27,7 @@
 	scenarios := []routeScenario{
 		{name: "steady", length: 40 * time.Second},
 		{name: "release and crash", length: 60 * time.Second, release: 15 * time.Second, crash: 35 * time.Second},
-		{name: "hot prompt in a flood", length: 40 * time.Second, surge: [2]time.Duration{10 * time.Second, 18 * time.Second}, surgeFactor: 3},
+		{name: "hot prompt in a flood", length: 40 * time.Second, surge: [2]time.Duration{10 * time.Second, 18 * time.Second}, surgeFactor: 3, hotShare: 0.5},
 		{name: "slow workers", length: 40 * time.Second, slow: true},
 		{name: "workers slow by turns", length: 40 * time.Second, bursts: true},
 		{name: "all routers restart", length: 40 * time.Second, restart: 20 * time.Second},
--- a/internal/bench/routerun.go
+++ b/internal/bench/routerun.go
@@ -282,12 +282,13 @@
 	r.fleets[router].RecordSharedLoads(r.size.routers, loads)
 }
 
-// newRequest starts one request. During a surge half of them use the same
-// prompt.
+// newRequest starts one request. During a surge a part of them use the hot
+// prompts.
 func (r *routeSim) newRequest(now time.Duration, surging bool) {
 	prompt, meanOutput := r.pickPrompt()
-	if surging && r.rnd.Float64() < 0.5 {
-		prompt, meanOutput = r.prompts[1], routeKinds[1].outputTokens
+	if surging && r.rnd.Float64() < r.scenario.hotShare {
+		i := 1 + r.rnd.IntN(max(r.scenario.hotPrompts, 1))
+		prompt, meanOutput = r.prompts[i], routeKinds[i%len(routeKinds)].outputTokens
 	}
 	own := routing.PromptPart{ID: uint64(1_000_000 + r.seq), Tokens: 200}
 	outputTokens := 1 + int(float64(meanOutput)*(0.5+r.rnd.Float64()))
--- a/internal/bench/routes.go
+++ b/internal/bench/routes.go
@@ -45,12 +45,14 @@
 )
 
 // routeScenario describes the events of a run. Times count from its start; 0 means
-// that the event does not occur.
+// that the event does not occur, and hotPrompts that there is one.
 type routeScenario struct {
 	name        string
 	length      time.Duration
-	surge       [2]time.Duration // start and end of a surge: the request rate is multiplied by surgeFactor, half of the requests use one prompt
+	surge       [2]time.Duration // start and end of a surge: the request rate is multiplied by surgeFactor, and hotShare of the requests use the hot prompts
 	surgeFactor float64
+	hotShare    float64
+	hotPrompts  int
 	release     time.Duration // 40% of the workers are replaced, spread over 4 s
 	crash       time.Duration // a fifth of the workers stops responding
 	restart     time.Duration // all routers lose their state
