Spread a hot prompt by what its rate may be, and not in the same order everywhere

A router of 86 sees 1 of 86 requests of a hot prompt. The limit was too high besides, since a worker reports when a request starts and counts that request: at a mean of 4, above the bound.

Now the count has two standard deviations added, half of the room is used, and of the workers within the limit two are drawn and the less loaded one taken.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -193,7 +193,7 @@
 		best.PreferenceIndex = len(preferences)
 	}
 	best.PlacementKey, best.LoadLimit, best.SpreadSize = key, int(limit), spread
-	best.KeyRate = f.keyRate(p, key, now)
+	best.KeyRate = f.keyRate(p, key, 0, now)
 	best.FetchFrom = f.fetchSource(parts, best, now)
 	for _, part := range parts {
 		best.SharedTokens += part.Tokens
@@ -202,20 +202,19 @@
 	return best
 }
 
-// pickWithinLimit picks one of the first spread preferences at random; spread is
-// the number of workers that the prompt's request rate needs. If it is 1 or that
-// worker is above the limit, it picks the first preference within the limit. If
-// there is none, it picks the least loaded preference and returns false. Workers that
-// accept rejects are passed over; the choice has no worker if it rejects all.
+// pickWithinLimit picks one of the first spread preferences within the limit; spread is
+// the number of workers that the prompt's request rate needs. If it is 1, or if none of
+// them is within the limit, it picks the first preference within the limit. If there is
+// none, it picks the least loaded preference and returns false. Workers that accept
+// rejects are passed over; the choice has no worker if it rejects all.
 func (f *Fleet) pickWithinLimit(candidates []*Worker, preferences []int, spread int, limit float64, now time.Time, accept func(*Worker) bool) (Choice, bool) {
 	p := f.pool(candidates[0].Upstream)
-	best := Choice{Reason: ReasonAllAboveLimit}
 	if spread > 1 {
-		preference := f.cfg.Random(min(spread, len(preferences)))
-		if w := candidates[preferences[preference]]; accept(w) && p.estimatedLoad(w, now) < limit {
-			return choiceAt(w, preference), true
+		if c, ok := f.pickFromSpread(candidates, preferences, spread, limit, now, accept); ok {
+			return c, true
 		}
 	}
+	best := Choice{Reason: ReasonAllAboveLimit}
 	for preference, i := range preferences {
 		w := candidates[i]
 		if !accept(w) {
@@ -231,6 +230,31 @@
 	return best, false
 }
 
+// pickFromSpread picks the less loaded of two random workers among the first spread
+// preferences within the limit, and takes twice as many preferences while none is. The
+// first one in order would be the same for all routers, which would send to it together
+// until they learn its load.
+func (f *Fleet) pickFromSpread(candidates []*Worker, preferences []int, spread int, limit float64, now time.Time, accept func(*Worker) bool) (Choice, bool) {
+	p := f.pool(candidates[0].Upstream)
+	var within []int // indexes in preferences
+	for seen := 0; seen < len(preferences); spread *= 2 {
+		for ; seen < min(spread, len(preferences)); seen++ {
+			if w := candidates[preferences[seen]]; accept(w) && p.estimatedLoad(w, now) < limit {
+				within = append(within, seen)
+			}
+		}
+		if len(within) == 0 {
+			continue
+		}
+		one, other := within[f.cfg.Random(len(within))], within[f.cfg.Random(len(within))]
+		if p.estimatedLoad(candidates[preferences[other]], now) < p.estimatedLoad(candidates[preferences[one]], now) {
+			one = other
+		}
+		return choiceAt(candidates[preferences[one]], one), true
+	}
+	return Choice{}, false
+}
+
 func choiceAt(w *Worker, preference int) Choice {
 	if preference == 0 {
 		return Choice{Worker: w, Reason: ReasonFirstPreference}
--- a/routing/choose_test.go
+++ b/routing/choose_test.go
@@ -83,8 +83,9 @@
 			for _, w := range f.byID {
 				w.reportedLoad, w.reportedAt, w.sentTimes, w.inFlight, w.unanswered = 5, now.Add(-500*time.Millisecond), nil, 0, 0
 			}
-			// With one worker at 14 and three at 5, 0.9 * 2 * mean + 3 is 16.05;
-			// with one at 18 it is 17.85.
+			// A reported load counts the request that it was reported with. With one
+			// worker at 13 and three at 4 without it, 0.9 * 2 * mean + 3 is 14.25; with
+			// one at 17 it is 16.05.
 			preferred.reportedLoad = 14
 			c, _ := f.Choose(prompt(1, 2, 4), now)
 			So(c.Worker, ShouldEqual, preferred)
@@ -106,7 +107,7 @@
 			w.reportedLoad, w.reportedAt = 80, now.Add(-2*time.Second)
 		}
 		// With requests of 1 s, the load of 80 has decayed to 80/e^2 = 10.8
-		// after 2 s: the mean is 10.2, and 0.9 * 2 * mean + 3 is 21.
+		// after 2 s: the mean is 9.2, and 0.9 * 2 * mean + 3 is 20.
 		So(f.loadLimit(p.workers, now), ShouldBeBetween, 19, 23)
 		for key := uint64(1); key < 50; key++ {
 			c, _ := f.Choose(prompt(key, 2), now)
--- a/routing/load.go
+++ b/routing/load.go
@@ -17,6 +17,14 @@
 	// boundFraction is the fraction of the bound that a router uses, since load
 	// reports are some hundred milliseconds old.
 	boundFraction = 0.9
+	// spreadRoom is the part of the room between the mean load and the limit that the
+	// requests for a key may fill. The rest is for the requests that are sent before
+	// the load they cause is known.
+	spreadRoom = 0.5
+	// rateDeviations is the number of standard deviations that are added to the count
+	// of a key's requests. A router of a large fleet sees few of them, and an estimate
+	// that is too low sends the requests of all routers to too few workers.
+	rateDeviations = 2
 	// usualUnanswered is the number of this router's unanswered requests on a
 	// worker that keeps up.
 	usualUnanswered = 1
@@ -38,7 +46,7 @@
 	}
 	totalLoad := 0
 	for _, w := range candidates {
-		totalLoad += w.currentLoad(now)
+		totalLoad += w.averageLoad(now)
 	}
 	limit := f.limitFor(totalLoad, len(candidates))
 	for _, w := range candidates {
@@ -53,7 +61,7 @@
 func (p *pool) meanLoad(now time.Time) float64 {
 	total := 0
 	for _, w := range p.workers {
-		total += w.currentLoad(now)
+		total += w.averageLoad(now)
 	}
 	return float64(total) / float64(max(len(p.workers), 1))
 }
@@ -79,14 +87,17 @@
 // arrive too late to keep several routers from sending to the same worker at the
 // same time.
 func (f *Fleet) spreadSize(p *pool, key uint64, limit float64, now time.Time) int {
-	rate := f.keyRate(p, key, now)
+	rate := f.keyRate(p, key, rateDeviations, now)
 	mean := (limit - loadAllowance) / (boundFraction * f.cfg.LoadBound)
-	return 1 + int(rate*p.meanDuration.Seconds()/(limit-mean))
+	return 1 + int(rate*p.meanDuration.Seconds()/(spreadRoom*(limit-mean)))
 }
 
-// keyRate estimates the rate of the requests of all routers for a key, per second.
-func (f *Fleet) keyRate(p *pool, key uint64, now time.Time) float64 {
-	return f.placements.recentRequests(key, now) / keyRateTimeConstant.Seconds() * float64(p.routers)
+// keyRate estimates the rate of the requests of all routers for a key, per second. The
+// standard deviations of this router's count of requests are added to it.
+func (f *Fleet) keyRate(p *pool, key uint64, deviations float64, now time.Time) float64 {
+	count := f.placements.recentRequests(key, now)
+	count += deviations * math.Sqrt(count)
+	return count / keyRateTimeConstant.Seconds() * float64(p.routers)
 }
 
 // remainingLoad estimates the requests left on a worker that gets no new ones.
--- a/routing/worker.go
+++ b/routing/worker.go
@@ -65,6 +65,17 @@
 	return max(w.inFlight, w.reportedLoad+w.sentSince(w.reportedAt))
 }
 
+// averageLoad estimates the load of a worker for a mean of several. A worker reports
+// when a request starts and counts that request, so its reports are too high by one on
+// average.
+func (w *Worker) averageLoad(now time.Time) int {
+	load := w.currentLoad(now)
+	if now.Sub(w.reportedAt) > loadTTL {
+		return load
+	}
+	return max(load-1, 0)
+}
+
 // sentSince counts the requests that this router sent after a time.
 func (w *Worker) sentSince(t time.Time) int {
 	n := 0
