Push the load of a worker that has reached the limit to other routers at once

A worker reports its load to one router, and with rounds of 250 ms nearly all of 86 routers know it after 0.3 to 0.8 s.

A router that learns by a report that a worker has reached the limit now sends this load to three others at once, in a short message of the format in force. They do the same if it is news to them. Reports within 20 ms share a message.

--- a/gossip/message.go
+++ b/gossip/message.go
@@ -31,6 +31,8 @@
 const (
 	memberAgeUnit = 100 * time.Millisecond
 	loadAgeUnit   = 20 * time.Millisecond
+	// maxMessageLoads is the largest number of load reports in a message.
+	maxMessageLoads = 255
 	// maxLoadAge is the largest age of a load report that a message can hold, in
 	// loadAgeUnit.
 	maxLoadAge = 255
--- a/internal/bench/routerun.go
+++ b/internal/bench/routerun.go
@@ -279,7 +279,21 @@
 			}
 		}
 	}
-	r.fleets[router].RecordSharedLoads(r.size.routers, loads)
+	r.fleets[router].RecordSharedLoads(r.size.routers, loads, routeEpoch.Add(now))
+}
+
+// pushLoad gives the load of a worker that has reached the limit to nearly all routers
+// within a few hops.
+func (r *routeSim) pushLoad(load routing.Load, now time.Duration) {
+	for _, f := range r.fleets {
+		if r.rnd.Float64() > pushReach {
+			continue
+		}
+		delay := minPushDelay + time.Duration(r.rnd.Int64N(int64(maxPushDelay-minPushDelay)))
+		r.schedule(now+delay, func(now time.Duration) {
+			f.RecordSharedLoads(r.size.routers, []routing.Load{load}, routeEpoch.Add(now))
+		})
+	}
 }
 
 // newRequest starts one request. During a surge a part of them use the hot
@@ -410,8 +424,11 @@
 		w.storeParts(prompt, now)
 		r.result.firstTokens = append(r.result.firstTokens, now-arrivedAt)
 		f.RecordFirstByte(c, now-arrivedAt)
-		f.RecordLoad(c.Worker, w.load(), w.workPercent(), routeEpoch.Add(now))
-		w.loadReports = append(w.loadReports, routing.Load{WorkerHash: gossip.WorkerHash(w.ID), InFlight: w.load(), At: routeEpoch.Add(now)})
+		report := routing.Load{WorkerHash: gossip.WorkerHash(w.ID), InFlight: w.load(), At: routeEpoch.Add(now)}
+		w.loadReports = append(w.loadReports, report)
+		if f.RecordLoad(c.Worker, w.load(), w.workPercent(), routeEpoch.Add(now)).ReachedLimit && r.strategy.sharesLoads {
+			r.pushLoad(report, now)
+		}
 		step := time.Duration(w.factor() * float64(routeStep+time.Duration(w.running)*routeStepEach))
 		r.schedule(now+time.Duration(outputTokens)*step, func(now time.Duration) {
 			f.RecordEnd(c, !w.unresponsive, routeEpoch.Add(now))
--- a/internal/bench/routes.go
+++ b/internal/bench/routes.go
@@ -32,6 +32,9 @@
 	routeStepEach      = 120 * time.Microsecond
 	minLoadDelay       = 150 * time.Millisecond  // shortest delay until another router knows a load
 	maxLoadDelay       = 600 * time.Millisecond  // longest such delay
+	minPushDelay       = 10 * time.Millisecond   // shortest delay until another router knows a load that is pushed
+	maxPushDelay       = 100 * time.Millisecond  // longest such delay
+	pushReach          = 0.94                    // share of the routers that a push reaches
 	loadShareInterval  = 250 * time.Millisecond  // period of load messages between routers
 	unreachableTimeout = 300 * time.Millisecond  // until an unresponsive worker counts as unreachable
 	routeLoadBound     = 2.0                     // multiple of the mean load
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -77,6 +77,9 @@
 	// ReportLoad shares the number of requests in flight that a worker reported.
 	// worker is the hash of its ID. It does not block.
 	ReportLoad(worker uint32, inFlight int, at time.Time)
+	// PushLoads sends the known loads of workers to some routers soon, without
+	// waiting for the next round. It does not block.
+	PushLoads(workers []uint32)
 	// RouterCount estimates the number of routers, including this one.
 	RouterCount() int
 	// SubscribeLoads calls fn with load reports of other routers that are newer than
--- a/plugins/gateway/choose.go
+++ b/plugins/gateway/choose.go
@@ -44,14 +44,28 @@
 }
 
 // recordLoad records the load that a worker reported and shares it with other
-// routers.
+// routers, at once if they would send to the worker without knowing it.
 func (g *Gateway) recordLoad(w *routing.Worker, l core.WorkerLoad) {
 	now, busy := time.Now(), l.Running+l.Waiting
-	if g.fleet.RecordLoad(w, busy, l.WorkPercent, now) {
+	effect := g.fleet.RecordLoad(w, busy, l.WorkPercent, now)
+	g.decisions.count("load_reports", "upstream", w.Upstream)
+	if effect.AboveBound {
 		g.decisions.count("loads_above_bound", "upstream", w.Upstream)
 	}
-	g.decisions.count("load_reports", "upstream", w.Upstream)
-	if g.loads != nil {
-		g.loads.ReportLoad(gossip.WorkerHash(w.ID), busy, now)
+	if g.loads == nil {
+		return
+	}
+	hash := gossip.WorkerHash(w.ID)
+	g.loads.ReportLoad(hash, busy, now)
+	if effect.ReachedLimit {
+		g.loads.PushLoads([]uint32{hash})
+	}
+}
+
+// recordSharedLoads records loads that other routers shared, and passes those on at
+// once by which workers have reached the limit.
+func (g *Gateway) recordSharedLoads(list []routing.Load) {
+	if reached := g.fleet.RecordSharedLoads(g.loads.RouterCount(), list, time.Now()); len(reached) > 0 {
+		g.loads.PushLoads(reached)
 	}
 }
--- a/plugins/gateway/fleet_test.go
+++ b/plugins/gateway/fleet_test.go
@@ -232,6 +232,7 @@
 	mu      sync.Mutex
 	view    *gossip.View
 	onLoads func([]routing.Load)
+	loads   []int // loads that other routers shared, in the order of their arrival
 
 	extensions []core.GossipExtension
 }
@@ -325,6 +326,9 @@
 		list := make([]routing.Load, len(update.Loads))
 		for i, l := range update.Loads {
 			list[i] = routing.Load{WorkerHash: l.WorkerHash, InFlight: l.InFlight, At: l.At}
+			p.mu.Lock()
+			p.loads = append(p.loads, l.InFlight)
+			p.mu.Unlock()
 		}
 		p.onLoads(list)
 	}
@@ -336,6 +340,17 @@
 	p.view.SetLoad(worker, inFlight, at)
 }
 
+func (p *testGossip) PushLoads(workers []uint32) {
+	now := time.Now()
+	p.mu.Lock()
+	targets := p.view.Targets(now, 2, 1)
+	message := p.view.LoadMessage(now, workers)
+	p.mu.Unlock()
+	for _, to := range targets {
+		p.send(to, message)
+	}
+}
+
 func (p *testGossip) RouterCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -187,7 +187,7 @@
 	g.readiness.Require(componentName)
 	if p.Loads != nil {
 		g.loads = p.Loads
-		p.Loads.SubscribeLoads(func(l []routing.Load) { g.fleet.RecordSharedLoads(g.loads.RouterCount(), l) })
+		p.Loads.SubscribeLoads(g.recordSharedLoads)
 	}
 	p.Config.Subscribe(g.applyConfig)
 	p.Workers.SubscribeWorkers(g.applyWorkers)
--- a/plugins/gossip/exchange.go
+++ b/plugins/gossip/exchange.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	lib "github.com/auburnlead/auburnlead/gossip"
@@ -187,6 +188,34 @@
 	g.view.SetLoad(worker, inFlight, at)
 }
 
+// PushLoads implements core.LoadGossip. Loads that are pushed within pushInterval share
+// a message.
+func (g *Gossip) PushLoads(workers []uint32) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	scheduled := len(g.pendingLoads) > 0
+	for _, w := range workers {
+		if !slices.Contains(g.pendingLoads, w) {
+			g.pendingLoads = append(g.pendingLoads, w)
+		}
+	}
+	if !scheduled {
+		time.AfterFunc(max(pushInterval-time.Since(g.lastPush), 0), g.sendPendingLoads)
+	}
+}
+
+// sendPendingLoads sends the loads of PushLoads.
+func (g *Gossip) sendPendingLoads() {
+	now := time.Now()
+	g.mu.Lock()
+	message := g.view.LoadMessage(now, g.pendingLoads)
+	targets := g.view.Targets(now, sameDomainTargets, otherDomainTargets)
+	g.pendingLoads, g.lastPush = nil, now
+	g.mu.Unlock()
+	g.pushed.Inc(1)
+	g.send(message, targets...)
+}
+
 // RouterCount implements core.LoadGossip and replica.Peers.
 func (g *Gossip) RouterCount() int {
 	g.mu.Lock()
--- a/plugins/gossip/gossip_test.go
+++ b/plugins/gossip/gossip_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -136,3 +137,37 @@
 		})
 	})
 }
+
+// Guards against pushed loads that are not sent, that are sent again and again, or that
+// carry what a message of a round carries.
+func TestPushLoads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Loads that are pushed together share a short message", t, func() {
+			a, b := newGossip(t, "a", "127.0.0.1:7000"), newGossip(t, "b", "127.0.0.2:7000")
+			conn := &recordingConn{}
+			a.conn, b.conn = conn, discardConn{}
+			_, err := a.view.Merge(time.Now(), netip.MustParseAddrPort("127.0.0.2:7000"), b.view.Message(time.Now()))
+			So(err, ShouldBeNil)
+			for worker := range uint32(100) {
+				a.ReportLoad(worker, int(worker), time.Now())
+			}
+			a.PushLoads([]uint32{7})
+			synctest.Wait()
+			So(conn.messages, ShouldHaveLength, 1)
+			a.PushLoads([]uint32{8})
+			a.PushLoads([]uint32{8, 9})
+			a.PushLoads([]uint32{1000}) // no load is known
+			<-time.After(pushInterval)
+			synctest.Wait()
+			So(conn.messages, ShouldHaveLength, 2)
+			So(len(conn.messages[1]), ShouldBeLessThan, 100)
+			var loads []routing.Load
+			b.SubscribeLoads(func(list []routing.Load) { loads = append(loads, list...) })
+			for _, m := range conn.messages {
+				b.merge(netip.MustParseAddrPort("127.0.0.1:7000"), m)
+			}
+			So(loads, ShouldHaveLength, 3)
+			So(loads[2].InFlight, ShouldEqual, 9)
+		})
+	})
+}
--- a/plugins/gossip/setup.go
+++ b/plugins/gossip/setup.go
@@ -69,6 +69,8 @@
 	// seedPeriod is the time between two messages to a seed. Through seeds,
 	// partitions of the fleet that have lost contact learn of each other again.
 	seedPeriod = 3 * time.Second
+	// pushInterval is the shortest time between two rounds of PushLoads.
+	pushInterval = 20 * time.Millisecond
 	// loadTTL is the age from which a load report is no longer sent.
 	loadTTL = 3 * time.Second
 )
@@ -109,6 +111,7 @@
 	peerClient *peerClient
 	encoded    *encodedRowSets
 	sent       tally.Counter
+	pushed     tally.Counter // rounds of PushLoads
 	received   tally.Counter
 	refused    tally.Counter
 	unreadable *unreadable.Reporter
@@ -122,6 +125,8 @@
 	tablesChanged   chan struct{}        // closed when a table has a newer version
 	onLoads         func([]routing.Load) // subscriber of load reports, nil for none
 	extensions      []core.GossipExtension
+	pendingLoads    []uint32  // workers whose loads are to be pushed, by hash
+	lastPush        time.Time // when loads were last pushed
 	lastSeedMessage time.Time // when the last message was sent to a seed
 	readsStore      bool      // role as of the last round
 }
@@ -145,7 +150,7 @@
 	scope := p.Scope.SubScope(component)
 	g := &Gossip{
 		settings: p.Settings, tables: p.Tables, tableNames: tableNames, log: p.Logger.WithPrefix(component), startedAt: time.Now(), peerClient: newPeerClient(), encoded: &encodedRowSets{byKey: map[rowSetKey][]byte{}},
-		sent: scope.Counter("sent"), received: scope.Counter("received"), refused: scope.Counter("refused"), unreadable: unreadable.New(p.Logger.WithPrefix(component), scope), routers: scope.Gauge("routers"),
+		sent: scope.Counter("sent"), pushed: scope.Counter("load_pushes"), received: scope.Counter("received"), refused: scope.Counter("refused"), unreadable: unreadable.New(p.Logger.WithPrefix(component), scope), routers: scope.Gauge("routers"),
 		tablesChanged: make(chan struct{}),
 		view: lib.New(lib.Config{
 			Router: p.Identity.Router, Domain: p.Identity.FailureDomain, Address: self, Seeds: seeds,
--- a/routing/choose_test.go
+++ b/routing/choose_test.go
@@ -209,8 +209,8 @@
 			}
 			return count
 		}
-		f.RecordSharedLoads(86, nil)
-		f.RecordSharedLoads(30, nil)
+		f.RecordSharedLoads(86, nil, now)
+		f.RecordSharedLoads(30, nil, now)
 		So(allowedRetries(), ShouldEqual, 212/86)
 	})
 }
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -369,28 +369,54 @@
 	return listed, reachable, len(f.byID)
 }
 
+// LoadEffect says what a load report of a worker changed.
+type LoadEffect struct {
+	AboveBound bool // the worker is above the load bound
+	// ReachedLimit says that by this report the worker has reached the load at which
+	// prompts go elsewhere. Other routers send to it until they know.
+	ReachedLimit bool
+}
+
 // RecordLoad records the number of requests that a worker reports, and how long
-// work takes there now, in percent of the usual time; 0 if unknown. It reports whether
-// the worker is above the load bound.
-func (f *Fleet) RecordLoad(w *Worker, inFlight, workPercent int, now time.Time) bool {
+// work takes there now, in percent of the usual time; 0 if unknown.
+func (f *Fleet) RecordLoad(w *Worker, inFlight, workPercent int, now time.Time) LoadEffect {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w.reportedLoad, w.reportedAt, w.workPercent = inFlight, now, workPercent
-	return float64(inFlight) > f.cfg.LoadBound*f.pool(w.Upstream).meanLoad(now)+loadAllowance
+	p := f.pool(w.Upstream)
+	return LoadEffect{
+		ReachedLimit: f.recordLoad(p, w, inFlight, workPercent, now, now),
+		AboveBound:   float64(inFlight) > f.cfg.LoadBound*p.meanLoad(now)+loadAllowance,
+	}
+}
+
+// recordLoad records a load report and reports whether the worker has reached the
+// limit by it.
+func (f *Fleet) recordLoad(p *pool, w *Worker, inFlight, workPercent int, at, now time.Time) bool {
+	before := w.currentLoad(now)
+	w.reportedLoad, w.reportedAt, w.workPercent = inFlight, at, workPercent
+	after := w.currentLoad(now)
+	if after <= max(before, loadAllowance) {
+		return false
+	}
+	limit := boundFraction*f.cfg.LoadBound*p.meanLoad(now) + loadAllowance
+	return float64(before) < limit && float64(after) >= limit
 }
 
 // RecordSharedLoads records load reports that other routers shared, and the
-// number of routers, this one included.
-func (f *Fleet) RecordSharedLoads(routers int, list []Load) {
+// number of routers, this one included. It returns the hashes of the workers that have
+// reached the limit by them.
+func (f *Fleet) RecordSharedLoads(routers int, list []Load, now time.Time) []uint32 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.setRouters(routers)
+	var reached []uint32
 	for _, l := range list {
 		w := f.byHash[l.WorkerHash]
-		if w != nil && l.At.After(w.reportedAt) {
-			w.reportedLoad, w.reportedAt, w.workPercent = l.InFlight, l.At, 0
+		if w != nil && l.At.After(w.reportedAt) && f.recordLoad(f.pool(w.Upstream), w, l.InFlight, 0, l.At, now) {
+			reached = append(reached, l.WorkerHash)
 		}
 	}
+	return reached
 }
 
 // RecordRouters records the number of routers, this one included.
