Attribute answers to requests without an ID by their connection

A caller may send no request ID. Its request on a used connection took each answer without an ID for its own, also a refusal of an earlier request that the worker wrote once more: the request ran at a second worker, or its caller was told that it had not run.

Such requests now get a connection of their own, and an answer without an ID counts on an unused one only.

--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -84,7 +84,7 @@
 	req := g.newAttemptRequest(httptrace.WithClientTrace(ctx, trace), x, c, lastEvent)
 	stall := g.startStallTimer(x, c, cancel)
 	start := time.Now()
-	resp, err := g.transportFor(c.Worker).RoundTrip(req)
+	resp, err := g.transportFor(x, c.Worker).RoundTrip(req)
 	if err != nil {
 		cancel()
 		f := classifySendError(err, connected)
@@ -167,8 +167,11 @@
 // isAttributed reports whether a response belongs to the request that was sent on its
 // connection. Only a refusal may lack the request ID, and only on a connection that was
 // not used before: on another one it may be an additional response to an earlier
-// request.
+// request. The same holds for each response to a request without an ID.
 func isAttributed(id string, h core.ResponseHeader, reused bool) bool {
+	if id == "" {
+		return h.RequestID == "" && !reused
+	}
 	return h.RequestID == id || h.RequestID == "" && h.NotRun && !reused
 }
 
--- a/plugins/gateway/notrun_test.go
+++ b/plugins/gateway/notrun_test.go
@@ -151,3 +151,32 @@
 		})
 	}
 }
+
+// Guards against a refusal of an earlier request that counts as the answer to a request
+// without an ID, which no answer can name.
+func TestRefusalOfRequestWithoutID(t *testing.T) {
+	inBubble(t, "A refusal on a used connection says nothing of a request without an ID", desks(2), func(h *harness) {
+		var mu sync.Mutex
+		runs, served := 0, map[net.Conn]int{}
+		for address := range h.network.listeners {
+			h.startRawWorker(address, func(conn net.Conn, id string) bool {
+				mu.Lock()
+				runs++
+				served[conn]++
+				again := served[conn] > 1
+				mu.Unlock()
+				if again {
+					_, _ = io.WriteString(conn, refusal(http.StatusServiceUnavailable, ""))
+				}
+				_, _ = io.WriteString(conn, answerTo(id, "answer"))
+				return true
+			})
+		}
+		for i := range 20 {
+			runs = 0
+			resp, _ := h.call("POST", "/book/x", testID, "")
+			So(runs, ShouldEqual, 1)
+			So(fmt.Sprint(i, " ", resp.Code), ShouldEqual, fmt.Sprint(i, " ", http.StatusOK))
+		}
+	})
+}
--- a/plugins/gateway/upstream.go
+++ b/plugins/gateway/upstream.go
@@ -41,11 +41,11 @@
 	return c
 }
 
-// transportFor returns the transport for a request to a worker. A refusal without a
-// request ID is attributed by its connection, so workers that write such refusals get
-// each request on a connection of its own.
-func (g *Gateway) transportFor(w *routing.Worker) *http.Transport {
-	if g.fleet.RefusesAnonymously(w, time.Now()) {
+// transportFor returns the transport for a request to a worker. A response without a
+// request ID is attributed by its connection, so requests without an ID, and all
+// requests to workers that write such refusals, get a connection of their own.
+func (g *Gateway) transportFor(x *exchange, w *routing.Worker) *http.Transport {
+	if x.header.ID == "" || g.fleet.RefusesAnonymously(w, time.Now()) {
 		return g.conns.unshared
 	}
 	return g.conns.transport
