Pass on no request in a planned stop that may outlast it

Report of another operator: requests that came late in the grace were passed on and cut at its end without an answer, among them some that must not be repeated. It could happen here.

Cause: the stop let everything run until its end and then closed the connections; and http.Server.Shutdown drops requests whose head is complete after its begin.

After the drain delay a request goes to a worker only if its deadline comes before the end of the stop; others get 503 at once. 200 ms before the end what is left gets 502, and bodies that have not arrived get 503. Shutdown begins when no connection has a request in flight or its first one still to come.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 	$(GO) test -race -count=1 $(if $(KNOWN_RED_TESTS),-skip '^($(KNOWN_RED_TESTS))$$') ./...
 	$(GO) test -count=1 -run TestFleetStart ./plugins/config
 	$(GO) test -count=1 -run 'TestHotPrompts$$' ./internal/bench
+	$(GO) test -count=1 -run TestLateRequestsInPlannedStop ./plugins/gateway
 	@echo "Known failures that do not fail this target (KNOWN-RED.txt):"; grep -E '^(bench short|go test):' KNOWN-RED.txt || true
 
 # Runs a small fleet as separate processes on loopback and checks it from end to
--- a/plugins/gateway/buffered.go
+++ b/plugins/gateway/buffered.go
@@ -182,8 +182,12 @@
 		g.forward(x, failed, outcomeRelayed)
 	case x.possibleRuns > 0 && errors.Is(x.ctx.Err(), context.DeadlineExceeded):
 		g.fail(x, http.StatusGatewayTimeout, "deadline", last)
+	case x.possibleRuns > 0 && (x.tooLate || g.server.ending.Err() != nil):
+		g.fail(x, http.StatusBadGateway, reasonStopping, last)
 	case x.possibleRuns > 0:
 		g.fail(x, http.StatusBadGateway, last.reason, last)
+	case x.tooLate || g.server.ending.Err() != nil:
+		g.refuseStopping(x)
 	case x.quarantined > 0:
 		g.refuseQuarantined(x)
 	case x.pausedWorkers > 0:
--- a/plugins/gateway/choose.go
+++ b/plugins/gateway/choose.go
@@ -17,6 +17,10 @@
 	if g.checkQuarantine(x) {
 		return routing.Choice{}, false
 	}
+	if !g.server.window.Load().takes(x.deadline, time.Now()) {
+		x.tooLate = true
+		return routing.Choice{}, false
+	}
 	r := routing.Request{Upstream: x.upstream, Tried: x.tried}
 	if x.route.Sticky {
 		r.SharedParts = routing.SharedParts(x.header.Prompt)
--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -40,6 +40,7 @@
 	nextPermit     time.Duration
 	pausedWorkers  int           // workers of the upstream that want no requests for now
 	nextOpening    time.Duration // time until one of them takes requests again
+	tooLate        bool          // the router stops before the request's deadline
 	quarantined    time.Duration // remaining quarantine of one of its prompt parts, 0 for none
 	status         int
 	outcome        string // one of the outcomes below
@@ -160,6 +161,7 @@
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(g.server.ending, cancel)()
 	x.ctx = ctx
 	if x.route.Kind == objects.RouteStream {
 		g.serveStream(x)
@@ -228,6 +230,7 @@
 		// The deadline stays after a failure, so that the server does not wait for
 		// the rest of the body before it closes the connection.
 		_ = x.conn.SetReadDeadline(x.deadline) // not supported by recorders in tests
+		defer context.AfterFunc(g.server.ending, func() { _ = x.conn.SetReadDeadline(time.Now()) })()
 	}
 	_, err := io.Copy(&b, http.MaxBytesReader(x.w, x.r.Body, g.settings.BodyBytes))
 	x.body = b.Bytes()
@@ -238,6 +241,9 @@
 			_ = x.conn.SetReadDeadline(time.Time{}) // its end would look like a caller that disconnects
 		}
 		return true
+	case errors.Is(err, os.ErrDeadlineExceeded) && g.server.ending.Err() != nil:
+		x.err = err
+		g.refuseStopping(x)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		g.deny(x, http.StatusRequestTimeout, "body too slow", err)
 	case errors.As(err, &tooLarge):
--- a/plugins/gateway/notrun_test.go
+++ b/plugins/gateway/notrun_test.go
@@ -137,6 +137,8 @@
 			callers.Wait()
 			sleep(time.Second)
 			var broken []string
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			for i := range requests {
 				id, path := "id-"+strconv.Itoa(i), paths[i%len(paths)]
 				if path == "/read/x" || path == "/chat/x" {
--- a/plugins/gateway/refuse.go
+++ b/plugins/gateway/refuse.go
@@ -48,6 +48,16 @@
 	g.refuseFor(x, "prompt part is quarantined", x.quarantined+time.Duration(rand.Int64N(int64(retryAfterStarting))))
 }
 
+// reasonStopping is the reason of requests that a router which stops does not serve.
+const reasonStopping = "router is stopping"
+
+// refuseStopping refuses a request since the router stops. The caller may return at
+// once: its connection is closed, and a new one leads to another router.
+func (g *Gateway) refuseStopping(x *exchange) {
+	g.decisions.count("stop_refusals", "upstream", x.upstream)
+	g.refuseFor(x, reasonStopping, 0)
+}
+
 // pauseSpread is the inverse part of a pause over which callers return after it.
 const pauseSpread = 4
 
--- a/plugins/gateway/server.go
+++ b/plugins/gateway/server.go
@@ -22,22 +22,47 @@
 type server struct {
 	g          *Gateway
 	stopping   atomic.Bool
+	window     atomic.Pointer[stopWindow] // nil until the router stops
 	callers    *http.Server
+	conns      callerConns
 	auxServers []*http.Server
+	// ending ends shortly before the process exits. Requests in flight then get the
+	// router's own response.
+	ending context.Context
+	end    context.CancelFunc
+}
+
+// stopWindow has the times of a planned stop.
+type stopWindow struct {
+	drained time.Time // callers should use other routers from here on
+	ends    time.Time // requests in flight are given up
+}
+
+// takes reports whether a request with a deadline may be sent to a worker. After the
+// drain delay only those are that end before the router does: the response to another
+// one might be cut off, and the request may be one that must not be repeated.
+func (w *stopWindow) takes(deadline, now time.Time) bool {
+	return w == nil || now.Before(w.drained) || !deadline.After(w.ends)
 }
 
 // stopMargin is subtracted from Settings.StopWithin, so that the process exits
 // by itself before it is killed.
 const stopMargin = 300 * time.Millisecond
 
+// answerMargin is the time before the end of a stop at which requests in flight are
+// given up, so that their callers get a response.
+const answerMargin = 200 * time.Millisecond
+
 func newServer(g *Gateway) *server {
 	s := &server{g: g}
+	s.ending, s.end = context.WithCancel(context.Background())
 	s.callers = &http.Server{
 		Handler:           http.HandlerFunc(g.serveRequest),
 		ReadHeaderTimeout: g.settings.HeaderTimeout,
 		IdleTimeout:       g.settings.IdleTimeout,
 		MaxHeaderBytes:    g.settings.HeaderBytes,
 		ErrorLog:          g.log.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
+		ConnState:         s.conns.record,
 	}
 	return s
 }
@@ -77,7 +102,14 @@
 }
 
 // serveCallers serves a listener until the server is closed.
-func (s *server) serveCallers(l net.Listener) error { return framing.Serve(s.callers, l) }
+func (s *server) serveCallers(l net.Listener) error {
+	s.conns.setListener(l)
+	err := framing.Serve(s.callers, l)
+	if s.stopping.Load() {
+		return http.ErrServerClosed // the listener is closed before the server
+	}
+	return err
+}
 
 // newAuxServer returns a server with one handler that stop closes last.
 func (s *server) newAuxServer(path string, handler http.HandlerFunc) *http.Server {
@@ -105,10 +137,15 @@
 }
 
 // stop reports not ready, keeps serving for the drain delay, then closes the
-// listeners and waits for the requests in flight.
+// listeners and waits for the requests in flight. Those that are left at the end get an
+// error response.
 func (s *server) stop(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, s.g.settings.StopWithin-stopMargin)
+	now, within := time.Now(), s.g.settings.StopWithin-stopMargin
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
+	s.window.Store(&stopWindow{drained: now.Add(s.g.settings.DrainDelay), ends: now.Add(within - answerMargin)})
+	end := time.AfterFunc(within-answerMargin, s.end)
+	defer end.Stop()
 	s.stopping.Store(true)
 	s.g.readiness.SetReady(componentName, false, "stopping")
 	s.g.decisions.logChange("stopping", "in_flight", s.g.decisions.inFlight(), "drain_delay", s.g.settings.DrainDelay)
@@ -118,14 +155,18 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	// Shutdown drops requests whose header is still arriving. Requests on idle
+	// connections are answered until then.
+	s.conns.closeListener()
+	s.conns.awaitIdle(s.ending)
 	err := s.callers.Shutdown(ctx)
 	s.g.decisions.logChange("stopped", "in_flight", s.g.decisions.inFlight())
 	for _, h := range append(s.auxServers, s.callers) {
 		_ = h.Close() // the process exits; nothing is left to save
 	}
 	s.g.conns.transport.CloseIdleConnections()
-	if err != nil {
+	if err != nil && s.g.decisions.inFlight() > 0 {
 		return fmt.Errorf("gateway: requests in flight did not end in time: %w", err)
 	}
-	return nil
+	return nil // connections without a request may have been left
 }
