Tell other routers of the pauses that workers ask for

A pause binds the router that was refused. Ruled out: as a rule for all, since each router is told its own time (docs/decisions/0006).

--- a/gossip/extension.go
+++ b/gossip/extension.go
@@ -16,6 +16,7 @@
 const (
 	ExtensionCrashes    byte = 1 // package quarantine
 	ExtensionRateLimits byte = 2 // limits that workers name
+	ExtensionPauses     byte = 3 // pauses that workers ask for
 )
 
 // ExtensionLimit returns the largest payload of an extension, in bytes.
--- a/internal/bench/pauses.go
+++ b/internal/bench/pauses.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/auburnlead/auburnlead/gossip"
 	"github.com/auburnlead/auburnlead/routing"
 )
 
@@ -21,6 +22,9 @@
 	// maxReturnFactor limits the requests that the workers whose pause has ended get in
 	// the second after it, in multiples of their share.
 	maxReturnFactor = 1.5
+	// pauseSpreadTime is the time after which other routers have heard of a pause: two
+	// rounds of messages.
+	pauseSpreadTime = 500 * time.Millisecond
 	requestDuration = 40 * time.Millisecond
 )
 
@@ -70,6 +74,11 @@
 		until  time.Time
 	}
 	type pair struct{ router, worker int }
+	type message struct {
+		at     time.Time
+		pauses []routing.Pause
+	}
+	var told []message // in order of time
 	var result pauseResult
 	var ongoing []running
 	interval := float64(time.Second) / size.perSecond // mean time between two requests
@@ -84,6 +93,12 @@
 			clear(inPause)
 		}
 		turnEnd := routeEpoch.Add(time.Duration(turn+1) * pauseTurn)
+		for len(told) > 0 && !told[0].at.After(now) {
+			for _, other := range fleets {
+				other.RecordSharedPauses(told[0].pauses, now)
+			}
+			told = told[1:]
+		}
 		for len(ongoing) > 0 && !ongoing[0].until.After(now) {
 			ongoing[0].fleet.RecordEnd(ongoing[0].choice, true, now)
 			ongoing = ongoing[1:]
@@ -121,7 +136,9 @@
 				result.mostInPause = max(result.mostInPause, inPause[p])
 			}
 			if readsPauses {
-				f.RecordPause(c.Worker, turnEnd.Sub(now), now)
+				if until, started := f.RecordPause(c.Worker, turnEnd.Sub(now), now); started {
+					told = append(told, message{now.Add(pauseSpreadTime), []routing.Pause{{WorkerHash: gossip.WorkerHash(c.Worker.ID), Until: until}}})
+				}
 			}
 			tried = append(tried, c.Worker)
 			if !f.AllowRetry("u", now) {
--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -185,6 +185,7 @@
 		return
 	}
 	if until, started := g.fleet.RecordPause(w, h.Pause, now); started {
+		g.pauses.push()
 		g.decisions.logChange("worker paused", "worker", w.ID, "upstream", w.Upstream, "request", x.header.ID, "asked_ms", h.Pause.Milliseconds(), "pause_ms", until.Sub(now).Milliseconds())
 	}
 }
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -158,6 +158,7 @@
 	reachability      *reachability
 	crashes           *crashDetector
 	limits            *rateLimits
+	pauses            *sharedPauses
 
 	isolation isolation
 	server    *server
@@ -182,6 +183,7 @@
 	g.decisions = newDecisionLog(g.log, p.Scope, p.Settings.LogLines)
 	g.crashes = newCrashDetector(g, p.Extensions)
 	g.limits = newRateLimits(g, p.Extensions)
+	g.pauses = newSharedPauses(g, p.Extensions)
 	g.readiness.Require(componentConfig)
 	g.readiness.Require(componentWorkers)
 	g.readiness.Require(componentName)
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -119,11 +119,12 @@
 	healthy := func(w *Worker) bool {
 		return reachable(w) && !p.ejector.Ejected(now, w.ID) && p.isWithinShare(w, now)
 	}
+	preferred := func(w *Worker) bool { return healthy(w) && !w.said.isHeardPaused(now) }
 	limited := p.hasRateLimit()
 	for _, try := range []struct {
 		accept func(*Worker) bool
 		early  time.Duration
-	}{{healthy, 0}, {healthy, earlyPermit}, {reachable, earlyPermit}} {
+	}{{preferred, 0}, {preferred, earlyPermit}, {healthy, earlyPermit}, {reachable, earlyPermit}} {
 		candidates, hashes := p.candidates(r.Tried, try.accept)
 		hasPermit := func(w *Worker) bool {
 			return f.hasPermit(w, now, try.early) && !(limited && p.isFull(w, now))
--- a/routing/statements.go
+++ b/routing/statements.go
@@ -6,20 +6,42 @@
 )
 
 // Workers say in their responses that they leave or that they want no requests for a
-// while. A router acts on what it was told itself: every router that sends to a worker
-// is told by the worker's next response.
+// while. A router is bound by what it was told itself: every router that sends to a
+// worker is told by the worker's next response. Of a pause that another router was asked
+// for it hears from that router, and prefers other workers for a while.
 
 // statements is what a worker process has said about the requests that it takes. A
 // new process of the same ID starts without any.
 type statements struct {
 	leavingSince time.Time // when it first said that it leaves; zero if it did not
 	pausedUntil  time.Time // until then it wants no requests of this router; zero if it never said so
+	pausedAt     time.Time // when it first said so, of the current pause
+	heardUntil   time.Time // until then another router has a pause, at most maxSharedPause
 }
 
 func (s statements) isLeaving() bool            { return !s.leavingSince.IsZero() }
 func (s statements) isPaused(at time.Time) bool { return at.Before(s.pausedUntil) }
 
+// isHeardPaused reports whether another router has told of a pause.
+func (s statements) isHeardPaused(at time.Time) bool { return at.Before(s.heardUntil) }
+
+// sharedEnd returns the end of the pause for other routers, a time in the past for none.
+func (s statements) sharedEnd() time.Time {
+	end := s.pausedAt.Add(maxSharedPause)
+	if s.pausedUntil.Before(end) {
+		end = s.pausedUntil
+	}
+	if s.heardUntil.After(end) {
+		end = s.heardUntil
+	}
+	return end
+}
+
 const (
+	// maxSharedPause is the part of a pause of which other routers are told, from its
+	// begin. A worker that names a long one to one router only stays in use at the
+	// others.
+	maxSharedPause = 10 * time.Second
 	// statementTTL is how long the statements of a worker that is no longer listed
 	// are kept. Registrations expire while the store does not reply, and the same
 	// process is listed again later.
@@ -57,7 +79,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w = f.newestEntry(w)
-	started = !w.said.isPaused(now)
+	if started = !w.said.isPaused(now); started {
+		w.said.pausedAt = now
+	}
 	if end := now.Add(min(d, f.cfg.MaxPause)); end.After(w.said.pausedUntil) {
 		w.said.pausedUntil = end
 		f.keepIfUnlisted(w, now)
@@ -65,6 +89,51 @@
 	return w.said.pausedUntil, started && w.said.isPaused(now)
 }
 
+// Pause is a pause of a worker that a router was asked for.
+type Pause struct {
+	WorkerHash uint32 // gossip.WorkerHash of the worker's ID
+	Until      time.Time
+}
+
+// Pauses returns the pauses of which other routers are to be told, in no order.
+func (f *Fleet) Pauses(now time.Time) []Pause {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Pause
+	for hash, w := range f.byHash {
+		if end := w.said.sharedEnd(); end.After(now) {
+			list = append(list, Pause{hash, end})
+		}
+	}
+	return list
+}
+
+// RecordSharedPauses records pauses that other routers were asked for, and returns the
+// number of those that were not known. The workers get requests that no other worker
+// takes.
+func (f *Fleet) RecordSharedPauses(list []Pause, now time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	news := 0
+	for _, p := range list {
+		w := f.byHash[p.WorkerHash]
+		if w == nil || !p.Until.After(now) {
+			continue
+		}
+		end := p.Until
+		if limit := now.Add(maxSharedPause); end.After(limit) {
+			end = limit
+		}
+		if !w.said.isPaused(now) && !w.said.isHeardPaused(now) {
+			news++
+		}
+		if end.After(w.said.heardUntil) {
+			w.said.heardUntil = end
+		}
+	}
+	return news
+}
+
 // NextOpening returns the time until the first paused worker of an upstream takes
 // requests again, and the number of paused workers. The number is 0 if another worker
 // takes requests. Unreachable workers and those that leave do not count.
