Hold no lock while the callers' listener is closed

closeListener closed the listener under its mutex, against the rule that no lock is held across I/O. Found by reading; nothing was seen to wait. The listener is read under the lock and closed outside. The tests of stops pass.

--- a/plugins/gateway/callerconns.go
+++ b/plugins/gateway/callerconns.go
@@ -42,9 +42,10 @@
 // closeListener lets no more connections be opened.
 func (c *callerConns) closeListener() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.listener != nil {
-		_ = c.listener.Close() // closed again by the server
+	l := c.listener
+	c.mu.Unlock()
+	if l != nil {
+		_ = l.Close() // closed again by the server
 	}
 }
 
