--- a/plugins/gateway/latestop_test.go
+++ b/plugins/gateway/latestop_test.go
@@ -27,7 +27,6 @@
 
 	status   int
 	complete bool // the response was read to its end
-	sentAt   time.Duration
 }
 
 func (c *lateCaller) run(l *memoryListener, id string, start time.Time) {
