--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -8,7 +8,8 @@
 // buffered responses or stream.go for streams, refuse.go (responses of the
 // router itself), decision.go (log and metrics). reachability.go and isolation.go
 // track which workers are reachable, quarantine.go which requests crash them,
-// ratelimit.go how many requests they take.
+// ratelimit.go how many requests they take, pauses.go which of them other routers have
+// to spare. callerconns.go tells a stop which connections are in use.
 package gateway
 
 import (
