--- a/plugins/gateway/notrun_test.go
+++ b/plugins/gateway/notrun_test.go
@@ -21,8 +21,8 @@
 type faultyWorkers struct {
 	mu     sync.Mutex
 	random *rand.Rand
-	runs   map[string]int // by the body's number of the request
-	last   map[net.Conn]string
+	runs   map[string]int      // by request ID
+	last   map[net.Conn]string // ID of the request before
 }
 
 func (f *faultyWorkers) intN(n int) int {
