--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 test: lint
 	$(GO) test -race -count=1 $(if $(KNOWN_RED_TESTS),-skip '^($(KNOWN_RED_TESTS))$$') ./...
 	$(GO) test -count=1 -run TestFleetStart ./plugins/config
-	$(GO) test -count=1 -run 'TestHotPrompts$$' ./internal/bench
+	$(GO) test -count=1 -run 'TestHotPrompts' ./internal/bench
 	$(GO) test -count=1 -run TestLateRequestsInPlannedStop ./plugins/gateway
 	@echo "Known failures that do not fail this target (KNOWN-RED.txt):"; grep -E '^(bench short|go test):' KNOWN-RED.txt || true
 
--- a/internal/bench/hotprompt_test.go
+++ b/internal/bench/hotprompt_test.go
@@ -14,26 +14,15 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// hotPrompts is a case of prompts that get much of the traffic.
-type hotPrompts struct {
-	share   float64 // of all requests
-	prompts int
-}
-
 // Guards against workers above the load bound when prompts get much of the traffic of
 // a large fleet, in which each router sees a small part of it and learns of loads late
 // (incident 0014).
 func TestHotPrompts(t *testing.T) {
-	testHotPrompts(t, hotPrompts{0, 1}, hotPrompts{0.05, 1}, hotPrompts{0.1, 1}, hotPrompts{0.2, 1}, hotPrompts{0.3, 3})
-}
-
-// Guards against the same at the onset of a prompt that gets most of its kind's
-// traffic: its first requests reach one worker before any report shows them.
-func TestOnsetOfHotPrompt(t *testing.T) { testHotPrompts(t, hotPrompts{0.4, 1}) }
-
-func testHotPrompts(t *testing.T, cases ...hotPrompts) {
 	for _, size := range routeSizes() {
-		for _, hot := range cases {
+		for _, hot := range []struct {
+			share   float64 // of all requests
+			prompts int
+		}{{0, 1}, {0.05, 1}, {0.1, 1}, {0.2, 1}, {0.4, 1}, {0.3, 3}} {
 			Convey(fmt.Sprintf("%s: %.2f of the requests use %d prompts", size.name, hot.share, hot.prompts), t, func() {
 				scenario := routeScenario{length: 22 * time.Second, surge: [2]time.Duration{8 * time.Second, 16 * time.Second}, surgeFactor: 1, hotShare: hot.share, hotPrompts: hot.prompts}
 				var results [2]float64 // by seed
--- a/plugins/gateway/pauses_test.go
+++ b/plugins/gateway/pauses_test.go
@@ -138,3 +138,22 @@
 		So(len(paused.received()), ShouldEqual, 1)
 	})
 }
+
+// FuzzDecodePauses guards against a message of another router that ends the process or
+// yields a pause without a sensible end.
+func FuzzDecodePauses(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 7, 6, 50})
+	f.Add([]byte{0, 0, 0, 7, 255, 0xff, 0xff, 0x7f, 0, 0, 0, 8, 0, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		now := time.Unix(1_000_000, 0)
+		list, err := decodePauses(now, b)
+		if err != nil && list != nil {
+			t.Fatalf("pauses %v beside the error %v", list, err)
+		}
+		for _, p := range list {
+			if p.Until.Before(now) || p.Until.After(now.Add(time.Hour)) || p.Hops < 0 {
+				t.Fatalf("pause %v", p)
+			}
+		}
+	})
+}
