Play shared pauses and frozen routers in the random order of statements

TestStatementsInAnyOrder has pauses that other routers have and freezes of the router up to 30 s, and checks that a worker which another router has to spare gets no request while others are free, and that none is refused for it.

--- a/routing/statements_test.go
+++ b/routing/statements_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
+
+	"github.com/auburnlead/auburnlead/gossip"
 )
 
 // listOf returns a list of n workers of upstream u, started at the given time.
@@ -132,8 +134,9 @@
 	})
 }
 
-// Guards against a request to a worker that leaves or is paused, in any order of
-// statements, lists, restarts and requests.
+// Guards against a request to a worker that leaves or is paused, and against one that
+// is refused or goes to a worker that another router has to spare while others are free,
+// in any order of statements, lists, restarts, freezes of the router and requests.
 func TestStatementsInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const workers = 3
@@ -141,7 +144,7 @@
 		f := newStatementFleet()
 		startedAt := [workers]int64{1, 1, 1}
 		listed := [workers]bool{true, true, true}
-		leaving, paused := map[string]time.Time{}, map[string]time.Time{}
+		leaving, paused, elsewhere := map[string]time.Time{}, map[string]time.Time{}, map[string]time.Time{}
 		apply := func() {
 			list := &WorkerList{Version: now.UnixNano(), At: now}
 			for i, w := range listOf(now, workers, 0).Workers {
@@ -157,7 +160,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
 			i := rapid.IntRange(0, workers-1).Draw(t, "worker")
 			w := f.Worker(strconv.Itoa(i))
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
 			case 0:
 				if w != nil {
 					f.RecordLeaving(w, now)
@@ -178,19 +181,34 @@
 				apply()
 			case 3:
 				listed[i] = !listed[i]
+				delete(elsewhere, process(i)) // kept for listed workers only
 				apply()
+			case 4:
+				now = now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "frozen")) * time.Second)
+			case 5:
+				if w != nil {
+					end := now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "shared")) * time.Millisecond)
+					f.RecordSharedPauses([]Pause{{gossip.WorkerHash(w.ID), end, maxPauseHops}}, now)
+					if end.After(elsewhere[process(i)]) {
+						elsewhere[process(i)] = end
+					}
+				}
 			default:
 				r := Request{Upstream: "u"}
 				if w != nil && rapid.Bool().Draw(t, "repeat") {
 					r.Tried = append(r.Tried, w)
 				}
 				c, ok := f.Choose(r, now)
-				free := 0
+				free, preferred := 0, 0
 				for j := range workers {
 					since, leaves := leaving[process(j)]
 					open := listed[j] && !now.Before(paused[process(j)])
 					if open && !leaves && !slices.Contains(r.Tried, f.Worker(strconv.Itoa(j))) {
 						free++
+						// A worker that has just resumed gets its share only.
+						if !now.Before(elsewhere[process(j)]) && now.Sub(paused[process(j)]) >= resumePeriod {
+							preferred++
+						}
 					}
 					if !ok || c.Worker.ID != strconv.Itoa(j) {
 						continue
@@ -211,6 +229,9 @@
 				if ok && free > 0 && c.Reason == ReasonLeaving {
 					t.Fatal("a worker that leaves was chosen before another one")
 				}
+				if ok && preferred > 0 && now.Before(elsewhere[c.Worker.ID+"/"+strconv.FormatInt(c.Worker.StartedAtMs, 10)]) {
+					t.Fatalf("worker %s was chosen although another router has to spare it", c.Worker.ID)
+				}
 				if ok {
 					f.RecordEnd(c, true, now)
 				}
