Log on which connection an attempt failed, and whether it had carried the ID

A request ran although its caller was told that it had not, and ran twice. The lines had only used_connection and answer_id, the same for three hypotheses: a worker that refuses a request and runs it; a late answer to another request; the copy of a refusal on a connection that bears the same request again. No behaviour changes.

--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -42,8 +42,8 @@
 	retryReserved bool          // the retry has already been taken from the retry budget
 	reason        string        // one of the reasons below, used in logs and metrics
 	progress      time.Duration // time since the first event of the attempt, 0 for no event
-	usedConn      bool          // earlier requests used the connection
-	answerID      string        // request ID in the response, empty for none or for no response
+	conn          connHistory
+	answerID      string // request ID in the response, empty for none or for no response
 	err           error
 }
 
@@ -79,8 +79,11 @@
 // lastEvent of 0 keeps the Last-Event-ID of the caller's request.
 func (g *Gateway) send(x *exchange, c routing.Choice, lastEvent uint64) (*workerResponse, *failure) {
 	ctx, cancel := context.WithCancel(x.ctx)
-	connected, reused := false, false
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { connected, reused = true, info.Reused }}
+	connected, conn := false, connHistory{}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connected, conn = true, startRequest(info, x.header.ID)
+		g.recordRepeatedID(x, c, conn)
+	}}
 	req := g.newAttemptRequest(httptrace.WithClientTrace(ctx, trace), x, c, lastEvent)
 	stall := g.startStallTimer(x, c, cancel)
 	start := time.Now()
@@ -88,7 +91,7 @@
 	if err != nil {
 		cancel()
 		f := classifySendError(err, connected)
-		f.usedConn = reused
+		f.conn = conn
 		f.markStalled(stall)
 		return nil, f
 	}
@@ -102,23 +105,33 @@
 	if h.RequestID == x.header.ID && !isMisdirected(resp.StatusCode) {
 		g.limits.record(c.Worker, h)
 	}
-	if isAttributed(x.header.ID, h, reused) && !isMisdirected(resp.StatusCode) {
+	if isAttributed(x.header.ID, h, conn.reused) && !isMisdirected(resp.StatusCode) {
 		g.recordStatements(x, c.Worker, h)
 	}
 	if h.NotRun && h.RequestID == "" && x.header.ID != "" && g.fleet.RecordAnonymousRefusal(c.Worker, start) {
-		g.decisions.logChange("worker refuses without a request ID", "worker", c.Worker.ID, "upstream", c.Worker.Upstream, "request", x.header.ID, "status", resp.StatusCode, "reused_connection", reused)
+		g.decisions.logChange("worker refuses without a request ID", "worker", c.Worker.ID, "upstream", c.Worker.Upstream, "request", x.header.ID, "status", resp.StatusCode, "reused_connection", conn.reused)
 	}
-	if f := checkResponseHeader(x.header.ID, resp.StatusCode, h, reused); f != nil {
+	if f := checkResponseHeader(x.header.ID, resp.StatusCode, h, conn.reused); f != nil {
 		stall.stop()
 		cancel()
 		_ = resp.Body.Close() // the connection is not reused
 		f.paused = f.reason == failUnstated && h.Pause > 0
-		f.usedConn, f.answerID = reused, h.RequestID
+		f.conn, f.answerID = conn, h.RequestID
 		return nil, f
 	}
 	return &workerResponse{resp, h, cancel, stall, start}, nil
 }
 
+// recordRepeatedID logs and counts an attempt on a connection that has carried its
+// request ID before, so that a response may belong to either of the two.
+func (g *Gateway) recordRepeatedID(x *exchange, c routing.Choice, conn connHistory) {
+	if !conn.carriedID {
+		return
+	}
+	g.decisions.count("repeated_ids", "upstream", c.Worker.Upstream)
+	g.decisions.logRequest("connection has carried the request ID", "request", x.header.ID, "worker", c.Worker.ID, "attempt", len(x.tried), "connection", conn.number, "carried", conn.requests)
+}
+
 // isFault reports whether a failure may be a fault of the worker. A refusal is none,
 // and neither is one that may be an additional response to an earlier request.
 func (f *failure) isFault() bool {
@@ -297,5 +310,5 @@
 		}
 	}
 	g.decisions.count("attempt_failures", "reason", f.reason)
-	g.decisions.logRequest("attempt failed", "request", x.header.ID, "worker", c.Worker.ID, "attempt", len(x.tried), "reason", f.reason, "outcome", f.outcome, "used_connection", f.usedConn, "answer_id", f.answerID, "shared_parts", formatParts(x.sharedParts()), "error", f.err)
+	g.decisions.logRequest("attempt failed", "request", x.header.ID, "worker", c.Worker.ID, "attempt", len(x.tried), "reason", f.reason, "outcome", f.outcome, "used_connection", f.conn.reused, "connection", f.conn.number, "carried", f.conn.requests, "carried_id", f.conn.carriedID, "answer_id", f.answerID, "shared_parts", formatParts(x.sharedParts()), "error", f.err)
 }
--- a/plugins/gateway/upstream.go
+++ b/plugins/gateway/upstream.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/auburnlead/auburnlead/internal/dial"
@@ -16,6 +17,7 @@
 	// unshared opens a connection for each request.
 	unshared *http.Transport
 	dialOnce func(ctx context.Context, network, address string) (net.Conn, error)
+	opened   atomic.Uint64
 }
 
 // dialError means that no connection to a worker could be opened; nothing was
@@ -61,7 +63,7 @@
 	if err != nil {
 		return nil, &dialError{err}
 	}
-	return conn, nil
+	return &workerConn{Conn: conn, number: c.opened.Add(1)}, nil
 }
 
 // bufferBytes is enough for the header of a request or response.
