Send a request ID at most once on a connection to a worker

What callers saw: 408, 421, 429 or 503 for a request that ran, and requests that ran twice.

Cause: a worker may write the copy of a refusal, with the ID of the refused request, when the request comes again on the connection. A request goes to each worker entry once, but connections are pooled by address: the next entry at that address, or a caller that uses its ID again, gets the connection that bore the refusal, and the copy was attributed by its ID alone. Ruled out: a worker that refuses and runs (without the copies, 56 plays have no case), a late answer to another request (its ID differs: "foreign answer").

Change: a connection remembers the IDs that it has carried. When the HTTP transport hands it to a request whose ID it has carried, it refuses the write, so that nothing is sent and the transport closes it, and the same attempt goes to another connection, without a failed attempt, a repeat or a fault of the worker. A response that the transport read in between is dropped. Attribution takes the history of the connection beside the ID; loads, limits and statements do too. After 1,024 requests a connection is not used again, which bounds its memory. Connections that bear refusals are kept.

--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"slices"
 	"strings"
 	"time"
@@ -79,18 +78,12 @@
 // lastEvent of 0 keeps the Last-Event-ID of the caller's request.
 func (g *Gateway) send(x *exchange, c routing.Choice, lastEvent uint64) (*workerResponse, *failure) {
 	ctx, cancel := context.WithCancel(x.ctx)
-	connected, conn := false, connHistory{}
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		connected, conn = true, startRequest(info, x.header.ID)
-		g.recordRepeatedID(x, c, conn)
-	}}
-	req := g.newAttemptRequest(httptrace.WithClientTrace(ctx, trace), x, c, lastEvent)
 	stall := g.startStallTimer(x, c, cancel)
 	start := time.Now()
-	resp, err := g.transportFor(x, c.Worker).RoundTrip(req)
+	resp, conn, err := g.roundTrip(ctx, x, c, lastEvent)
 	if err != nil {
 		cancel()
-		f := classifySendError(err, connected)
+		f := classifySendError(err, conn.number > 0)
 		f.conn = conn
 		f.markStalled(stall)
 		return nil, f
@@ -99,22 +92,22 @@
 	for _, in := range h.Unread {
 		g.decisions.unreadable.Report(c.Worker.ID, in)
 	}
-	if h.Load != nil && h.RequestID == x.header.ID {
+	if h.Load != nil && namesRequest(x.header.ID, h, conn) {
 		g.recordLoad(c.Worker, *h.Load)
 	}
-	if h.RequestID == x.header.ID && !isMisdirected(resp.StatusCode) {
+	if namesRequest(x.header.ID, h, conn) && !isMisdirected(resp.StatusCode) {
 		g.limits.record(c.Worker, h)
 	}
-	if isAttributed(x.header.ID, h, conn.reused) && !isMisdirected(resp.StatusCode) {
+	if isAttributed(x.header.ID, h, conn) && !isMisdirected(resp.StatusCode) {
 		g.recordStatements(x, c.Worker, h)
 	}
 	if h.NotRun && h.RequestID == "" && x.header.ID != "" && g.fleet.RecordAnonymousRefusal(c.Worker, start) {
 		g.decisions.logChange("worker refuses without a request ID", "worker", c.Worker.ID, "upstream", c.Worker.Upstream, "request", x.header.ID, "status", resp.StatusCode, "reused_connection", conn.reused)
 	}
-	if f := checkResponseHeader(x.header.ID, resp.StatusCode, h, conn.reused); f != nil {
+	if f := checkResponseHeader(x.header.ID, resp.StatusCode, h, conn); f != nil {
 		stall.stop()
 		cancel()
-		_ = resp.Body.Close() // the connection is not reused
+		_ = resp.Body.Close() // a connection with an unread body is not used again
 		f.paused = f.reason == failUnstated && h.Pause > 0
 		f.conn, f.answerID = conn, h.RequestID
 		return nil, f
@@ -122,16 +115,6 @@
 	return &workerResponse{resp, h, cancel, stall, start}, nil
 }
 
-// recordRepeatedID logs and counts an attempt on a connection that has carried its
-// request ID before, so that a response may belong to either of the two.
-func (g *Gateway) recordRepeatedID(x *exchange, c routing.Choice, conn connHistory) {
-	if !conn.carriedID {
-		return
-	}
-	g.decisions.count("repeated_ids", "upstream", c.Worker.Upstream)
-	g.decisions.logRequest("connection has carried the request ID", "request", x.header.ID, "worker", c.Worker.ID, "attempt", len(x.tried), "connection", conn.number, "carried", conn.requests)
-}
-
 // isFault reports whether a failure may be a fault of the worker. A refusal is none,
 // and neither is one that may be an additional response to an earlier request.
 func (f *failure) isFault() bool {
@@ -158,9 +141,9 @@
 // is a refusal, it belongs to another request, or it is a success without the
 // worker's seal, a digest of the body. A status that promises callers that the request
 // was not run is not forwarded if the worker does not state that.
-func checkResponseHeader(id string, status int, h core.ResponseHeader, reused bool) *failure {
+func checkResponseHeader(id string, status int, h core.ResponseHeader, conn connHistory) *failure {
 	switch {
-	case isAttributed(id, h, reused):
+	case isAttributed(id, h, conn):
 	case h.RequestID == "" && h.NotRun:
 		return &failure{outcome: core.OutcomeUnknown, sent: true, reason: failUnattributed, err: fmt.Errorf("status %d", status)}
 	default:
@@ -181,11 +164,17 @@
 // connection. Only a refusal may lack the request ID, and only on a connection that was
 // not used before: on another one it may be an additional response to an earlier
 // request. The same holds for each response to a request without an ID.
-func isAttributed(id string, h core.ResponseHeader, reused bool) bool {
+func isAttributed(id string, h core.ResponseHeader, conn connHistory) bool {
 	if id == "" {
-		return h.RequestID == "" && !reused
+		return h.RequestID == "" && !conn.reused
 	}
-	return h.RequestID == id || h.RequestID == "" && h.NotRun && !reused
+	return namesRequest(id, h, conn) || h.RequestID == "" && h.NotRun && !conn.reused
+}
+
+// namesRequest reports whether a response bears the ID of the request, and no other
+// request on its connection had this ID.
+func namesRequest(id string, h core.ResponseHeader, conn connHistory) bool {
+	return h.RequestID == id && !conn.carriedID
 }
 
 // recordStatements records what a worker said of itself in a response.
--- a/plugins/gateway/hostile_test.go
+++ b/plugins/gateway/hostile_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -24,6 +26,7 @@
 type rawWorker struct {
 	mu       sync.Mutex
 	requests []string      // IDs, in order
+	partial  int           // requests that broke off
 	open     int           // connections
 	longest  time.Duration // longest time that a closed connection was open
 }
@@ -34,6 +37,12 @@
 
 // startRawWorker replaces the worker at an address by one that responds with fn.
 func (h *harness) startRawWorker(address string, fn respond) *rawWorker {
+	return h.startRequestWorker(address, func(conn net.Conn, r *http.Request) bool { return fn(conn, r.Header.Get(testID)) })
+}
+
+// startRequestWorker is like startRawWorker for a function that needs the request, whose
+// body has been read.
+func (h *harness) startRequestWorker(address string, fn func(conn net.Conn, r *http.Request) (keep bool)) *rawWorker {
 	w := &rawWorker{}
 	l := &memoryListener{address: address, conns: make(chan net.Conn), done: make(chan struct{})}
 	h.network.mu.Lock()
@@ -52,7 +61,7 @@
 	return w
 }
 
-func (w *rawWorker) serve(conn net.Conn, fn respond) {
+func (w *rawWorker) serve(conn net.Conn, fn func(conn net.Conn, r *http.Request) bool) {
 	openedAt := time.Now()
 	w.mu.Lock()
 	w.open++
@@ -68,18 +77,30 @@
 	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
+			w.recordEnd(err)
 			return
 		}
-		_, _ = io.Copy(io.Discard, r.Body) // the router closes the connection if it ends early
+		body, err := io.ReadAll(r.Body) // the router closes the connection if it ends early
+		w.recordEnd(err)
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		w.mu.Lock()
 		w.requests = append(w.requests, r.Header.Get(testID))
 		w.mu.Unlock()
-		if !fn(conn, r.Header.Get(testID)) {
+		if !fn(conn, r) {
 			return
 		}
 	}
 }
 
+// recordEnd records the error of reading a request.
+func (w *rawWorker) recordEnd(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		w.partial++
+	}
+}
+
 func (w *rawWorker) received() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/plugins/gateway/notrun_test.go
+++ b/plugins/gateway/notrun_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -14,15 +15,38 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/routing"
 )
 
 // faultyWorkers are workers that refuse, lose and repeat answers at random. They record
 // which requests they ran.
 type faultyWorkers struct {
-	mu     sync.Mutex
-	random *rand.Rand
-	runs   map[string]int      // by request ID
-	last   map[net.Conn]string // ID of the request before
+	mu      sync.Mutex
+	random  *rand.Rand
+	runs    map[string]int                 // by path, which each request has for its own
+	last    map[net.Conn]string            // ID of the request before
+	refused map[net.Conn]map[string]string // refusals by request ID
+}
+
+func newFaultyWorkers(seed uint64) *faultyWorkers {
+	return &faultyWorkers{random: rand.New(rand.NewPCG(seed, 3)), runs: map[string]int{}, last: map[net.Conn]string{}, refused: map[net.Conn]map[string]string{}}
+}
+
+// earlierRefusal returns the refusal of an earlier request with the ID on the connection.
+func (f *faultyWorkers) earlierRefusal(conn net.Conn, id string) (text string, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	text, ok = f.refused[conn][id]
+	return text, ok
+}
+
+func (f *faultyWorkers) recordRefusal(conn net.Conn, id, text string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refused[conn] == nil {
+		f.refused[conn] = map[string]string{}
+	}
+	f.refused[conn][id] = text
 }
 
 func (f *faultyWorkers) intN(n int) int {
@@ -31,10 +55,10 @@
 	return f.random.IntN(n)
 }
 
-func (f *faultyWorkers) run(request string) {
+func (f *faultyWorkers) run(path string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.runs[request]++
+	f.runs[path]++
 }
 
 // refusal returns a refusal with a request ID, or without one if it is empty.
@@ -50,8 +74,10 @@
 var promises = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusRequestTimeout}
 
 // respond answers a request, or refuses it, or runs it and lets the answer fail. Some
-// answers are followed by additional bytes, at once or later.
-func (f *faultyWorkers) respond(conn net.Conn, id string) bool {
+// answers are followed by additional bytes, at once or later. A refusal is written once
+// more when its request comes again on the connection.
+func (f *faultyWorkers) respond(conn net.Conn, r *http.Request) bool {
+	id := r.Header.Get(testID)
 	f.mu.Lock()
 	earlier := f.last[conn]
 	f.last[conn] = id
@@ -62,9 +88,15 @@
 	if earlier == "" && (choice == 2 || choice == 3) {
 		choice = 4 // additional bytes follow an answer
 	}
+	copied, again := f.earlierRefusal(conn, id)
+	if again {
+		write(copied)
+	}
 	switch choice {
 	case 0: // refused
-		write(refusal(status, id))
+		text := refusal(status, id)
+		f.recordRefusal(conn, id, text)
+		write(text)
 		return true
 	case 1: // refused without naming the request
 		write(refusal(status, ""))
@@ -74,7 +106,7 @@
 	case 3:
 		write(refusal(status, ""))
 	}
-	f.run(id)
+	f.run(r.URL.Path)
 	body := "id: 1\ndata: e1\n\n"
 	switch f.intN(10) {
 	case 0: // the connection is lost
@@ -109,50 +141,60 @@
 
 // Guards against "not run" for a request that ran or runs later, and against a second
 // run of a request that must not be repeated, whatever workers refuse, lose or write in
-// addition (incident 0015).
+// addition (incidents 0015, 0017).
 func TestNotRunIsTrue(t *testing.T) {
 	const seeds, requests = 60, 40
-	for seed := range uint64(seeds) {
-		inBubble(t, fmt.Sprintf("Callers are told the truth, seed %d", seed), append(desks(3), engines(3)...), func(h *harness) {
-			f := &faultyWorkers{random: rand.New(rand.NewPCG(seed, 3)), runs: map[string]int{}, last: map[net.Conn]string{}}
-			for address := range h.network.listeners {
-				h.startRawWorker(address, f.respond)
-			}
-			var mu sync.Mutex
-			promised := map[string]int{}
-			var callers sync.WaitGroup
-			paths := []string{"/book/x", "/book/x", "/read/x", "/chat/once/x", "/chat/x"}
-			for i := range requests {
-				id, path := "id-"+strconv.Itoa(i), paths[i%len(paths)]
-				callers.Go(func() {
-					resp, aborted := h.call("POST", path, testID, id)
-					mu.Lock()
-					defer mu.Unlock()
-					if !aborted && core.PromisesNotRun(resp.Code) {
-						promised[id] = resp.Code
-					}
-				})
-				sleep(time.Duration(f.intN(25)) * time.Millisecond)
-			}
-			callers.Wait()
-			sleep(time.Second)
-			var broken []string
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			for i := range requests {
-				id, path := "id-"+strconv.Itoa(i), paths[i%len(paths)]
-				if path == "/read/x" || path == "/chat/x" {
-					continue // may be repeated
+	for _, fleet := range []struct {
+		desc    string
+		workers []routing.WorkerInfo
+		perID   int // requests with the same ID
+	}{
+		{"one entry at each address", append(desks(3), engines(3)...), 1},
+		{"several entries at one address", sharingAddresses(2)(), 1},
+		{"several entries at one address and IDs used again", sharingAddresses(2)(), 2},
+	} {
+		for seed := range uint64(seeds) {
+			inBubble(t, fmt.Sprintf("Callers are told the truth, %s, seed %d", fleet.desc, seed), fleet.workers, func(h *harness) {
+				f := newFaultyWorkers(seed)
+				for address := range h.network.listeners {
+					h.startRequestWorker(address, f.respond)
 				}
-				if f.runs[id] > 1 {
-					broken = append(broken, fmt.Sprintf("%s ran %d times", id, f.runs[id]))
+				var mu sync.Mutex
+				promised := map[string]int{}
+				var callers sync.WaitGroup
+				kinds := []string{"/book/", "/book/", "/read/", "/chat/once/", "/chat/"}
+				path := func(i int) string { return kinds[i%len(kinds)] + strconv.Itoa(i) }
+				for i := range requests {
+					callers.Go(func() {
+						resp, aborted := h.call("POST", path(i), testID, "id-"+strconv.Itoa(i/fleet.perID))
+						mu.Lock()
+						defer mu.Unlock()
+						if !aborted && core.PromisesNotRun(resp.Code) {
+							promised[path(i)] = resp.Code
+						}
+					})
+					sleep(time.Duration(f.intN(25)) * time.Millisecond)
 				}
-				if promised[id] != 0 && f.runs[id] > 0 {
-					broken = append(broken, fmt.Sprintf("%s ran and its caller got %d", id, promised[id]))
+				callers.Wait()
+				sleep(time.Second)
+				var broken []string
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				for i := range requests {
+					path := path(i)
+					if strings.HasPrefix(path, "/read/") || path == "/chat/"+strconv.Itoa(i) {
+						continue // may be repeated
+					}
+					if f.runs[path] > 1 {
+						broken = append(broken, fmt.Sprintf("%s ran %d times", path, f.runs[path]))
+					}
+					if promised[path] != 0 && f.runs[path] > 0 {
+						broken = append(broken, fmt.Sprintf("%s ran and its caller got %d", path, promised[path]))
+					}
 				}
-			}
-			So(broken, ShouldBeEmpty)
-		})
+				So(broken, ShouldBeEmpty)
+			})
+		}
 	}
 }
 
--- a/plugins/gateway/upstream.go
+++ b/plugins/gateway/upstream.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -53,6 +54,35 @@
 	return g.conns.transport
 }
 
+// roundTrip sends an attempt on a connection that has not carried its request ID and
+// returns the response with what the connection carried before. Nothing of the attempt is
+// sent on other connections that the transport offers; these end.
+func (g *Gateway) roundTrip(ctx context.Context, x *exchange, c routing.Choice, lastEvent uint64) (*http.Response, connHistory, error) {
+	transport := g.transportFor(x, c.Worker)
+	for {
+		conn := connHistory{}
+		trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = startRequest(info, x.header.ID) }}
+		resp, err := transport.RoundTrip(g.newAttemptRequest(httptrace.WithClientTrace(ctx, trace), x, c, lastEvent))
+		if !conn.withheld {
+			return resp, conn, err
+		}
+		if err == nil {
+			_ = resp.Body.Close() // to an earlier request
+		}
+		g.recordWithheld(x, c, conn)
+	}
+}
+
+// recordWithheld logs and counts a connection that an attempt was not sent on.
+func (g *Gateway) recordWithheld(x *exchange, c routing.Choice, conn connHistory) {
+	if !conn.carriedID {
+		g.decisions.count("full_connections", "upstream", c.Worker.Upstream)
+		return
+	}
+	g.decisions.count("repeated_ids", "upstream", c.Worker.Upstream)
+	g.decisions.logRequest("connection has carried the request ID", "request", x.header.ID, "worker", c.Worker.ID, "attempt", len(x.tried), "connection", conn.number, "carried", conn.requests)
+}
+
 // dial opens a connection to a worker. A lost packet delays the connection
 // setup by a second, so a timeout is retried once.
 func (c *workerConns) dial(ctx context.Context, network, address string) (net.Conn, error) {
--- a/plugins/gateway/workerconn.go
+++ b/plugins/gateway/workerconn.go
@@ -1,38 +1,63 @@
 package gateway
 
 import (
+	"errors"
 	"net"
 	"net/http/httptrace"
 	"slices"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 )
 
+// A worker may write a response more than once. The copy bears the ID of the request, so
+// if a request with this ID is sent on the connection again, the copy cannot be told from
+// the response to it. Therefore a connection carries each ID at most once.
+
 // workerConn is a connection to a worker that remembers the IDs of the requests that it
 // has carried.
 type workerConn struct {
 	net.Conn
 	number  uint64   // for the log
-	carried []uint64 // hashes of request IDs; only the request that uses the connection reads and writes them
+	carried []uint64 // hashes of request IDs; only the request that has got the connection uses them
+	retired atomic.Bool
 }
 
-// maxCarried limits the requests that a connection remembers.
+// maxCarried is the number of requests after which a connection is not used again. It
+// limits the memory of a connection.
 const maxCarried = 1024
 
+// errRetired is the error of a write to a connection that is not used again.
+var errRetired = errors.New("gateway: the connection to the worker may not carry this request; send it on another one")
+
+// Write sends nothing once the connection is retired, so that the transport closes it.
+func (c *workerConn) Write(p []byte) (int, error) {
+	if c.retired.Load() {
+		return 0, errRetired
+	}
+	return c.Conn.Write(p)
+}
+
 // connHistory is what a connection carried before an attempt.
 type connHistory struct {
 	number    uint64 // of the connection, 0 for none
 	requests  int
 	reused    bool // it may bear responses to earlier requests
 	carriedID bool // one of them had the ID of this request
+	withheld  bool // nothing of the attempt was sent on it
 }
 
 // startRequest records a request on the connection and returns what it carried before.
+// If it may not carry the request, it is retired.
 func startRequest(info httptrace.GotConnInfo, id string) connHistory {
 	c := info.Conn.(*workerConn)
 	hash := xxhash.Sum64String(id)
 	h := connHistory{number: c.number, requests: len(c.carried), reused: info.Reused, carriedID: slices.Contains(c.carried, hash)}
-	if len(c.carried) < maxCarried {
+	if h.carriedID || len(c.carried) >= maxCarried {
+		c.retired.Store(true)
+	}
+	h.withheld = c.retired.Load()
+	if !h.withheld {
 		c.carried = append(c.carried, hash)
 	}
 	return h
