Use a worker's connection no further after a response to another request

What callers saw: 502 for requests that were served, one after another on the same connection.

Cause: a response without a body is complete with its head, so the HTTP transport puts the connection back before the gateway sees that the response belongs to another request. The answer that is due follows; on a busy connection the next request reads it and fails as well. The comment that the connection is not used again was true for responses with a body only.

--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -105,6 +105,9 @@
 		g.decisions.logChange("worker refuses without a request ID", "worker", c.Worker.ID, "upstream", c.Worker.Upstream, "request", x.header.ID, "status", resp.StatusCode, "reused_connection", conn.reused)
 	}
 	if f := checkResponseHeader(x.header.ID, resp.StatusCode, h, conn); f != nil {
+		if f.reason == failWrongRequest || f.reason == failUnattributed {
+			conn.conn.retired.Store(true) // the response to this request may still follow
+		}
 		stall.stop()
 		cancel()
 		_ = resp.Body.Close() // a connection with an unread body is not used again
--- a/plugins/gateway/upstream.go
+++ b/plugins/gateway/upstream.go
@@ -76,7 +76,9 @@
 // recordWithheld logs and counts a connection that an attempt was not sent on.
 func (g *Gateway) recordWithheld(x *exchange, c routing.Choice, conn connHistory) {
 	if !conn.carriedID {
-		g.decisions.count("full_connections", "upstream", c.Worker.Upstream)
+		if conn.requests >= maxCarried {
+			g.decisions.count("full_connections", "upstream", c.Worker.Upstream)
+		}
 		return
 	}
 	g.decisions.count("repeated_ids", "upstream", c.Worker.Upstream)
--- a/plugins/gateway/workerconn.go
+++ b/plugins/gateway/workerconn.go
@@ -18,29 +18,31 @@
 // has carried.
 type workerConn struct {
 	net.Conn
-	number  uint64   // for the log
-	carried []uint64 // hashes of request IDs; only the request that has got the connection uses them
-	retired atomic.Bool
+	number  uint64      // for the log
+	carried []uint64    // hashes of request IDs; only the request that has got the connection uses them
+	retired atomic.Bool // it carries no further requests
+	blocked atomic.Bool // writes fail
 }
 
 // maxCarried is the number of requests after which a connection is not used again. It
 // limits the memory of a connection.
 const maxCarried = 1024
 
-// errRetired is the error of a write to a connection that is not used again.
-var errRetired = errors.New("gateway: the connection to the worker may not carry this request; send it on another one")
+// errBlocked is the error of a write to a connection that must not carry the request.
+var errBlocked = errors.New("gateway: the connection to the worker may not carry this request; send it on another one")
 
-// Write sends nothing once the connection is retired, so that the transport closes it.
+// Write sends nothing once the connection is blocked, so that the transport closes it.
 func (c *workerConn) Write(p []byte) (int, error) {
-	if c.retired.Load() {
-		return 0, errRetired
+	if c.blocked.Load() {
+		return 0, errBlocked
 	}
 	return c.Conn.Write(p)
 }
 
 // connHistory is what a connection carried before an attempt.
 type connHistory struct {
-	number    uint64 // of the connection, 0 for none
+	conn      *workerConn // nil if there was no connection
+	number    uint64      // of the connection, 0 for none
 	requests  int
 	reused    bool // it may bear responses to earlier requests
 	carriedID bool // one of them had the ID of this request
@@ -48,17 +50,16 @@
 }
 
 // startRequest records a request on the connection and returns what it carried before.
-// If it may not carry the request, it is retired.
+// If it may not carry the request, it is blocked.
 func startRequest(info httptrace.GotConnInfo, id string) connHistory {
 	c := info.Conn.(*workerConn)
 	hash := xxhash.Sum64String(id)
-	h := connHistory{number: c.number, requests: len(c.carried), reused: info.Reused, carriedID: slices.Contains(c.carried, hash)}
-	if h.carriedID || len(c.carried) >= maxCarried {
-		c.retired.Store(true)
-	}
-	h.withheld = c.retired.Load()
-	if !h.withheld {
-		c.carried = append(c.carried, hash)
+	h := connHistory{conn: c, number: c.number, requests: len(c.carried), reused: info.Reused, carriedID: slices.Contains(c.carried, hash)}
+	h.withheld = h.carriedID || len(c.carried) >= maxCarried || c.retired.Load()
+	if h.withheld {
+		c.blocked.Store(true)
+		return h
 	}
+	c.carried = append(c.carried, hash)
 	return h
 }
