--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -15,6 +15,7 @@
 // Arrival is a request that reached a worker.
 type Arrival struct {
 	ID, Worker string
+	Attempt    string // see AttemptHeader
 	At         time.Time
 	Ran        bool
 }
