--- a/internal/unreadable/unreadable.go
+++ b/internal/unreadable/unreadable.go
@@ -29,6 +29,7 @@
 	Registration  Kind = "registration"   // row that a worker writes
 	DesiredState  Kind = "desired state"  // row that the operator writes
 	StoreRow      Kind = "store row"      // row in a reply of the store
+	StoreEra      Kind = "store era"      // header of a reply of the store
 	RouterMessage Kind = "router message" // datagram of another router
 )
 
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"time"
 )
@@ -281,7 +282,7 @@
 		return err
 	}
 	if set.Version < max(f.storeVersion, f.Copy.Version()) {
-		f.Events.Warning("store snapshot is older than the copy, reading another one", nil)
+		f.Events.Warning("store snapshot is older than the copy, reading another one", fmt.Errorf("version %d before %d", set.Version, max(f.storeVersion, f.Copy.Version())))
 		sleep(ctx, snapshotRetryWait)
 		return nil
 	}
