--- a/gossip/compose.go
+++ b/gossip/compose.go
@@ -13,7 +13,7 @@
 	for _, entry := range append(sameDomain[:min(len(sameDomain), maxSameDomainMembers)], otherDomains[:min(len(otherDomains), maxOtherDomainMembers)]...) {
 		m.members = append(m.members, memberEntry{entry.address, entry.routerHash, entry.domainHash, entry.capacity, uint64(now.Sub(entry.lastHeard) / memberAgeUnit)})
 	}
-	m.loads = v.selectLoads(now, (MessageBytes-headerBytes-len(m.tables)*tableBytes-len(m.members)*memberBytes)/loadBytes)
+	m.loads = v.selectLoads(now, (MessageBytes-headerBytes-m.tableSize()-len(m.members)*memberBytes)/loadBytes)
 	return m.encode()
 }
 
@@ -22,7 +22,7 @@
 // and so are those that do not fit; the next rounds carry their loads.
 func (v *View) LoadMessage(now time.Time, workers []uint32) []byte {
 	m := v.header(now)
-	limit := min((MessageBytes-headerBytes-len(m.tables)*tableBytes)/loadBytes, maxMessageLoads)
+	limit := min((MessageBytes-headerBytes-m.tableSize())/loadBytes, maxMessageLoads)
 	for _, worker := range workers[:min(len(workers), limit)] {
 		if entry, ok := v.loadEntry(now, worker); ok {
 			m.loads = append(m.loads, entry)
--- a/gossip/extension.go
+++ b/gossip/extension.go
@@ -21,7 +21,7 @@
 
 // ExtensionLimit returns the largest payload of an extension, in bytes.
 func (v *View) ExtensionLimit() int {
-	return MessageBytes - headerBytes - len(v.tables)*tableBytes - extensionBytes
+	return MessageBytes - headerBytes - v.header(time.Time{}).tableSize() - extensionBytes
 }
 
 // ExtensionMessage returns a message that carries an extension. It is separate from
@@ -50,7 +50,7 @@
 func (v *View) header(now time.Time) *message {
 	m := &message{leaving: v.leaving, starting: v.received < startingMessages, routerHash: v.routerHash, domainHash: v.domainHash, capacity: v.capacity()}
 	for _, t := range v.tables {
-		m.tables = append(m.tables, tableEntry{newest: t.newest, peer: t.peer, contactAgeMs: ageMs(now, t.lastContact), version: t.version})
+		m.tables = append(m.tables, tableEntry{newest: t.newest, peer: t.peer, contactAgeMs: ageMs(now, t.lastContact), position: t.position})
 	}
 	return m
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -85,7 +85,7 @@
 		}
 		So(f.allViews(func(v *View) bool { sameDomain, _ := v.liveMembers(f.now); return len(sameDomain) >= 200/9-1 }), ShouldBeTrue)
 		source := f.views[f.addresses[7]]
-		source.SetTable(1, 42, f.now)
+		source.SetTable(1, Position{Version: 42}, f.now)
 		for i := range 200 {
 			source.SetLoad(uint32(i), i, f.now)
 		}
@@ -94,7 +94,7 @@
 		}
 		So(f.allViews(func(v *View) bool {
 			status := v.TableStatus(f.now, 1)
-			return status.Version == 42 && status.Age == time.Second
+			return status.Position.Version == 42 && status.Age == time.Second
 		}), ShouldBeTrue)
 		// With 2 tables and 22 members, one message holds at most 69 of the 200 loads.
 		So(f.allViews(func(v *View) bool { return len(v.loads) >= 75 }), ShouldBeTrue)
@@ -223,7 +223,7 @@
 		So(v.loads[5].inFlight, ShouldEqual, 9)
 		So(v.loads[6].inFlight, ShouldEqual, 129)
 		So(v.members, ShouldHaveLength, 2)
-		So(v.tables[0].newest, ShouldEqual, 42)
+		So(v.tables[0].newest.Version, ShouldEqual, 42)
 		return v, u
 	}
 	Convey("A message of an older router is read", t, func() {
@@ -271,7 +271,7 @@
 		u, err := v.Merge(now, from, m.encode())
 		So(err, ShouldBeNil)
 		So(u.Unread, ShouldNotBeNil)
-		So(v.tables[0].newest, ShouldEqual, 0)
+		So(v.tables[0].newest, ShouldEqual, Position{})
 		So(v.tables[0].lastContact.After(now), ShouldBeFalse)
 		So(v.RouterCount(now), ShouldEqual, 2)
 		So(v.loads, ShouldHaveLength, 1)
@@ -298,7 +298,7 @@
 func FuzzMerge(f *testing.F) {
 	v := New(Config{Router: "a", TableCount: 2, LivenessTimeout: testLivenessTimeout, LoadTTL: testLivenessTimeout})
 	now := time.Unix(1_000_000, 0)
-	v.SetTable(0, 7, now)
+	v.SetTable(0, Position{Version: 7}, now)
 	v.SetLoad(3, 4, now)
 	f.Add(v.Message(now))
 	f.Add([]byte{messageFormat, 0})
@@ -308,7 +308,7 @@
 		w := New(Config{Router: "b", TableCount: 2, LivenessTimeout: testLivenessTimeout, LoadTTL: testLivenessTimeout})
 		from := netip.MustParseAddrPort("10.0.0.1:1")
 		if _, err := w.Merge(now, from, b); err != nil {
-			if len(w.members) != 0 || len(w.loads) != 0 || w.tables[0].newest != 0 {
+			if len(w.members) != 0 || len(w.loads) != 0 || w.tables[0].newest != (Position{}) {
 				t.Fatalf("a malformed message changed the view")
 			}
 			return
@@ -335,7 +335,7 @@
 	Convey("An extension of the largest size is delivered beside the table versions", t, func() {
 		f := newFleet(2, 1)
 		a, b := f.views[f.addresses[0]], f.views[f.addresses[1]]
-		a.SetTable(1, 42, f.now)
+		a.SetTable(1, Position{Version: 42}, f.now)
 		payload := make([]byte, a.ExtensionLimit())
 		payload[0] = 7
 		message := a.ExtensionMessage(f.now, Extension{Type: ExtensionCrashes, Payload: payload})
@@ -344,7 +344,7 @@
 		So(err, ShouldBeNil)
 		So(u.Unread, ShouldBeNil)
 		So(u.Extensions, ShouldResemble, []Extension{{ExtensionCrashes, payload}})
-		So(b.TableStatus(f.now, 1).Version, ShouldEqual, 42)
+		So(b.TableStatus(f.now, 1).Position.Version, ShouldEqual, 42)
 		So(b.TableStatus(f.now, 1).Peer, ShouldResemble, f.addresses[0])
 	})
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -25,6 +25,9 @@
 	flagReadsExtensions
 	// flagStarting asks for a reply: the sender has started and knows nothing yet.
 	flagStarting
+	// flagEras says that a second entry for each table follows the first ones, in the
+	// same order. Its newest and version are the eras of those of the first entry.
+	flagEras
 )
 
 // Units of the ages in a message.
@@ -58,10 +61,10 @@
 }
 
 type tableEntry struct {
-	newest       uint64         // version of the newest row known to any router
+	newest       Position       // newest position known to any router
 	peer         netip.AddrPort // a router that has it
 	contactAgeMs uint64         // time since any router had contact with the store
-	version      uint64         // version of the newest row in the sender's copy
+	position     Position       // position of the sender's copy
 }
 
 type memberEntry struct {
@@ -94,7 +97,7 @@
 
 func (m *message) encode() []byte {
 	b := make([]byte, 0, MessageBytes)
-	flags := byte(flagReadsExtensions)
+	flags := byte(flagReadsExtensions | flagEras)
 	if m.leaving {
 		flags |= flagLeaving
 	}
@@ -105,13 +108,8 @@
 	b = binary.BigEndian.AppendUint64(b, m.routerHash)
 	b = binary.BigEndian.AppendUint32(b, m.domainHash)
 	b = binary.BigEndian.AppendUint16(b, m.capacity)
-	b = append(b, byte(len(m.tables)), byte(len(m.members)), byte(len(m.loads)))
-	for _, t := range m.tables {
-		b = binary.AppendUvarint(b, t.newest)
-		b = appendAddress(b, t.peer)
-		b = binary.AppendUvarint(b, t.contactAgeMs)
-		b = binary.AppendUvarint(b, t.version)
-	}
+	b = append(b, byte(2*len(m.tables)), byte(len(m.members)), byte(len(m.loads)))
+	b = m.appendTables(b)
 	for _, entry := range m.members {
 		b = appendAddress(b, entry.address)
 		b = binary.BigEndian.AppendUint64(b, entry.routerHash)
@@ -133,6 +131,27 @@
 	return b
 }
 
+// appendTables appends the entries of the tables and their eras.
+func (m *message) appendTables(b []byte) []byte {
+	for _, t := range m.tables {
+		b = appendTable(b, t.newest.Version, t.peer, t.contactAgeMs, t.position.Version)
+	}
+	for _, t := range m.tables {
+		b = appendTable(b, t.newest.Era, netip.AddrPort{}, 0, t.position.Era)
+	}
+	return b
+}
+
+// tableSize returns the space to reserve for the tables, in bytes.
+func (m *message) tableSize() int { return max(len(m.tables)*tableBytes, len(m.appendTables(nil))) }
+
+func appendTable(b []byte, newest uint64, peer netip.AddrPort, contactAgeMs, version uint64) []byte {
+	b = binary.AppendUvarint(b, newest)
+	b = appendAddress(b, peer)
+	b = binary.AppendUvarint(b, contactAgeMs)
+	return binary.AppendUvarint(b, version)
+}
+
 // appendAddress appends an IPv4 address and port, zeros if there is none.
 func appendAddress(b []byte, a netip.AddrPort) []byte {
 	var ip [4]byte
@@ -187,6 +206,33 @@
 	maxMemberAge = uint64(time.Hour / memberAgeUnit)
 )
 
+// decodeTables decodes n entries of tables, the second half of which hold the eras of
+// the first if there are eras.
+func (m *message) decodeTables(d *decoder, n int, eras bool) {
+	for range n {
+		t := tableEntry{newest: Position{Version: d.uvarint()}, peer: d.address(), contactAgeMs: d.uvarint(), position: Position{Version: d.uvarint()}}
+		m.tables = append(m.tables, t)
+	}
+	if eras {
+		for i, e := range m.tables[n/2:] {
+			if i < n/2 {
+				m.tables[i].newest.Era, m.tables[i].position.Era = e.newest.Version, e.position.Version
+			}
+		}
+		m.tables = m.tables[:n/2]
+	}
+	for i, t := range m.tables {
+		if !t.isPlausible() {
+			m.unread = errors.New("gossip: table with implausible figures")
+			m.tables[i] = tableEntry{contactAgeMs: maxAgeMs} // keeps the place of the tables after it
+		}
+	}
+}
+
+func (t tableEntry) isPlausible() bool {
+	return t.newest.Version <= math.MaxInt64 && t.position.Version <= math.MaxInt64 && t.newest.Era <= math.MaxInt32 && !t.newest.Before(t.position) && t.contactAgeMs <= maxAgeMs
+}
+
 // decode decodes a message. Entries with implausible figures and unknown
 // extensions are left out. Errors: the message is truncated or of another format.
 func decode(b []byte) (*message, error) {
@@ -197,14 +243,7 @@
 	flags := d.byte()
 	m := &message{leaving: flags&flagLeaving != 0, starting: flags&flagStarting != 0, routerHash: d.uint64(), domainHash: d.uint32(), capacity: d.uint16()}
 	tables, members, loads := int(d.byte()), int(d.byte()), int(d.byte())
-	for range tables {
-		t := tableEntry{newest: d.uvarint(), peer: d.address(), contactAgeMs: d.uvarint(), version: d.uvarint()}
-		if t.newest > math.MaxInt64 || t.version > t.newest || t.contactAgeMs > maxAgeMs {
-			m.unread = errors.New("gossip: table with implausible figures")
-			t = tableEntry{contactAgeMs: maxAgeMs} // keeps the place of the tables after it
-		}
-		m.tables = append(m.tables, t)
-	}
+	m.decodeTables(d, tables, flags&flagEras != 0)
 	for range members {
 		entry := memberEntry{address: d.address(), routerHash: d.uint64(), domainHash: d.uint32(), capacity: d.uint16(), age: d.uvarint()}
 		if entry.age > maxMemberAge || entry.address.Port() == 0 || entry.address.Addr().IsUnspecified() {
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -23,6 +23,7 @@
 package gossip
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -90,12 +91,12 @@
 }
 
 type member struct {
-	address       netip.AddrPort
-	routerHash    uint64
-	domainHash    uint32
-	capacity      uint16
-	lastHeard     time.Time
-	tableVersions []uint64 // versions of its table copies, nil if it has not reported them itself
+	address    netip.AddrPort
+	routerHash uint64
+	domainHash uint32
+	capacity   uint16
+	lastHeard  time.Time
+	positions  []Position // positions of its table copies, nil if it has not reported them itself
 }
 
 type loadReport struct {
@@ -104,10 +105,21 @@
 	reportID   uint16
 }
 
+// Position is a point in the history of the store's tables. A store that comes back
+// from an older copy begins a new era, in which it gives out versions again.
+type Position struct {
+	Era, Version uint64
+}
+
+// Before reports whether p is before q.
+func (p Position) Before(q Position) bool {
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Version, q.Version)) < 0
+}
+
 type tableState struct {
-	version     uint64         // version of this router's copy
-	newest      uint64         // newest version known to any router
-	peer        netip.AddrPort // a router that has the newest version
+	position    Position       // position of this router's copy
+	newest      Position       // newest position known to any router
+	peer        netip.AddrPort // a router that has the newest position
 	lastContact time.Time      // when any router last had contact with the store
 }
 
@@ -128,13 +140,15 @@
 // Leave makes all further messages say that this router is leaving.
 func (v *View) Leave() { v.leaving = true }
 
-// SetTable records the version of this router's copy of a table and when the
+// SetTable records the position of this router's copy of a table and when the
 // store last replied to this router; a zero time stands for never.
-func (v *View) SetTable(i int, version uint64, contact time.Time) {
+func (v *View) SetTable(i int, position Position, contact time.Time) {
 	t := &v.tables[i]
-	t.version = max(t.version, version)
-	if version > t.newest {
-		t.newest, t.peer = version, v.cfg.Address
+	if t.position.Before(position) {
+		t.position = position
+	}
+	if t.newest.Before(position) {
+		t.newest, t.peer = position, v.cfg.Address
 	}
 	if contact.After(t.lastContact) {
 		t.lastContact = contact
@@ -153,10 +167,10 @@
 
 // TableStatus is what the routers know of a table.
 type TableStatus struct {
-	Version uint64        // version of the newest row known to any router
-	Age     time.Duration // time since any router had contact with the store
-	// Peer is the address of a router that has Version, invalid for none.
-	// Routers that reported the version themselves are preferred, and among
+	Position Position      // newest position known to any router
+	Age      time.Duration // time since any router had contact with the store
+	// Peer is the address of a router that has Position, invalid for none.
+	// Routers that reported the position themselves are preferred, and among
 	// them those of this router's failure domain.
 	Peer netip.AddrPort
 }
@@ -164,10 +178,10 @@
 // TableStatus returns what the routers know of the table with index i.
 func (v *View) TableStatus(now time.Time, i int) TableStatus {
 	t := v.tables[i]
-	status := TableStatus{Version: t.newest, Age: now.Sub(t.lastContact), Peer: t.peer}
+	status := TableStatus{Position: t.newest, Age: now.Sub(t.lastContact), Peer: t.peer}
 	bestPreference := -1
 	for _, m := range v.members {
-		if len(m.tableVersions) <= i || m.tableVersions[i] < t.newest || !v.isLive(now, m) {
+		if len(m.positions) <= i || m.positions[i].Before(t.newest) || !v.isLive(now, m) {
 			continue
 		}
 		// Among equal routers the choice is random, so that no single router
@@ -187,6 +201,16 @@
 	return now.Sub(m.lastHeard) < v.cfg.LivenessTimeout
 }
 
+// AnyPeer returns the address of a random live router, if possible one of this router's
+// failure domain. It returns false if no other router is live.
+func (v *View) AnyPeer(now time.Time) (netip.AddrPort, bool) {
+	sameDomain, otherDomains := v.liveMembers(now)
+	for _, m := range append(sameDomain, otherDomains...) {
+		return m.address, true
+	}
+	return netip.AddrPort{}, false
+}
+
 // RouterCount returns the number of live routers, this one included.
 func (v *View) RouterCount(now time.Time) int {
 	n := 1
@@ -252,15 +276,16 @@
 		existing := v.members[from]
 		u.NeedsReply = existing == nil || !v.isLive(now, existing) || m.starting
 		sender := v.recordMember(memberEntry{address: from, routerHash: m.routerHash, domainHash: m.domainHash, capacity: m.capacity}, now)
-		sender.tableVersions = nil
-		for _, t := range m.tables {
-			sender.tableVersions = append(sender.tableVersions, t.version)
+		sender.positions = nil
+		for i, t := range m.tables[:min(len(m.tables), len(v.tables))] {
+			sender.positions = append(sender.positions, v.inKnownEra(i, t.position))
 		}
 	}
 	for _, entry := range m.members {
 		v.recordMember(entry, now.Add(-time.Duration(entry.age)*memberAgeUnit))
 	}
 	for i, t := range m.tables[:min(len(m.tables), len(v.tables))] {
+		t.newest = v.inKnownEra(i, t.newest)
 		u.TablesChanged = v.mergeTable(now, &v.tables[i], t) || u.TablesChanged
 	}
 	for _, l := range m.loads {
@@ -280,8 +305,17 @@
 	return u, nil
 }
 
+// inKnownEra completes the position of a router of an older release, which names no
+// era, for the table with index i.
+func (v *View) inKnownEra(i int, p Position) Position {
+	if p.Era == 0 {
+		p.Era = v.tables[i].newest.Era
+	}
+	return p
+}
+
 func (v *View) mergeTable(now time.Time, t *tableState, received tableEntry) bool {
-	newer := received.newest > t.newest
+	newer := t.newest.Before(received.newest)
 	if newer {
 		t.newest, t.peer = received.newest, received.peer
 	}
@@ -308,7 +342,7 @@
 	}
 	if at.After(m.lastHeard) {
 		if m.routerHash != entry.routerHash {
-			m.tableVersions = nil
+			m.positions = nil
 		}
 		m.routerHash, m.domainHash, m.capacity, m.lastHeard = entry.routerHash, entry.domainHash, entry.capacity, at
 	}
--- a/plugins/gossip/exchange.go
+++ b/plugins/gossip/exchange.go
@@ -56,12 +56,13 @@
 	}
 }
 
-// updateTables records the versions of this router's copies in the view. The
+// updateTables records the positions of this router's copies in the view. The
 // caller holds mu.
 func (g *Gossip) updateTables() {
 	for i, name := range g.tableNames {
 		c := g.tables.Copy(name)
-		g.view.SetTable(i, uint64(c.Version()), c.LastContact())
+		p := c.Position()
+		g.view.SetTable(i, lib.Position{Era: uint64(p.Era), Version: uint64(p.Version)}, c.LastContact())
 	}
 }
 
@@ -260,7 +261,7 @@
 	for i, name := range g.tableNames {
 		if name == table {
 			known := g.view.TableStatus(time.Now(), i)
-			status := replica.TableStatus{Version: int64(known.Version), Age: known.Age}
+			status := replica.TableStatus{Position: replica.Position{Era: int64(known.Position.Era), Version: int64(known.Position.Version)}, Age: known.Age}
 			if known.Peer.IsValid() {
 				status.Peer = g.peerClient.source(known.Peer)
 			}
@@ -270,6 +271,17 @@
 	return replica.NoPeers{}.TableStatus(table)
 }
 
+// AnyPeer implements replica.Peers.
+func (g *Gossip) AnyPeer() replica.Source {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	address, ok := g.view.AnyPeer(time.Now())
+	if !ok {
+		return nil
+	}
+	return g.peerClient.source(address)
+}
+
 // StatusChanged implements replica.Peers.
 func (g *Gossip) StatusChanged() <-chan struct{} {
 	g.mu.Lock()
--- a/plugins/gossip/gossip_test.go
+++ b/plugins/gossip/gossip_test.go
@@ -40,7 +40,7 @@
 		a := newGossip(t, "a", "127.0.0.1:7000")
 		from := netip.MustParseAddrPort("127.0.0.2:7000")
 		b := lib.New(lib.Config{Router: "b", Domain: "a", Address: from, TableCount: 1, LivenessTimeout: time.Hour, LoadTTL: time.Hour})
-		b.SetTable(0, 7, time.Now())
+		b.SetTable(0, lib.Position{Version: 7}, time.Now())
 		b.SetLoad(lib.WorkerHash("w"), 3, time.Now())
 		var loads []routing.Load
 		a.SubscribeLoads(func(l []routing.Load) { loads = l })
@@ -52,7 +52,7 @@
 		a.merge(from, b.Message(time.Now()))
 		<-changed
 		status := a.TableStatus("workers")
-		So(status.Version, ShouldEqual, 7)
+		So(status.Position.Version, ShouldEqual, 7)
 		So(status.Peer, ShouldNotBeNil)
 		So(loads, ShouldHaveLength, 1)
 		So(loads[0].InFlight, ShouldEqual, 3)
@@ -64,7 +64,7 @@
 		So(a.ReadsStore(), ShouldNotEqual, b.IsDomainLeader(time.Now()))
 
 		a.merge(from, []byte("not a message"))
-		So(a.TableStatus("workers").Version, ShouldEqual, 7)
+		So(a.TableStatus("workers").Position.Version, ShouldEqual, 7)
 	})
 }
 
@@ -78,7 +78,7 @@
 		source := newPeerClient().source(netip.MustParseAddrPort(server.Listener.Addr().String()))
 		ctx := context.Background()
 
-		rows, err := source.Changes(ctx, "workers", 0, 0)
+		rows, err := source.Changes(ctx, "workers", replica.Position{}, 0)
 		So(err, ShouldBeNil)
 		So(rows.Rows, ShouldBeEmpty)
 		rows, err = source.Read(ctx, "workers")
--- a/plugins/gossip/tables.go
+++ b/plugins/gossip/tables.go
@@ -49,10 +49,10 @@
 		return
 	}
 	rows := c.Snapshot()
-	if text := r.URL.Query().Get("since"); text != "" {
-		since, err := strconv.ParseInt(text, 10, 64)
+	if query := r.URL.Query(); query.Has(querySince) {
+		since, err := parsePosition(query)
 		if err != nil {
-			http.Error(w, "since is not a whole number", http.StatusBadRequest)
+			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
 		if rows, err = c.ChangesSince(since); err != nil {
@@ -71,6 +71,27 @@
 	_, _ = w.Write(body) // the peer may have disconnected
 }
 
+// Parameters of a read of changes. A router of an older release names no era.
+const (
+	querySince = "since"
+	queryEra   = "era"
+)
+
+func parsePosition(query url.Values) (replica.Position, error) {
+	var p replica.Position
+	var err error
+	if p.Version, err = strconv.ParseInt(query.Get(querySince), 10, 64); err != nil {
+		return p, errors.New("since is not a whole number")
+	}
+	if !query.Has(queryEra) {
+		return p, nil
+	}
+	if p.Era, err = strconv.ParseInt(query.Get(queryEra), 10, 64); err != nil {
+		return p, errors.New("era is not a whole number")
+	}
+	return p, nil
+}
+
 // encodedRowSets caches recently encoded row sets, since after a change all peers
 // of a failure domain request the same one. Row sets are compressed, since a
 // desired state of 400 routes is about 100 KB and its transfer to these peers
@@ -82,7 +103,7 @@
 
 type rowSetKey struct {
 	table, query string
-	version      int64
+	position     replica.Position
 	digest       uint64
 }
 
@@ -92,10 +113,10 @@
 
 // encode returns a row set as gzip-compressed JSON, from the cache if possible.
 func (e *encodedRowSets) encode(table, query string, rows replica.RowSet) ([]byte, error) {
-	key := rowSetKey{table, query, rows.Version, rows.Digest}
+	key := rowSetKey{table, query, rows.Position(), rows.Digest}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if body, ok := e.byKey[key]; ok {
+	if body, ok := e.byKey[key]; ok && len(rows.Held) == 0 {
 		return body, nil
 	}
 	var b bytes.Buffer
@@ -103,6 +124,9 @@
 	if err := errors.Join(json.NewEncoder(z).Encode(rows), z.Close()); err != nil {
 		return nil, err
 	}
+	if len(rows.Held) > 0 {
+		return b.Bytes(), nil // the time for which they are held passes
+	}
 	if len(e.byKey) >= maxEncodedRowSets {
 		clear(e.byKey)
 	}
@@ -130,10 +154,14 @@
 	return s.get(ctx, "/tables/"+url.PathEscape(table))
 }
 
-// Changes returns the rows that changed after a version. It does not wait for
+// Changes returns the rows that changed after a position. It does not wait for
 // changes.
-func (s peerSource) Changes(ctx context.Context, table string, since int64, _ time.Duration) (replica.RowSet, error) {
-	rows, err := s.get(ctx, "/tables/"+url.PathEscape(table)+"?since="+strconv.FormatInt(since, 10))
+func (s peerSource) Changes(ctx context.Context, table string, since replica.Position, _ time.Duration) (replica.RowSet, error) {
+	query := url.Values{querySince: {strconv.FormatInt(since.Version, 10)}}
+	if since.Era > 0 {
+		query.Set(queryEra, strconv.FormatInt(since.Era, 10))
+	}
+	rows, err := s.get(ctx, "/tables/"+url.PathEscape(table)+"?"+query.Encode())
 	if errors.Is(err, errHistoryGone) {
 		return rows, &replica.HistoryGoneError{Since: since}
 	}
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -38,6 +39,8 @@
 	// SourcesRecovered is called after SourcesLost, once the store replies again
 	// or a peer is in contact with it.
 	SourcesRecovered func()
+	// Restored is called before Changed when the store has come back from an older copy.
+	Restored func(Restoration)
 	// Warning reports a failure that does not stop the follower.
 	Warning func(message string, err error)
 }
@@ -51,10 +54,12 @@
 	Config Config
 	Events Events
 
-	storeVersion int64 // changes after this version are still to be read from the store
-	synced       bool  // storeVersion is valid: a snapshot was read, and the history since is available
-	storeFailed  bool  // the last call to the store failed
-	sourcesLost  bool  // SourcesLost was called, and SourcesRecovered not since
+	storePosition Position  // changes after this position are still to be read from the store
+	synced        bool      // storePosition is valid: a snapshot was read, and the history since is available
+	storeFailed   bool      // the last call to the store failed
+	sourcesLost   bool      // SourcesLost was called, and SourcesRecovered not since
+	joinUntil     time.Time // until then a peer is asked for the rows that it holds
+	joined        bool      // a peer was asked, or none was known in time
 }
 
 const (
@@ -69,16 +74,29 @@
 	// statusRecheckInterval limits the wait for a changed table status, because the age
 	// of the status has to be checked regularly.
 	statusRecheckInterval = 250 * time.Millisecond
+	// joinWindow is the time after the start in which a peer is asked for the rows that it
+	// holds, and joinRetryWait the wait between two checks whether one is known.
+	joinWindow    = time.Second
+	joinRetryWait = 5 * time.Millisecond
+	// firstJoinWait and firstJoinTimeout limit how long a router that starts waits for a
+	// peer before it uses the first snapshot.
+	firstJoinWait    = 25 * time.Millisecond
+	firstJoinTimeout = 100 * time.Millisecond
 )
 
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	wait := minRetryWait
+	f.joinUntil = time.Now().Add(joinWindow)
 	for ctx.Err() == nil {
+		f.endHolds()
+		if !f.joined && f.Copy.Position().Version > 0 {
+			f.reportChanges(f.join(ctx, f.joinUntil, f.Config.Timeout), f.Copy.Position().Version)
+		}
 		if !f.Peers.ReadsStore() {
 			// A copy that has no version yet cannot wait, and a fresh status whose
 			// peer cannot be read is no reason to wait.
-			waitsForTurn := f.Copy.Version() > 0 && f.isStale(f.Peers.TableStatus(f.Table))
+			waitsForTurn := f.Copy.Position().Version > 0 && f.isStale(f.Peers.TableStatus(f.Table))
 			if f.followPeers(ctx) || waitsForTurn && !f.awaitTurn(ctx) {
 				wait = minRetryWait
 				continue
@@ -146,11 +164,11 @@
 	if f.isStale(status) {
 		return false
 	}
-	if version := f.Copy.Version(); status.Version > version {
+	if position := f.Copy.Position(); position.Before(status.Position) {
 		if !f.readPeer(ctx, status) {
 			return false
 		}
-		if f.Copy.Version() > version {
+		if position.Before(f.Copy.Position()) {
 			f.reportSourcesRecovered()
 			return true
 		}
@@ -177,7 +195,7 @@
 // this router. It reports whether another router is in contact with the store.
 func (f *Follower) catchUpFromPeers(ctx context.Context) bool {
 	status := f.Peers.TableStatus(f.Table)
-	if status.Version > f.Copy.Version() {
+	if f.Copy.Position().Before(status.Position) {
 		f.readPeer(ctx, status)
 	}
 	if status.Age > f.Config.StaleAfter {
@@ -195,7 +213,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, f.Config.Timeout)
 	defer cancel()
-	set, err := status.Peer.Changes(callCtx, f.Table, f.Copy.Version(), 0)
+	set, err := status.Peer.Changes(callCtx, f.Table, f.Copy.Position(), 0)
 	var gone *HistoryGoneError
 	switch {
 	case errors.As(err, &gone):
@@ -204,8 +222,8 @@
 		f.Events.Warning("cannot read changes from a peer", err)
 		return false
 	}
-	complete := f.Copy.applyChanges(set)
-	f.reportChanges(set.Rows, set.Version)
+	rows, complete := f.Copy.applyChanges(set)
+	f.reportChanges(rows, set.Version)
 	if !complete {
 		f.Events.Warning("peer lacks a change of before its start, reading its snapshot", nil)
 		return f.readPeerSnapshot(callCtx, status.Peer)
@@ -221,14 +239,96 @@
 		f.Events.Warning("cannot read a snapshot from a peer", err)
 		return false
 	}
-	if set.Version < f.Copy.Version() {
+	if set.Era == 0 {
+		set.Era = f.Copy.Position().Era
+	}
+	if set.Position().Before(f.Copy.Position()) {
 		f.Events.Warning("peer's snapshot is older than the copy", nil)
 		return false
 	}
-	f.reportChanges(f.Copy.replaceAll(set), set.Version)
+	f.reportChanges(f.replaceAll(ctx, set), set.Version)
 	return true
 }
 
+// replaceAll replaces the rows of the copy by a snapshot and returns what changed.
+func (f *Follower) replaceAll(ctx context.Context, set RowSet) []Row {
+	first := f.Copy.Position() == Position{}
+	rows, restored := f.Copy.replaceAll(set)
+	if first || restored != nil {
+		rows = override(rows, f.Copy.adopt(set.Held))
+	}
+	if first {
+		rows = override(rows, f.join(ctx, time.Now().Add(firstJoinWait), firstJoinTimeout))
+	}
+	if restored != nil {
+		f.Events.Restored(*restored)
+	}
+	return rows
+}
+
+// override returns rows with those of held in place of the ones with the same keys.
+func override(rows, held []Row) []Row {
+	keys := map[string]bool{}
+	for _, r := range held {
+		keys[r.Key] = true
+	}
+	rows = slices.DeleteFunc(rows, func(r Row) bool { return keys[r.Key] })
+	return append(rows, held...)
+}
+
+// endHolds reports the rows of the store that replace held ones whose time was over when
+// a router last had contact with the store in the copy's era.
+func (f *Follower) endHolds() {
+	if f.Copy.untilExpiry(time.Now()) > 0 {
+		return
+	}
+	position, contact := f.Copy.Position(), f.Copy.LastContact()
+	if status := f.Peers.TableStatus(f.Table); status.Position.Era <= position.Era {
+		if shared := time.Now().Add(-status.Age); shared.After(contact) {
+			contact = shared
+		}
+	}
+	f.reportChanges(f.Copy.dropExpired(contact), position.Version)
+}
+
+// join asks a peer, once after the start, for rows that hold although the store has lost
+// them, and returns them. The store may have come back from an older copy shortly before
+// the start. It waits for a peer to become known until the given time.
+func (f *Follower) join(ctx context.Context, until time.Time, timeout time.Duration) []Row {
+	peer := f.Peers.AnyPeer()
+	for peer == nil && time.Now().Before(until) && ctx.Err() == nil {
+		sleep(ctx, joinRetryWait)
+		peer = f.Peers.AnyPeer()
+	}
+	f.joined = !time.Now().Before(f.joinUntil)
+	if peer == nil {
+		return nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	set, err := peer.Changes(callCtx, f.Table, f.Copy.Position(), 0)
+	var gone *HistoryGoneError
+	if errors.As(err, &gone) {
+		set, err = peer.Read(callCtx, f.Table)
+	}
+	if err != nil {
+		f.Events.Warning("cannot read the held rows of a peer", err)
+		return nil
+	}
+	if set.Position() == (Position{}) {
+		return nil // it has just started too
+	}
+	f.joined = true
+	switch era := f.Copy.Position().Era; {
+	case set.Era == 0: // a peer of an older release
+	case set.Era < era:
+		return f.Copy.adoptEarlier(set)
+	case set.Era == era:
+		return f.Copy.adopt(set.Held)
+	}
+	return nil
+}
+
 // reportChanges reports rows that were applied to the copy and announces them.
 func (f *Follower) reportChanges(rows []Row, version int64) {
 	if len(rows) > 0 {
@@ -239,7 +339,7 @@
 
 // readStore makes one call to the store.
 func (f *Follower) readStore(ctx context.Context) error {
-	if !f.synced {
+	if !f.synced || f.storePosition.Era < f.Copy.Position().Era {
 		return f.readSnapshot(ctx)
 	}
 	// A call that reaches the store while it is unresponsive never gets a
@@ -253,20 +353,25 @@
 	if f.storeFailed || !f.Peers.ReadsStore() {
 		wait = 0
 	}
+	wait = min(wait, f.Copy.untilExpiry(time.Now()))
 	callCtx, cancel := context.WithTimeout(ctx, wait+f.Config.Timeout)
 	defer cancel()
-	set, err := f.Store.Changes(callCtx, f.Table, f.storeVersion, wait)
+	set, err := f.Store.Changes(callCtx, f.Table, f.storePosition, wait)
 	if err != nil {
 		return err
 	}
+	if set.Era > f.storePosition.Era {
+		f.synced = false // the changes since a position of another era mean nothing
+		return nil
+	}
 	f.Copy.recordContact(time.Now())
-	if set.Version < f.storeVersion {
+	switch {
+	case set.Position().Before(f.storePosition):
 		return nil // older than an earlier reply
 	}
-	f.storeVersion = set.Version
+	f.storePosition = set.Position()
 	if len(set.Rows) > 0 {
-		f.Copy.apply(set.Rows)
-		f.reportChanges(set.Rows, set.Version)
+		f.reportChanges(f.Copy.apply(set.Rows), set.Version)
 		sleep(ctx, batchDelay)
 	}
 	return nil
@@ -281,14 +386,14 @@
 	if err != nil {
 		return err
 	}
-	if set.Version < max(f.storeVersion, f.Copy.Version()) {
-		f.Events.Warning("store snapshot is older than the copy, reading another one", fmt.Errorf("version %d before %d", set.Version, max(f.storeVersion, f.Copy.Version())))
+	if set.Position().Before(f.storePosition) || set.Position().Before(f.Copy.Position()) {
+		f.Events.Warning("store snapshot is older than the copy, reading another one", fmt.Errorf("%v before %v", set.Position(), f.Copy.Position()))
 		sleep(ctx, snapshotRetryWait)
 		return nil
 	}
 	f.Copy.recordContact(time.Now())
-	f.storeVersion, f.synced = set.Version, true
-	f.Events.Changed(f.Copy.replaceAll(set), set.Version)
+	f.storePosition, f.synced = set.Position(), true
+	f.Events.Changed(f.replaceAll(ctx, set), set.Version)
 	f.Peers.AnnounceChange()
 	return nil
 }
--- a/replica/follower_test.go
+++ b/replica/follower_test.go
@@ -94,7 +94,7 @@
 	return ctx.Err()
 }
 
-func (s *fakeStore) Changes(ctx context.Context, _ string, since int64, wait time.Duration) (RowSet, error) {
+func (s *fakeStore) Changes(ctx context.Context, _ string, since Position, wait time.Duration) (RowSet, error) {
 	if err := s.recordCall(ctx); err != nil {
 		return RowSet{}, err
 	}
@@ -102,10 +102,10 @@
 	for {
 		s.mu.Lock()
 		set := RowSet{Version: s.version}
-		gone := since < s.oldestAvailable
+		gone := since.Version < s.oldestAvailable
 		changed := s.changed
 		for _, r := range s.rows {
-			if r.Version > since {
+			if r.Version > since.Version {
 				set.Rows = append(set.Rows, r)
 			}
 		}
@@ -153,7 +153,7 @@
 	f.Follower = &Follower{
 		Table: "t", Store: s, Peers: peers, Copy: NewCopy(),
 		Config: Config{PollWait: 3500 * time.Millisecond, Timeout: 800 * time.Millisecond, BatchDelay: time.Second, PollWaitForOthers: time.Second, BatchDelayForOthers: 200 * time.Millisecond, StaleAfter: 1800 * time.Millisecond},
-		Events: Events{Changed: apply, SourcesLost: func(error) {}, SourcesRecovered: func() {}, Warning: func(string, error) {}},
+		Events: Events{Changed: apply, SourcesLost: func(error) {}, SourcesRecovered: func() {}, Restored: func(Restoration) {}, Warning: func(string, error) {}},
 	}
 	go f.Run(ctx)
 	return f
@@ -269,6 +269,7 @@
 
 func (p *fakePeers) ReadsForOthers() bool { return true }
 func (p *fakePeers) AnnounceChange()      {}
+func (p *fakePeers) AnyPeer() Source      { return nil }
 
 func (p *fakePeers) RouterCount() int {
 	p.mu.Lock()
@@ -307,7 +308,7 @@
 
 func (c peerCopy) Read(context.Context, string) (RowSet, error) { return c.Snapshot(), nil }
 
-func (c peerCopy) Changes(_ context.Context, _ string, since int64, _ time.Duration) (RowSet, error) {
+func (c peerCopy) Changes(_ context.Context, _ string, since Position, _ time.Duration) (RowSet, error) {
 	return c.ChangesSince(since)
 }
 
@@ -319,11 +320,11 @@
 		s, peers, peer := newFakeStore(), newFakePeers(), NewCopy()
 		s.put("a", "1")
 		peer.apply([]Row{{Key: "a", Value: []byte("1"), Version: 2}})
-		peers.setStatus(TableStatus{Version: 2, Peer: peerCopy{peer}})
+		peers.setStatus(TableStatus{Position: Position{Version: 2}, Peer: peerCopy{peer}})
 		f := startFollower(ctx, s, peers)
 		advanceTime(time.Second)
 		peer.apply([]Row{{Key: "b", Value: []byte("2"), Version: 9}, {Key: "a", Version: 10, Removed: true}})
-		peers.setStatus(TableStatus{Version: 10, Peer: peerCopy{peer}})
+		peers.setStatus(TableStatus{Position: Position{Version: 10}, Peer: peerCopy{peer}})
 		synctest.Wait()
 		So(f.values, ShouldResemble, map[string]string{"b": "2"})
 		So(s.callCount(), ShouldEqual, 0)
@@ -349,7 +350,7 @@
 		peers.readsStore = true
 		s.unresponsive = true
 		peer.apply([]Row{{Key: "a", Value: []byte("1"), Version: 2}})
-		peers.setStatus(TableStatus{Version: 2, Peer: peerCopy{peer}})
+		peers.setStatus(TableStatus{Position: Position{Version: 2}, Peer: peerCopy{peer}})
 		f := startFollower(ctx, s, peers)
 		advanceTime(3 * time.Second)
 		synctest.Wait()
@@ -364,7 +365,7 @@
 		c := NewCopy()
 		c.apply([]Row{{Key: "a", Version: 2}, {Key: "b", Version: 3}})
 		c.replaceAll(RowSet{Rows: []Row{{Key: "b", Version: 3}}, Version: 7})
-		set, err := c.ChangesSince(3)
+		set, err := c.ChangesSince(Position{Version: 3})
 		So(err, ShouldBeNil)
 		So(set, ShouldResemble, RowSet{Rows: []Row{{Key: "a", Version: 7, Removed: true}}, Version: 7, Digest: emptyDigest ^ Row{Key: "b", Version: 3}.digest()})
 	})
@@ -376,9 +377,9 @@
 		for i := range maxTombstones + 1 {
 			c.apply([]Row{{Key: strconv.Itoa(i), Version: int64(10 + i), Removed: true}})
 		}
-		_, err := c.ChangesSince(5)
+		_, err := c.ChangesSince(Position{Version: 5})
 		So(err, ShouldHaveSameTypeAs, &HistoryGoneError{})
-		_, err = c.ChangesSince(10)
+		_, err = c.ChangesSince(Position{Version: 10})
 		So(err, ShouldBeNil)
 	})
 }
@@ -397,13 +398,13 @@
 		c := NewCopy()
 		c.apply([]Row{{Key: "a", Value: []byte("v"), Version: 7}, {Key: "gone", Version: 8, Removed: true}})
 		for _, apply := range []func(){func() { c.apply(set.Rows) }, func() { c.replaceAll(set) }, func() { c.apply(set.Rows) }} {
-			before := c.Version()
+			before := c.Position()
 			apply()
-			if c.Version() < before {
-				t.Fatalf("the version decreased from %d to %d", before, c.Version())
+			if c.Position().Before(before) {
+				t.Fatalf("the position decreased from %v to %v", before, c.Position())
 			}
 		}
-		_, _ = c.ChangesSince(since) // may be gone
+		_, _ = c.ChangesSince(Position{Version: since}) // may be gone
 		c.Snapshot()
 	})
 }
--- /dev/null
+++ b/replica/held.go
@@ -0,0 +1,222 @@
+package replica
+
+import (
+	"math"
+	"time"
+)
+
+// Carry decides what becomes of a row when the store comes back from an older copy,
+// before its writer has written it again. It returns for how long the known row holds,
+// 0 if the store's row holds. A row that is not in the table has Removed set. A fresh
+// row was written after the store's return.
+type Carry func(known, restored Row, fresh bool) time.Duration
+
+// Indefinitely is the result of a Carry for a row that holds until the store has a row
+// that replaces it.
+const Indefinitely time.Duration = math.MaxInt64
+
+// HeldRow is a row of an earlier era that holds in place of the store's row.
+type HeldRow struct {
+	Row Row `json:"row"`
+	// ForMs is the time for which it still holds, in milliseconds, -1 for no limit.
+	ForMs int64 `json:"for_ms"`
+}
+
+// heldRow is a HeldRow with the time at which it ends, zero for none.
+type heldRow struct {
+	row   Row
+	until time.Time
+}
+
+func (h heldRow) export(now time.Time) HeldRow {
+	if h.until.IsZero() {
+		return HeldRow{h.row, -1}
+	}
+	return HeldRow{h.row, max(h.until.Sub(now).Milliseconds(), 0)}
+}
+
+// Restoration describes how a copy followed a store that came back from an older copy.
+type Restoration struct {
+	From, To Position
+	// Held are the known rows that hold until their writers have written them again.
+	Held []HeldRow
+}
+
+// current returns the store's row of a key, with Removed set if there is none. The
+// caller holds mu.
+func (c *Copy) current(key string) Row {
+	if r, ok := c.rows[key]; ok {
+		return r
+	}
+	return Row{Key: key, Version: c.version, Removed: true}
+}
+
+// effective returns the row of a key that holds. The caller holds mu.
+func (c *Copy) effective(key string) Row {
+	if h, ok := c.held[key]; ok {
+		return h.row
+	}
+	return c.current(key)
+}
+
+// hold lets a known row hold in place of the store's, if the table's Carry says so. It
+// reports whether it does. The caller holds mu.
+func (c *Copy) hold(known Row, limit time.Duration, now time.Time) bool {
+	if c.Carry == nil {
+		return false
+	}
+	restored := c.current(known.Key)
+	if known.Removed && restored.Removed {
+		return false
+	}
+	fresh := !restored.Removed && restored.Version > c.base
+	duration := min(c.Carry(known, restored, fresh), limit)
+	if duration <= 0 {
+		return false
+	}
+	h := heldRow{row: known}
+	if duration != Indefinitely {
+		h.until = now.Add(duration)
+	}
+	c.held[known.Key] = h
+	return true
+}
+
+// release ends the hold of a row if a changed row of the store replaces it. It reports
+// whether the store's row holds now. The caller holds mu.
+func (c *Copy) release(changed Row) bool {
+	h, ok := c.held[changed.Key]
+	if !ok {
+		return true
+	}
+	if c.Carry(h.row, changed, changed.Version > c.base) > 0 {
+		return false
+	}
+	delete(c.held, changed.Key)
+	return true
+}
+
+// restore replaces the copy by a snapshot of a later era. It returns the rows that
+// hold now, with those that no longer do as removed. The caller holds mu.
+func (c *Copy) restore(snapshot RowSet, now time.Time) ([]Row, *Restoration) {
+	result := &Restoration{From: Position{c.era, c.version}, To: snapshot.Position()}
+	known := map[string]Row{}
+	for _, r := range c.tombstones {
+		known[r.Key] = r
+	}
+	for key, r := range c.rows {
+		known[key] = r
+	}
+	for key, h := range c.held {
+		known[key] = h.row
+	}
+	c.era, c.version = snapshot.Era, snapshot.Version
+	c.base = snapshot.Version
+	if snapshot.Base > 0 {
+		c.base = snapshot.Base
+	}
+	c.rows, c.held, c.tombstones = map[string]Row{}, map[string]heldRow{}, nil
+	c.digest, c.droppedVersion = emptyDigest, 0
+	c.merge(snapshot.Rows)
+	for _, r := range known {
+		if c.hold(r, Indefinitely, now) {
+			result.Held = append(result.Held, c.held[r.Key].export(now))
+		}
+	}
+	var rows []Row
+	for key := range c.rows {
+		rows = append(rows, c.effective(key))
+	}
+	for key, r := range known {
+		if _, listed := c.rows[key]; !listed && !r.Removed {
+			rows = append(rows, c.effective(key))
+		}
+	}
+	sortRows(rows)
+	if result.From.Era == 0 {
+		return rows, nil // the copy was empty, or its source named no era
+	}
+	return rows, result
+}
+
+// lowerBase takes over the base of another router that read the table of this era sooner.
+// The caller holds mu.
+func (c *Copy) lowerBase(set RowSet) {
+	if set.Base > 0 && set.Base < c.base {
+		c.base = set.Base
+	}
+}
+
+// adopt takes over the rows that another router holds and returns those that hold here
+// now.
+func (c *Copy) adopt(held []HeldRow) []Row {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	var rows []Row
+	for _, h := range held {
+		if _, ok := c.held[h.Row.Key]; ok {
+			continue
+		}
+		limit := Indefinitely
+		if h.ForMs >= 0 {
+			limit = time.Duration(min(h.ForMs, maxHoldMs)) * time.Millisecond
+		}
+		if c.hold(h.Row, limit, now) {
+			rows = append(rows, h.Row)
+		}
+	}
+	return rows
+}
+
+// maxHoldMs limits the time for which a row of another router is held, so that a larger
+// one does not overflow.
+const maxHoldMs = 24 * 60 * 60 * 1000
+
+// adoptEarlier holds the rows that a router knows from an earlier era, as if this
+// router had known them. It returns those that hold here now.
+func (c *Copy) adoptEarlier(set RowSet) []Row {
+	held := set.Held
+	for _, r := range set.Rows {
+		held = append(held, HeldRow{r, -1})
+	}
+	return c.adopt(held)
+}
+
+// dropExpired ends the holds whose time is over and returns the store's rows in their
+// place.
+func (c *Copy) dropExpired(now time.Time) []Row {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var rows []Row
+	for key, h := range c.held {
+		if !h.until.IsZero() && !now.Before(h.until) {
+			delete(c.held, key)
+			rows = append(rows, c.current(key))
+		}
+	}
+	sortRows(rows)
+	return rows
+}
+
+// untilExpiry returns the time until a hold ends, Indefinitely if there is none.
+func (c *Copy) untilExpiry(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := Indefinitely
+	for _, h := range c.held {
+		if !h.until.IsZero() {
+			next = min(next, max(h.until.Sub(now), 0))
+		}
+	}
+	return next
+}
+
+// heldRows returns the held rows for other routers. The caller holds mu.
+func (c *Copy) heldRows(now time.Time) []HeldRow {
+	var held []HeldRow
+	for _, h := range c.held {
+		held = append(held, h.export(now))
+	}
+	return held
+}
--- a/replica/outage_test.go
+++ b/replica/outage_test.go
@@ -34,6 +34,7 @@
 
 func (p *fleetPeers) ReadsStore() bool               { return p.leader }
 func (p *fleetPeers) ReadsForOthers() bool           { return true }
+func (p *fleetPeers) AnyPeer() Source                { return nil }
 func (p *fleetPeers) AnnounceChange()                {}
 func (p *fleetPeers) StatusChanged() <-chan struct{} { return nil }
 
@@ -51,8 +52,8 @@
 	}
 	status := TableStatus{Age: time.Hour}
 	for _, f := range p.fleet.followers {
-		if v := f.Copy.Version(); v > status.Version {
-			status.Version, status.Peer = v, peerCopy{f.Copy}
+		if p := f.Copy.Position(); status.Position.Before(p) {
+			status.Position, status.Peer = p, peerCopy{f.Copy}
 		}
 		if contact := f.Copy.LastContact(); !contact.IsZero() {
 			status.Age = min(status.Age, time.Since(contact)+gossipDelay)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -3,11 +3,16 @@
 // their peers, and read the store themselves once no router seems to be in
 // contact with it.
 //
-// Contract: the version of a copy never decreases. While the store replies, a
+// Contract: the position of a copy never decreases. While the store replies, a
 // router learns of a change within the batch delay of the selected routers, plus
 // one call to the store and the time in which table statuses spread among the
 // routers; if no router reads the store, within Config.StaleAfter plus one call.
 //
+// A store that comes back from an older copy begins a new era. The selected routers
+// then read a snapshot, and the others read one from them. Rows that the store has lost
+// hold for as long as the table's Carry says, and routers that start meanwhile learn of
+// them from a peer.
+//
 // A digest of the rows shows a copy that lacks a change, so that a peer that restarted
 // and does not know which rows were removed before is noticed.
 //
@@ -49,6 +54,14 @@
 type RowSet struct {
 	Rows    []Row `json:"rows"`
 	Version int64 `json:"version"`
+	// Era is the era of the store, 0 if it is not known. It then counts as that of the
+	// copy to which the set is applied.
+	Era int64 `json:"era,omitempty"`
+	// Base is the version at which the first router read the table in this era, 0 if it
+	// is not known. Later rows were written after the store's return.
+	Base int64 `json:"base,omitempty"`
+	// Held are the rows of earlier eras that hold in place of those in Rows.
+	Held []HeldRow `json:"held,omitempty"`
 	// Digest covers the keys and versions of all rows of the table at Version. It
 	// shows whether a copy lacks a change. It is 0 if it is not known.
 	Digest uint64 `json:"digest,omitempty"`
@@ -63,27 +76,28 @@
 }
 
 // HistoryGoneError reports that the requested changes are no longer available.
-type HistoryGoneError struct{ Since int64 }
+type HistoryGoneError struct{ Since Position }
 
 func (e *HistoryGoneError) Error() string {
-	return fmt.Sprintf("replica: the changes since version %d are no longer available; read a snapshot of the table", e.Since)
+	return fmt.Sprintf("replica: the changes since version %d of era %d are not available; read a snapshot of the table", e.Since.Version, e.Since.Era)
 }
 
 // Source is where a copy is read from: the store or a peer.
 type Source interface {
 	// Read returns a snapshot of a table with all its rows.
 	Read(ctx context.Context, table string) (RowSet, error)
-	// Changes returns the rows that changed after a version. If there are none,
+	// Changes returns the rows that changed after a position. If there are none,
 	// it waits up to the given time for a change. Errors: *HistoryGoneError, and
-	// those of the connection.
-	Changes(ctx context.Context, table string, since int64, wait time.Duration) (RowSet, error)
+	// those of the connection. A set of another era than the position's has no rows of
+	// use; a snapshot has to be read.
+	Changes(ctx context.Context, table string, since Position, wait time.Duration) (RowSet, error)
 }
 
 // TableStatus is what this router knows about a table from all routers.
 type TableStatus struct {
-	Version int64         // version of the newest row that any router has seen
-	Age     time.Duration // time since any router had contact with the store
-	Peer    Source        // a peer whose copy has reached Version, nil for none
+	Position Position      // newest position that any router has seen
+	Age      time.Duration // time since any router had contact with the store
+	Peer     Source        // a peer whose copy has reached Position, nil for none
 }
 
 // Peers gives a follower access to the other routers and decides which routers
@@ -97,6 +111,8 @@
 	ReadsForOthers() bool
 	// TableStatus returns what this router knows about a table from all routers.
 	TableStatus(table string) TableStatus
+	// AnyPeer returns a live router, whatever its copies hold, nil if none is known.
+	AnyPeer() Source
 	// StatusChanged returns a channel that is closed when the status of a table
 	// changes.
 	StatusChanged() <-chan struct{}
@@ -125,6 +141,9 @@
 // TableStatus returns an empty status that is old enough to count as stale.
 func (NoPeers) TableStatus(string) TableStatus { return TableStatus{Age: time.Hour} }
 
+// AnyPeer returns nil.
+func (NoPeers) AnyPeer() Source { return nil }
+
 // StatusChanged returns a channel that is never closed.
 func (NoPeers) StatusChanged() <-chan struct{} { return nil }
 
@@ -134,23 +153,32 @@
 
 // Copy is this router's copy of a table.
 type Copy struct {
+	// Carry decides which rows outlast the store's return, none if it is nil. It has to
+	// be set before the copy is used.
+	Carry Carry
+
 	mu             sync.Mutex // lock level 90, see internal/core/lockorder.go
 	rows           map[string]Row
-	tombstones     []Row  // removed rows, oldest first
-	droppedVersion int64  // version of the newest tombstone that was dropped
-	version        int64  // all changes up to it are included
-	digest         uint64 // see RowSet.Digest
+	held           map[string]heldRow // rows of earlier eras that hold in place of those in rows
+	tombstones     []Row              // removed rows, oldest first
+	droppedVersion int64              // version of the newest tombstone that was dropped
+	era            int64              // era of rows, see Position
+	base           int64              // see RowSet.Base
+	version        int64              // all changes up to it are included
+	digest         uint64             // see RowSet.Digest
 	lastContact    time.Time
 }
 
 // NewCopy returns an empty copy.
-func NewCopy() *Copy { return &Copy{rows: map[string]Row{}, digest: emptyDigest} }
+func NewCopy() *Copy {
+	return &Copy{rows: map[string]Row{}, held: map[string]heldRow{}, digest: emptyDigest}
+}
 
-// Version returns the version up to which the copy holds all changes.
-func (c *Copy) Version() int64 {
+// Position returns the position up to which the copy holds all changes.
+func (c *Copy) Position() Position {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.version
+	return Position{c.era, c.version}
 }
 
 // LastContact returns when the store last replied to this router.
@@ -166,13 +194,13 @@
 	c.lastContact = now
 }
 
-// apply merges changed rows into the copy, which then holds all changes up to the
-// newest one.
-func (c *Copy) apply(rows []Row) {
+// apply merges rows that changed in the copy's era into the copy, which then holds all
+// changes up to the newest one. It returns the rows that hold now.
+func (c *Copy) apply(rows []Row) []Row {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.merge(rows)
 	c.version = max(c.version, newestVersion(rows))
+	return c.merge(rows)
 }
 
 func newestVersion(rows []Row) int64 {
@@ -183,13 +211,17 @@
 	return newest
 }
 
-// merge merges rows into the copy. The caller holds mu.
-func (c *Copy) merge(rows []Row) {
+// merge merges rows into the copy and returns those that hold. The caller holds mu.
+func (c *Copy) merge(rows []Row) []Row {
+	var effective []Row
 	for _, r := range rows {
 		old, listed := c.rows[r.Key]
 		if r.Version < old.Version {
 			continue // the source has an older version of the row
 		}
+		if c.release(r) {
+			effective = append(effective, r)
+		}
 		if listed {
 			c.digest ^= old.digest()
 		}
@@ -205,54 +237,73 @@
 		c.droppedVersion = max(c.droppedVersion, c.tombstones[excess-1].Version)
 		c.tombstones = slices.Delete(c.tombstones, 0, excess)
 	}
+	return effective
 }
 
-// applyChanges merges the changes that a peer sent into the copy. It returns false
-// if the copy then differs from the peer's.
-func (c *Copy) applyChanges(set RowSet) bool {
+// applyChanges merges the changes that a peer sent into the copy and returns the rows
+// that hold now. It returns false if the copy then differs from the peer's.
+func (c *Copy) applyChanges(set RowSet) ([]Row, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.merge(set.Rows)
+	if set.Era == 0 {
+		set.Era = c.era
+	}
+	if set.Era != c.era {
+		return nil, set.Era < c.era
+	}
+	c.lowerBase(set)
+	rows := c.merge(set.Rows)
 	switch {
 	case set.Digest == 0: // a peer of an older release
 		c.version = max(c.version, newestVersion(set.Rows))
 	case set.Version < c.version: // a peer that is behind
 	case set.Digest != c.digest:
-		return false
+		return rows, false
 	default:
 		c.version = set.Version
 	}
-	return true
+	return rows, true
 }
 
-// replaceAll applies a snapshot and returns its rows together with a tombstone,
-// at the snapshot's version, for each row of the copy that the snapshot lacks.
-func (c *Copy) replaceAll(snapshot RowSet) []Row {
+// replaceAll applies a snapshot of the copy's era or a later one. It returns the rows
+// that hold now, together with a tombstone for each row that no longer does. The result
+// is not nil if the snapshot is of a later era.
+func (c *Copy) replaceAll(snapshot RowSet) ([]Row, *Restoration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if snapshot.Era == 0 {
+		snapshot.Era = c.era
+	}
+	if snapshot.Era < c.era {
+		return nil, nil
+	}
+	if snapshot.Era > c.era {
+		return c.restore(snapshot, time.Now())
+	}
+	c.lowerBase(snapshot)
 	listed := map[string]bool{}
 	for _, r := range snapshot.Rows {
 		listed[r.Key] = true
 	}
 	rows := snapshot.Rows
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	for key := range c.rows {
 		if !listed[key] {
 			rows = append(rows, Row{Key: key, Version: snapshot.Version, Removed: true})
 		}
 	}
-	c.merge(rows)
+	rows = c.merge(rows)
 	// Rows may have been removed after the newest one changed, and a snapshot of
 	// several pages has rows of after its version, without the other changes up to
 	// them.
 	c.version = max(c.version, snapshot.Version)
-	return rows
+	return rows, nil
 }
 
-// Snapshot returns all rows, by ascending version.
+// Snapshot returns all rows of the store, by ascending version, and those that are held.
 func (c *Copy) Snapshot() RowSet {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	set := RowSet{Version: c.version, Digest: c.digest}
+	set := c.emptySet()
 	for _, r := range c.rows {
 		set.Rows = append(set.Rows, r)
 	}
@@ -260,22 +311,28 @@
 	return set
 }
 
-// ChangesSince returns the rows that changed after a version, without those that
+// emptySet returns a set without changed rows. The caller holds mu.
+func (c *Copy) emptySet() RowSet {
+	return RowSet{Era: c.era, Base: c.base, Version: c.version, Digest: c.digest, Held: c.heldRows(time.Now())}
+}
+
+// ChangesSince returns the rows that changed after a position, without those that
 // were removed before the copy was filled. Errors: *HistoryGoneError.
-func (c *Copy) ChangesSince(version int64) (RowSet, error) {
+func (c *Copy) ChangesSince(since Position) (RowSet, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if version < c.droppedVersion && version < c.version {
-		return RowSet{}, &HistoryGoneError{version}
+	otherEra := since.Era != c.era && since.Era != 0
+	if otherEra || since.Version < c.droppedVersion && since.Version < c.version {
+		return RowSet{}, &HistoryGoneError{since}
 	}
-	set := RowSet{Version: c.version, Digest: c.digest}
+	set := c.emptySet()
 	for _, r := range c.rows {
-		if r.Version > version {
+		if r.Version > since.Version {
 			set.Rows = append(set.Rows, r)
 		}
 	}
 	for _, r := range c.tombstones {
-		if r.Version > version {
+		if r.Version > since.Version {
 			set.Rows = append(set.Rows, r)
 		}
 	}
--- a/replica/restart_test.go
+++ b/replica/restart_test.go
@@ -17,7 +17,7 @@
 	reads     int // of changes
 }
 
-func (p *countingPeer) Changes(ctx context.Context, table string, since int64, wait time.Duration) (RowSet, error) {
+func (p *countingPeer) Changes(ctx context.Context, table string, since Position, wait time.Duration) (RowSet, error) {
 	if p.reads++; p.reads > 1000 {
 		<-ctx.Done() // ends a loop without a pause, in which virtual time stands still
 	}
@@ -49,19 +49,19 @@
 		inBubble(t, "A router learns from a restarted reader what was removed, where "+test.desc, func(ctx context.Context) {
 			peers, old := newFakePeers(), NewCopy()
 			old.apply(before)
-			peers.setStatus(TableStatus{Version: old.Version(), Peer: peerCopy{old}})
+			peers.setStatus(TableStatus{Position: old.Position(), Peer: peerCopy{old}})
 			f := startFollower(ctx, newFakeStore(), peers)
 			advanceTime(time.Second)
 			So(f.values, ShouldHaveLength, 2)
 
 			restarted := &countingPeer{peerCopy: peerCopy{NewCopy()}}
 			restarted.replaceAll(test.snapshot)
-			peers.setStatus(TableStatus{Version: restarted.Version(), Peer: restarted})
+			peers.setStatus(TableStatus{Position: restarted.Position(), Peer: restarted})
 			advanceTime(time.Second)
 			synctest.Wait()
 			So(f.values, ShouldResemble, test.expected)
 			So(restarted.snapshots, ShouldEqual, test.snapshots)
-			So(f.Copy.Version(), ShouldEqual, restarted.Version())
+			So(f.Copy.Position(), ShouldEqual, restarted.Position())
 		})
 	}
 }
@@ -72,12 +72,12 @@
 	inBubble(t, "A peer's snapshot that is older than the copy is not applied", func(ctx context.Context) {
 		peers, old := newFakePeers(), NewCopy()
 		old.apply([]Row{{Key: "a", Value: []byte("1"), Version: 2}})
-		peers.setStatus(TableStatus{Version: 2, Peer: peerCopy{old}})
+		peers.setStatus(TableStatus{Position: Position{Version: 2}, Peer: peerCopy{old}})
 		s := newFakeStore()
 		s.refuses = true
 		f := startFollower(ctx, s, peers)
 		advanceTime(time.Second)
-		peers.setStatus(TableStatus{Version: 9, Peer: &forgetfulPeer{peerCopy{NewCopy()}}})
+		peers.setStatus(TableStatus{Position: Position{Version: 9}, Peer: &forgetfulPeer{peerCopy{NewCopy()}}})
 		advanceTime(time.Second)
 		synctest.Wait()
 		So(f.values, ShouldResemble, map[string]string{"a": "1"})
@@ -90,7 +90,7 @@
 	inBubble(t, "A peer that has not reached the version that it announced is asked again after a while", func(ctx context.Context) {
 		peers, peer := newFakePeers(), &countingPeer{peerCopy: peerCopy{NewCopy()}}
 		peer.apply([]Row{{Key: "a", Value: []byte("1"), Version: 2}})
-		peers.setStatus(TableStatus{Version: 9, Peer: peer})
+		peers.setStatus(TableStatus{Position: Position{Version: 9}, Peer: peer})
 		f := startFollower(ctx, newFakeStore(), peers)
 		advanceTime(time.Second)
 		synctest.Wait()
@@ -105,17 +105,17 @@
 	inBubble(t, "A copy that was filled page by page holds the changes up to its first page only", func(ctx context.Context) {
 		peers, old, filled := newFakePeers(), NewCopy(), NewCopy()
 		old.apply([]Row{{Key: "a", Version: 4}, {Key: "a", Version: 8, Removed: true}, {Key: "b", Value: []byte("1"), Version: 5}})
-		peers.setStatus(TableStatus{Version: old.Version(), Peer: peerCopy{old}})
+		peers.setStatus(TableStatus{Position: old.Position(), Peer: peerCopy{old}})
 		f := startFollower(ctx, newFakeStore(), peers)
 		advanceTime(time.Second)
 		filled.replaceAll(RowSet{Rows: []Row{{Key: "a", Value: []byte("1"), Version: 4}, {Key: "b", Value: []byte("2"), Version: 12}}, Version: 7})
-		So(filled.Version(), ShouldEqual, 7)
-		peers.setStatus(TableStatus{Version: filled.Version(), Peer: peerCopy{filled}})
+		So(filled.Position().Version, ShouldEqual, 7)
+		peers.setStatus(TableStatus{Position: filled.Position(), Peer: peerCopy{filled}})
 		advanceTime(time.Second)
 		synctest.Wait()
 		So(f.values, ShouldResemble, map[string]string{"b": "1"})
 		filled.apply([]Row{{Key: "a", Version: 8, Removed: true}, {Key: "b", Value: []byte("2"), Version: 12}})
-		peers.setStatus(TableStatus{Version: filled.Version(), Peer: peerCopy{filled}})
+		peers.setStatus(TableStatus{Position: filled.Position(), Peer: peerCopy{filled}})
 		advanceTime(time.Second)
 		synctest.Wait()
 		So(f.values, ShouldResemble, map[string]string{"b": "2"})
@@ -125,7 +125,7 @@
 // forgetfulPeer is a peer whose history is gone and whose copy is empty.
 type forgetfulPeer struct{ peerCopy }
 
-func (p *forgetfulPeer) Changes(_ context.Context, _ string, since int64, _ time.Duration) (RowSet, error) {
+func (p *forgetfulPeer) Changes(_ context.Context, _ string, since Position, _ time.Duration) (RowSet, error) {
 	return RowSet{}, &HistoryGoneError{since}
 }
 
@@ -136,9 +136,13 @@
 		store, copies := NewCopy(), []*Copy{NewCopy(), NewCopy(), NewCopy()}
 		version := int64(1)
 		pull := func(to, from *Copy) {
-			set, err := from.ChangesSince(to.Version())
-			if err != nil || !to.applyChanges(set) {
-				if set := from.Snapshot(); set.Version >= to.Version() {
+			set, err := from.ChangesSince(to.Position())
+			complete := false
+			if err == nil {
+				_, complete = to.applyChanges(set)
+			}
+			if !complete {
+				if set := from.Snapshot(); !set.Position().Before(to.Position()) {
 					to.replaceAll(set)
 				}
 			}
