A started router learns from a peer of an earlier era what was removed

A router that starts just after the store came back from an older copy listed workers whose registrations had been removed in the lost span, and requests would have gone to them until the removal was written again.

Cause: the peer that it asks for what outlasts the return may not have read the new era yet. The peer is asked once, so that nothing corrects this later.

--- a/replica/follower.go
+++ b/replica/follower.go
@@ -308,6 +308,10 @@
 	defer cancel()
 	set, err := peer.Changes(callCtx, f.Table, f.Copy.Position(), 0)
 	var gone *HistoryGoneError
+	if errors.As(err, &gone) {
+		// A snapshot lacks the rows that were removed.
+		set, err = peer.Changes(callCtx, f.Table, Position{}, 0)
+	}
 	if errors.As(err, &gone) {
 		set, err = peer.Read(callCtx, f.Table)
 	}
--- /dev/null
+++ b/replica/start_test.go
@@ -0,0 +1,50 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against a router that starts before the operator and the workers have written
+// again, and puts in force what the older copy holds.
+func TestStartAfterReturn(t *testing.T) {
+	for _, routers := range []int{9, 86} {
+		for _, after := range []time.Duration{0, 400 * time.Millisecond, 1900 * time.Millisecond} {
+			inSubtest(t, fmt.Sprintf("A router that starts %v after the store's return holds what its %d peers hold", after, routers), func(ctx context.Context) {
+				f := newEraFleet(ctx, routers)
+				copied, _ := f.prepareReturn(3)
+				f.restore(copied, 2*time.Second)
+				advanceTime(after)
+				started := f.start(ctx)
+				advanceTime(2*time.Second - after)
+				f.writeAgain()
+				advanceTime(contactTime)
+				synctest.Wait()
+				So(started.first[desiredKey], ShouldEqual, f.written[desiredKey])
+				So(started.first["old"], ShouldNotEqual, "ready")
+				So(started.first["gone"], ShouldNotEqual, "ready")
+				So(f.differing(), ShouldEqual, 0)
+				So(f.broken(), ShouldBeEmpty)
+			})
+		}
+	}
+	inSubtest(t, "A router without peers that starts after the return has what was written again in time", func(ctx context.Context) {
+		f := newEraFleet(ctx, 2)
+		copied, _ := f.prepareReturn(3)
+		f.kill(f.routers[0])
+		f.kill(f.routers[1])
+		f.restore(copied, 2*time.Second)
+		f.start(ctx)
+		advanceTime(contactTime)
+		f.writeAgain()
+		advanceTime(applyWithin)
+		synctest.Wait()
+		So(f.differing(), ShouldEqual, 0)
+		So(f.broken(), ShouldBeEmpty)
+	})
+}
