A worker that registers again right after the store's return is listed at once

After the store came back from an older copy, some routers did not list a worker for up to 10 s that had been removed in the lost span and had registered again since: a restart around the return.

Cause: a removal that the copy lacks holds unless the row was written after the return. A router knows that only of rows above the first version that it, or the router that it reads from, has read in the new era. One whose call had hung in the outage reads the era after its writers have begun to write again, and took their rows for the older copy's.

A removed row now keeps its last value, so that the start of the process shows a worker that has restarted, whenever its row is read.

--- a/replica/era_fleet_test.go
+++ b/replica/era_fleet_test.go
@@ -196,6 +196,9 @@
 	defer f.mu.Unlock()
 	for _, row := range rows {
 		old, value := r.values[row.Key], string(row.Value)
+		if row.Removed {
+			value = ""
+		}
 		fault := ""
 		switch {
 		case row.Key == desiredKey && revision(value) < revision(old):
--- a/replica/held.go
+++ b/replica/held.go
@@ -7,8 +7,9 @@
 
 // Carry decides what becomes of a row when the store comes back from an older copy,
 // before its writer has written it again. It returns for how long the known row holds,
-// 0 if the store's row holds. A row that is not in the table has Removed set. A fresh
-// row was written after the store's return.
+// 0 if the store's row holds. A row that is not in the table has Removed set; its value
+// is the one that it had before, if that is known. A fresh row was written after the
+// store's return; it is not known of all that were.
 type Carry func(known, restored Row, fresh bool) time.Duration
 
 // Indefinitely is the result of a Carry for a row that holds until the store has a row
@@ -102,6 +103,9 @@
 	result := &Restoration{From: Position{c.era, c.version}, To: snapshot.Position()}
 	known := map[string]Row{}
 	for _, r := range c.tombstones {
+		if r.Value == nil {
+			r.Value = known[r.Key].Value
+		}
 		known[r.Key] = r
 	}
 	for key, r := range c.rows {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -231,6 +231,9 @@
 			continue
 		}
 		delete(c.rows, r.Key)
+		if listed {
+			r.Value = old.Value // shows in a later era whether its writer has restarted
+		}
 		c.tombstones = append(c.tombstones, r)
 	}
 	if excess := len(c.tombstones) - maxTombstones; excess > 0 {
--- a/replica/restored_test.go
+++ b/replica/restored_test.go
@@ -61,6 +61,7 @@
 				advanceTime(time.Second)
 				So(f.without("new", "ready"), ShouldEqual, 0)
 				So(f.without("lost", "ready"), ShouldEqual, 0)
+				f.write("gone", "restarted") // some routers read it with the first rows of the era
 				f.writeAgain()
 				f.write("another", "ready")
 				f.change()
@@ -68,6 +69,7 @@
 				synctest.Wait()
 				So(f.without(desiredKey, f.written[desiredKey]), ShouldEqual, 0)
 				So(f.without("another", "ready"), ShouldEqual, 0)
+				So(f.without("gone", "restarted"), ShouldEqual, 0)
 				// Beside the readers, routers take turns until they know that one of
 				// them has reached the store.
 				readers, turns := min(routers, f.domains), int(gossipDelay/callSpacing)
