A started router takes back no worker that a peer of an earlier era holds as removed

A router that starts after the store's second return in a row could list a worker that was removed in the first lost span: the peer that it asks holds the removal against the store's row, and the rows that it knows were taken with that row too.

TestStartAfterSecondReturn: before, the removed worker was listed; now it is not.

--- a/replica/held.go
+++ b/replica/held.go
@@ -180,9 +180,14 @@
 // adoptEarlier holds the rows that a router knows from an earlier era, as if this
 // router had known them. It returns those that hold here now.
 func (c *Copy) adoptEarlier(set RowSet) []Row {
-	held := set.Held
+	held, replaced := set.Held, map[string]bool{}
+	for _, h := range set.Held {
+		replaced[h.Row.Key] = true
+	}
 	for _, r := range set.Rows {
-		held = append(held, HeldRow{r, -1})
+		if !replaced[r.Key] {
+			held = append(held, HeldRow{r, -1})
+		}
 	}
 	return c.adopt(held)
 }
--- a/replica/start_test.go
+++ b/replica/start_test.go
@@ -48,3 +48,18 @@
 		So(f.broken(), ShouldBeEmpty)
 	})
 }
+
+// Guards against a worker that a router which starts after a second return lists again,
+// because the peer that it asks holds its removal against the store of the first return.
+func TestStartAfterSecondReturn(t *testing.T) {
+	Convey("A removal that a peer holds outlasts the next return", t, func() {
+		peer, started := NewCopy(), NewCopy()
+		peer.Carry, started.Carry = carryRow, carryRow
+		ready := Row{Key: "gone", Value: []byte("ready"), Version: 2}
+		peer.replaceAll(RowSet{Era: 1, Version: 2, Rows: []Row{ready}})
+		peer.apply([]Row{{Key: "gone", Version: 3, Removed: true}})
+		peer.replaceAll(RowSet{Era: 2, Version: 2, Rows: []Row{ready}})
+		started.replaceAll(RowSet{Era: 3, Version: 1})
+		So(started.adoptEarlier(peer.Snapshot()), ShouldBeEmpty)
+	})
+}
