A router that comes back in touch reads the changes before it ends a hold

A router that had been cut off just after the store's return dropped all workers whose rows the store had lost when it reached its peers again, and listed them again with its next read from one of them.

Cause: a hold ends with a contact with the store of after its time, and a contact of another router counted although that router knew of changes that this one had yet to read. It now counts only where no later change is known.

--- a/replica/follower.go
+++ b/replica/follower.go
@@ -277,13 +277,13 @@
 }
 
 // endHolds reports the rows of the store that replace held ones whose time was over when
-// a router last had contact with the store in the copy's era.
+// this router last had contact with the store, or another one that knows no later change.
 func (f *Follower) endHolds() {
 	if f.Copy.untilExpiry(time.Now()) > 0 {
 		return
 	}
 	position, contact := f.Copy.Position(), f.Copy.LastContact()
-	if status := f.Peers.TableStatus(f.Table); status.Position.Era <= position.Era {
+	if status := f.Peers.TableStatus(f.Table); !position.Before(status.Position) {
 		if shared := time.Now().Add(-status.Age); shared.After(contact) {
 			contact = shared
 		}
