Tests of rows that are fresh or held by a peer alone

Mutations of the code that no test had noticed: a row written after the return that does not end a hold, a base that is not taken over from a peer, held rows of a peer that a router does not take over when it reads the new era, and held rows served from a cache.

--- a/plugins/gossip/era_test.go
+++ b/plugins/gossip/era_test.go
@@ -107,6 +107,12 @@
 			// A reply is not repeated from a cache, since the time passes.
 			advanceTime(500 * time.Millisecond)
 			So(remaining(), ShouldResemble, map[string]int64{"config=2": -1, "w=ready": 1500})
+			encoded := &encodedRowSets{byKey: map[rowSetKey][]byte{}}
+			held, err := encoded.encode("workers", "", replica.RowSet{Held: []replica.HeldRow{{ForMs: 1500}}})
+			So(err, ShouldBeNil)
+			none, err := encoded.encode("workers", "", replica.RowSet{})
+			So(err, ShouldBeNil)
+			So(len(none), ShouldBeLessThan, len(held))
 		})
 	})
 }
--- /dev/null
+++ b/replica/held_test.go
@@ -0,0 +1,68 @@
+package replica
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Guards against a row that was written after the store's return and does not replace a
+// held one, because it is taken for a row of the older copy.
+func TestFreshRows(t *testing.T) {
+	ready := func(version int64) Row { return Row{Key: "a", Value: []byte("ready"), Version: version} }
+	withdrawn := func() *Copy {
+		c := NewCopy()
+		c.Carry = carryRow
+		c.replaceAll(RowSet{Era: 1, Version: 5, Rows: []Row{ready(5)}})
+		c.apply([]Row{{Key: "a", Version: 6, Removed: true}})
+		return c
+	}
+	Convey("A row of the older copy does not replace a removal, and a later one does", t, func() {
+		c := withdrawn()
+		rows, _ := c.replaceAll(RowSet{Era: 2, Version: 3, Rows: []Row{ready(2)}})
+		So(rows[0].Removed, ShouldBeTrue)
+		So(c.apply([]Row{ready(4)}), ShouldResemble, []Row{ready(4)})
+		So(c.Snapshot().Held, ShouldBeEmpty)
+	})
+	Convey("Rows of after a peer's first read are fresh in its snapshot", t, func() {
+		c := withdrawn()
+		rows, _ := c.replaceAll(RowSet{Era: 2, Version: 9, Base: 3, Rows: []Row{ready(4)}})
+		So(rows, ShouldResemble, []Row{ready(4)})
+	})
+	Convey("A peer that has read the era sooner shows which rows are fresh", t, func() {
+		c := NewCopy()
+		c.Carry = carryRow
+		c.replaceAll(RowSet{Era: 2, Version: 9, Rows: []Row{ready(4)}})
+		c.applyChanges(RowSet{Era: 2, Version: 9, Base: 3, Digest: c.Snapshot().Digest})
+		So(c.adopt([]HeldRow{{Row{Key: "a", Version: 6, Removed: true}, 5000}}), ShouldBeEmpty)
+	})
+}
+
+// Guards against a router that missed a change and does not learn of it from the peers
+// that hold it.
+func TestHeldRowsOfAPeer(t *testing.T) {
+	inBubble(t, "A router that reads the new era from a peer takes over what the peer holds", func(ctx context.Context) {
+		peers, old, restored := newFakePeers(), NewCopy(), NewCopy()
+		restored.Carry = carryRow
+		row := func(value string, version int64) RowSet {
+			return RowSet{Era: 1, Version: version, Rows: []Row{{Key: desiredKey, Value: []byte(value), Version: version}}}
+		}
+		old.replaceAll(row("1", 4))
+		peers.setStatus(TableStatus{Position: old.Position(), Peer: peerCopy{old}})
+		f := startFollower(ctx, newFakeStore(), peers)
+		f.Copy.Carry = carryRow
+		advanceTime(time.Second)
+		restored.replaceAll(row("2", 6))
+		back := row("1", 4)
+		back.Era = 2
+		restored.replaceAll(back)
+		peers.setStatus(TableStatus{Position: restored.Position(), Peer: peerCopy{restored}})
+		advanceTime(time.Second)
+		synctest.Wait()
+		So(f.Copy.Position(), ShouldResemble, Position{2, 4})
+		So(f.values[desiredKey], ShouldEqual, "2")
+	})
+}
