A router that cannot reach the store reads from its peers before each call too

A router of a small fleet that is cut off from the store had a change up to 2.45 s after its confirmation: the others read the last of several changes after the batch delay of 1 s, and it asked them only after its own call had timed out (0.8 s) and before the wait that follows (0.6 s). It now asks again after the wait.

--- a/replica/follower.go
+++ b/replica/follower.go
@@ -124,6 +124,7 @@
 		}
 		sleep(ctx, wait/2+rand.N(wait))
 		wait = min(2*wait, maxRetryWait)
+		f.catchUpFromPeers(ctx) // the next call may wait until its timeout too
 	}
 }
 
