--- a/plugins/gossip/era_test.go
+++ b/plugins/gossip/era_test.go
@@ -165,7 +165,11 @@
 		So(a.AnyPeer(), ShouldNotBeNil)
 		changed := a.StatusChanged()
 		report("c", "127.0.0.3:7000", lib.Position{Era: 2, Version: 3})
-		<-changed
+		select {
+		case <-changed:
+		default:
+			t.Fatal("the new era is not announced")
+		}
 		status := a.TableStatus("workers")
 		So(status.Position, ShouldResemble, replica.Position{Era: 2, Version: 3})
 		So(status.Peer, ShouldResemble, a.peerClient.source(netip.MustParseAddrPort("127.0.0.3:7000")))
--- a/replica/held_test.go
+++ b/replica/held_test.go
@@ -32,6 +32,11 @@
 		rows, _ := c.replaceAll(RowSet{Era: 2, Version: 9, Base: 3, Rows: []Row{ready(4)}})
 		So(rows, ShouldResemble, []Row{ready(4)})
 	})
+	Convey("A worker that has restarted is listed, whether its row is fresh or not", t, func() {
+		restarted := Row{Key: "a", Value: []byte("restarted"), Version: 4}
+		rows, _ := withdrawn().replaceAll(RowSet{Era: 2, Version: 9, Rows: []Row{restarted}})
+		So(rows, ShouldResemble, []Row{restarted})
+	})
 	Convey("A peer that has read the era sooner shows which rows are fresh", t, func() {
 		c := NewCopy()
 		c.Carry = carryRow
--- a/replica/restored_test.go
+++ b/replica/restored_test.go
@@ -124,6 +124,14 @@
 			advanceTime(contactTime)
 			f.disturb(func() { f.isolate(0, false) })
 		}},
+		{"routers lose touch once they have read the new era, until the workers have registered again", func(_ context.Context, f *eraFleet, copied int64) {
+			f.restore(copied, 2*time.Second)
+			advanceTime(1200 * time.Millisecond)
+			f.disturb(func() { f.isolate(1, true) })
+			f.writeAgain()
+			advanceTime(contactTime)
+			f.disturb(func() { f.isolate(0, false) })
+		}},
 		{"routers reach the store alone", func(_ context.Context, f *eraFleet, copied int64) {
 			f.disturb(func() { f.isolate(1, false) })
 			f.restore(copied, 2*time.Second)
