A worker's removal outlasts several returns of the store

After two returns in a row a worker that had been removed could be listed again by the whole fleet until its removal was written for the second time.

Cause: a router that reads the new era after the removal was repeated finds no row, and forgot the removal with its older copy. The copy from which the store comes back next may have the worker.

--- a/replica/held.go
+++ b/replica/held.go
@@ -125,6 +125,10 @@
 	for _, r := range known {
 		if c.hold(r, Indefinitely, now) {
 			result.Held = append(result.Held, c.held[r.Key].export(now))
+		} else if _, listed := c.rows[r.Key]; !listed && r.Removed {
+			// The copy from which the store comes back next may have the row.
+			r.Version = c.version
+			c.tombstones = append(c.tombstones, r)
 		}
 	}
 	var rows []Row
--- a/replica/held_test.go
+++ b/replica/held_test.go
@@ -71,3 +71,24 @@
 		So(f.values[desiredKey], ShouldEqual, "2")
 	})
 }
+
+// Guards against a withdrawn worker that is taken back after several returns: its removal
+// is forgotten, or another router that does not know it still holds the worker.
+func TestRemovalOutlastsReturns(t *testing.T) {
+	ready := Row{Key: "a", Value: []byte("ready"), Version: 2}
+	known := func(rows ...Row) *Copy {
+		c := NewCopy()
+		c.Carry = carryRow
+		c.replaceAll(RowSet{Era: 1, Version: 3, Rows: []Row{ready}})
+		c.apply(rows)
+		return c
+	}
+	removed := Row{Key: "a", Version: 4, Removed: true}
+	Convey("A removal that was repeated in one era holds against the copy of the next one", t, func() {
+		c := known(removed)
+		c.replaceAll(RowSet{Era: 2, Version: 5})
+		rows, _ := c.replaceAll(RowSet{Era: 3, Version: 2, Rows: []Row{ready}})
+		So(rows, ShouldHaveLength, 1)
+		So(rows[0].Removed, ShouldBeTrue)
+	})
+}
