A known removal outlasts a row that another router holds

A router that knew that a worker had been removed could list it again for up to the retention when it read the new era from a router that had missed the removal: that one holds the worker as lost.

--- a/replica/held.go
+++ b/replica/held.go
@@ -101,13 +101,7 @@
 // hold now, with those that no longer do as removed. The caller holds mu.
 func (c *Copy) restore(snapshot RowSet, now time.Time) ([]Row, *Restoration) {
 	result := &Restoration{From: Position{c.era, c.version}, To: snapshot.Position()}
-	known := map[string]Row{}
-	for _, r := range c.tombstones {
-		if r.Value == nil {
-			r.Value = known[r.Key].Value
-		}
-		known[r.Key] = r
-	}
+	known := c.removed()
 	for key, r := range c.rows {
 		known[key] = r
 	}
@@ -147,6 +141,22 @@
 	return rows, result
 }
 
+// removed returns the rows that are known to have been removed, with their last values.
+// The caller holds mu.
+func (c *Copy) removed() map[string]Row {
+	removed := map[string]Row{}
+	for _, r := range c.tombstones {
+		if _, listed := c.rows[r.Key]; listed {
+			continue
+		}
+		if r.Value == nil {
+			r.Value = removed[r.Key].Value
+		}
+		removed[r.Key] = r
+	}
+	return removed
+}
+
 // lowerBase takes over the base of another router that read the table of this era sooner.
 // The caller holds mu.
 func (c *Copy) lowerBase(set RowSet) {
@@ -156,16 +166,21 @@
 }
 
 // adopt takes over the rows that another router holds and returns those that hold here
-// now.
+// now. A removal that this router knows outlasts a row whose removal the other one does
+// not know.
 func (c *Copy) adopt(held []HeldRow) []Row {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	removed := c.removed()
 	var rows []Row
 	for _, h := range held {
 		if _, ok := c.held[h.Row.Key]; ok {
 			continue
 		}
+		if r, ok := removed[h.Row.Key]; ok && !h.Row.Removed && c.Carry != nil && c.Carry(r, h.Row, false) > 0 {
+			continue
+		}
 		limit := Indefinitely
 		if h.ForMs >= 0 {
 			limit = time.Duration(min(h.ForMs, maxHoldMs)) * time.Millisecond
--- a/replica/held_test.go
+++ b/replica/held_test.go
@@ -91,4 +91,12 @@
 		So(rows, ShouldHaveLength, 1)
 		So(rows[0].Removed, ShouldBeTrue)
 	})
+	Convey("A router that knows a removal does not take the row over from one that does not", t, func() {
+		c, unaware := known(removed), known()
+		for _, router := range []*Copy{c, unaware} {
+			router.replaceAll(RowSet{Era: 2, Version: 1})
+		}
+		So(unaware.Snapshot().Held, ShouldHaveLength, 1)
+		So(c.adopt(unaware.Snapshot().Held), ShouldBeEmpty)
+	})
 }
