A row whose hold has ended is not taken over from a router that holds it longer

A worker whose hold ended, because it had not registered again, was listed once more at the next return of the store where the router read the new era from one that had begun to hold the worker later.

A row that holds no longer and that the store does not have now counts as removed at this router. It does not tell the others, which may hold it on.

--- a/replica/held.go
+++ b/replica/held.go
@@ -220,7 +220,12 @@
 	for key, h := range c.held {
 		if !h.until.IsZero() && !now.Before(h.until) {
 			delete(c.held, key)
-			rows = append(rows, c.current(key))
+			current := c.current(key)
+			rows = append(rows, current)
+			if current.Removed {
+				// Other routers, which may hold the row for longer, are not told.
+				c.tombstones = append(c.tombstones, Row{Key: key, Value: h.row.Value, Removed: true})
+			}
 		}
 	}
 	sortRows(rows)
--- a/replica/held_test.go
+++ b/replica/held_test.go
@@ -99,4 +99,16 @@
 		So(unaware.Snapshot().Held, ShouldHaveLength, 1)
 		So(c.adopt(unaware.Snapshot().Held), ShouldBeEmpty)
 	})
+	Convey("A row that is no longer held is not taken over from a router that holds it for longer", t, func() {
+		c, later := known(), known()
+		for _, router := range []*Copy{c, later} {
+			router.replaceAll(RowSet{Era: 2, Version: 1})
+		}
+		So(c.dropExpired(time.Now().Add(lostRetention)), ShouldHaveLength, 1)
+		changes, err := c.ChangesSince(Position{Era: 2})
+		So(err, ShouldBeNil)
+		So(changes.Rows, ShouldBeEmpty)
+		c.replaceAll(RowSet{Era: 3, Version: 1})
+		So(c.adopt(later.Snapshot().Held), ShouldBeEmpty)
+	})
 }
