--- a/replica/killed_test.go
+++ b/replica/killed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,11 +15,11 @@
 type lateStore struct {
 	snapshot, late RowSet
 	replies        chan struct{}
-	reads          int
+	reads          atomic.Int64
 }
 
 func (s *lateStore) Read(context.Context, string) (RowSet, error) {
-	s.reads++
+	s.reads.Add(1)
 	return s.snapshot, nil
 }
 
@@ -47,12 +48,12 @@
 		advanceTime(800 * time.Millisecond)
 		So(f.Copy.Position(), ShouldResemble, Position{2, 10})
 		close(s.replies)
-		before := s.reads
+		before := s.reads.Load()
 		advanceTime(time.Second)
 		synctest.Wait()
 		So(f.Copy.Position(), ShouldResemble, Position{2, 10})
 		So(f.values, ShouldResemble, map[string]string{"w": "ready"})
-		So(s.reads-before, ShouldBeBetweenOrEqual, 1, 6)
+		So(s.reads.Load()-before, ShouldBeBetweenOrEqual, int64(1), int64(6))
 	})
 }
 
