Lose no answer on a connection that another request may not use

The log has reason="no answer" with the error of a withheld request, on the connection of another.

Cause: net/http puts a connection back when it has read a response without a body, before the round trip of that response returns. A request that takes the connection then and may not be sent on it lets the transport close it, and the response is dropped. A success without a body could be lost in the same way.

The write that is refused waits until the round trip before it has returned. TestWithheldRequestWaitsForTheAnswerBefore guards it; the play is not deterministic.

--- a/plugins/gateway/upstream.go
+++ b/plugins/gateway/upstream.go
@@ -61,8 +61,12 @@
 	transport := g.transportFor(x, c.Worker)
 	for {
 		conn := connHistory{}
-		trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = startRequest(info, x.header.ID) }}
+		trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+			conn.finish() // of a connection that the transport gave up
+			conn = startRequest(info, x.header.ID)
+		}}
 		resp, err := transport.RoundTrip(g.newAttemptRequest(httptrace.WithClientTrace(ctx, trace), x, c, lastEvent))
+		conn.finish()
 		if !conn.withheld {
 			return resp, conn, err
 		}
--- a/plugins/gateway/workerconn.go
+++ b/plugins/gateway/workerconn.go
@@ -22,6 +22,9 @@
 	carried []uint64    // hashes of request IDs; only the request that has got the connection uses them
 	retired atomic.Bool // it carries no further requests
 	blocked atomic.Bool // writes fail
+	// answered is closed once the round trip of the last request has returned, nil for no
+	// request. Like carried, it belongs to the request that has got the connection.
+	answered chan struct{}
 }
 
 // maxCarried is the number of requests after which a connection is not used again. It
@@ -31,9 +34,14 @@
 // errBlocked is the error of a write to a connection that must not carry the request.
 var errBlocked = errors.New("gateway: the connection to the worker may not carry this request; send it on another one")
 
-// Write sends nothing once the connection is blocked, so that the transport closes it.
+// Write sends nothing once the connection is blocked, so that the transport closes it. The
+// transport offers a connection before it has returned a response without a body, which
+// would be lost with the connection; therefore Write waits for that.
 func (c *workerConn) Write(p []byte) (int, error) {
 	if c.blocked.Load() {
+		if c.answered != nil {
+			<-c.answered
+		}
 		return 0, errBlocked
 	}
 	return c.Conn.Write(p)
@@ -42,7 +50,8 @@
 // connHistory is what a connection carried before an attempt.
 type connHistory struct {
 	conn      *workerConn // nil if there was no connection
-	number    uint64      // of the connection, 0 for none
+	answered  chan struct{}
+	number    uint64 // of the connection, 0 for none
 	requests  int
 	reused    bool // it may bear responses to earlier requests
 	carriedID bool // one of them had the ID of this request
@@ -61,5 +70,14 @@
 		return h
 	}
 	c.carried = append(c.carried, hash)
+	c.answered = make(chan struct{})
+	h.answered = c.answered
 	return h
 }
+
+// finish records that the round trip of the request has returned.
+func (h connHistory) finish() {
+	if h.answered != nil {
+		close(h.answered)
+	}
+}
--- a/plugins/gateway/workerconn_test.go
+++ b/plugins/gateway/workerconn_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -270,3 +271,30 @@
 		}
 	})
 }
+
+// Guards against a response without a body that is lost because another request ends the
+// connection before the transport has returned it.
+func TestWithheldRequestWaitsForTheAnswerBefore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A connection is not closed before the round trip on it has returned", t, func() {
+			ours, theirs := net.Pipe()
+			defer ours.Close()
+			defer theirs.Close()
+			info := httptrace.GotConnInfo{Conn: &workerConn{Conn: ours}}
+			first, second := startRequest(info, "id"), startRequest(info, "id")
+			So(first.withheld, ShouldBeFalse)
+			So(second.withheld, ShouldBeTrue)
+			errs := make(chan error, 1)
+			go func() {
+				_, err := info.Conn.Write([]byte("x"))
+				errs <- err
+			}()
+			synctest.Wait()
+			So(errs, ShouldBeEmpty)
+			first.finish()
+			synctest.Wait()
+			So(<-errs, ShouldEqual, errBlocked)
+			second.finish()
+		})
+	})
+}
