Role router: use a worker's connection no further after a response to another attempt

What callers saw: unknown outcomes (502) of calls and streams that ran, one after another on the same connection.

Cause: a response without a body is complete with its head, so the HTTP transport puts the connection back before the client sees that the response names another attempt. The next attempt reads the response that was due and fails as well. Streams compared the attempt only in refusals, and a failure that named another attempt was read to its end so that its connection was kept.

Ruled out: closing the connection when such a response has been read. The transport has pooled it by then and offers it to the next attempt, whose request fails on it (a mutation that the test finds). Closing all idle connections would take those of the other workers as well. A package shared with the gateway: the types have the flag in common, no function; the gateway's connections remember request IDs, these count bytes.

Change: each response is compared with its attempt in one place, for calls and streams. One that cannot be attributed retires its connection; the next request that gets the connection is sent on another one. A request that already has it then is not touched. The body is passed to send, which may need it for another connection; the transport still cannot rewind it. A stream's response that names another attempt has an unknown outcome.

TestRetiredConnectionOfUnreachableWorker: the attempt after the retired connection was unknown before, not_run now. Seven mutations, each caught: connection not retired; closed instead; offered again without a repeat; writes not stopped; the state of the last connection kept; the ID not compared; a refusal without an ID accepted on a used connection.

--- a/plugins/upstream/client.go
+++ b/plugins/upstream/client.go
@@ -109,10 +109,15 @@
 	return ref, nil
 }
 
-// newRequest returns a request whose body the transport cannot rewind, so that it
-// never resends the body by itself.
-func newRequest(ctx context.Context, method string, u *url.URL, body []byte) *http.Request {
-	r := (&http.Request{Method: method, URL: u, Host: u.Host, Header: http.Header{}}).WithContext(ctx)
+// newRequest returns a request without its body, which send adds.
+func newRequest(ctx context.Context, method string, u *url.URL) *http.Request {
+	return (&http.Request{Method: method, URL: u, Host: u.Host, Header: http.Header{}}).WithContext(ctx)
+}
+
+// withBody returns a copy of a request with a body that the transport cannot rewind,
+// so that it never resends the body by itself.
+func withBody(ctx context.Context, r *http.Request, body []byte) *http.Request {
+	r = r.WithContext(ctx)
 	if len(body) > 0 {
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		r.ContentLength = int64(len(body))
@@ -136,20 +141,18 @@
 // roundTrip sends the request at most once, and not after sendBy unless that is
 // zero. Errors: *core.AttemptError, with not_run only if no byte of the request
 // can have been sent.
-func (c *Client) roundTrip(r *http.Request, sendBy time.Time) (*http.Response, error) {
-	return c.send(r, &sendTracker{sendBy: sendBy})
+func (c *Client) roundTrip(r *http.Request, body []byte, sendBy time.Time) (*http.Response, error) {
+	return c.send(r, body, &sendTracker{sendBy: sendBy})
 }
 
 // send is roundTrip with a tracker from the caller.
-func (c *Client) send(r *http.Request, tracker *sendTracker) (*http.Response, error) {
-	if err := r.Context().Err(); err != nil {
-		return nil, notRunError(err)
-	}
-	response, err := c.transport.RoundTrip(r.WithContext(tracker.trace(r.Context())))
+func (c *Client) send(r *http.Request, body []byte, tracker *sendTracker) (*http.Response, error) {
+	response, err := c.exchange(r, body, tracker)
 	if err == nil {
-		if statesNotRun(response) && !isAttributed(r, response, tracker.usedConnection()) {
-			_ = response.Body.Close() // not read, so that the connection is not reused
-			return nil, unknownOutcomeError(fmt.Errorf("refusal with status %d names attempt %q", response.StatusCode, response.Header.Get(headerAttempt)))
+		if !isAttributed(r, response, tracker.usedConnection()) {
+			tracker.retireConnection()
+			_ = response.Body.Close()
+			return nil, unknownOutcomeError(fmt.Errorf("response with status %d names attempt %q", response.StatusCode, response.Header.Get(headerAttempt)))
 		}
 		return response, nil
 	}
@@ -159,6 +162,23 @@
 	return nil, unknownOutcomeError(err)
 }
 
+// exchange sends the request on a connection that is not retired. Nothing of it is
+// sent on retired connections that the transport offers; these end.
+func (c *Client) exchange(r *http.Request, body []byte, tracker *sendTracker) (*http.Response, error) {
+	for {
+		if err := r.Context().Err(); err != nil {
+			return nil, err
+		}
+		response, err := c.transport.RoundTrip(withBody(tracker.trace(r.Context()), r, body))
+		if !tracker.isWithheld() {
+			return response, err
+		}
+		if err == nil {
+			_ = response.Body.Close() // to an earlier request
+		}
+	}
+}
+
 func notRunError(err error) *core.AttemptError {
 	return &core.AttemptError{Outcome: core.OutcomeNotRun, Err: err}
 }
@@ -187,11 +207,11 @@
 }
 
 // isAttributed reports whether a response belongs to the attempt of the request. A
-// response that names no attempt may be an additional one to an earlier request, if
+// refusal that names no attempt may be an additional one to an earlier request, if
 // the connection was used before.
 func isAttributed(r *http.Request, response *http.Response, usedConnection bool) bool {
 	sent, echoed := r.Header.Get(headerAttempt), response.Header.Get(headerAttempt)
-	return sent == "" || echoed == sent || echoed == "" && !usedConnection
+	return sent == "" || echoed == sent || echoed == "" && !(usedConnection && statesNotRun(response))
 }
 
 // maxRetryAfter is the longest Retry-After that is accepted. A longer one is
--- a/plugins/upstream/engines.go
+++ b/plugins/upstream/engines.go
@@ -28,11 +28,11 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	// A paused worker accepts connections but never responds.
 	timer := c.newTimer(c.settings.StallTimeout, func() { cancel(errStalled) })
-	r := newRequest(ctx, http.MethodPost, u, body)
+	r := newRequest(ctx, http.MethodPost, u)
 	setAttemptHeaders(r.Header, a)
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set("Accept", "text/event-stream")
-	response, err := c.roundTrip(r, a.SendBy)
+	response, err := c.roundTrip(r, body, a.SendBy)
 	if err == nil {
 		err = checkEventStream(response)
 	}
@@ -105,7 +105,7 @@
 		}
 		ctx, stop := context.WithTimeout(ctx, cancelTimeout)
 		defer stop()
-		response, err := c.roundTrip(newRequest(ctx, http.MethodDelete, u, nil), time.Time{})
+		response, err := c.roundTrip(newRequest(ctx, http.MethodDelete, u), nil, time.Time{})
 		if err != nil {
 			c.log.Debug("cannot cancel an attempt", "attempt", a.ID, "error", err)
 			return
--- a/plugins/upstream/load.go
+++ b/plugins/upstream/load.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return core.LoadReport{}, notRunError(err)
 	}
-	response, err := c.roundTrip(newRequest(ctx, http.MethodGet, u, nil), time.Time{})
+	response, err := c.roundTrip(newRequest(ctx, http.MethodGet, u), nil, time.Time{})
 	if err != nil {
 		return core.LoadReport{}, err
 	}
--- a/plugins/upstream/orders.go
+++ b/plugins/upstream/orders.go
@@ -28,9 +28,9 @@
 	if err != nil {
 		return core.LoadReport{}, notRunError(err)
 	}
-	r := newRequest(ctx, http.MethodPost, u, body)
+	r := newRequest(ctx, http.MethodPost, u)
 	r.Header.Set("Content-Type", "application/json")
-	response, err := c.send(r, &sendTracker{allowed: o.Allowed})
+	response, err := c.send(r, body, &sendTracker{allowed: o.Allowed})
 	if err != nil {
 		return core.LoadReport{}, err
 	}
--- a/plugins/upstream/sent.go
+++ b/plugins/upstream/sent.go
@@ -7,14 +7,15 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // errWritesStopped is the error of writes after stopWrites.
 var errWritesStopped = errors.New("upstream: writes are stopped because the request must not be sent any more")
 
-// countedConn is a connection that counts the bytes written and can stop further
-// writes.
+// countedConn is a connection to a worker that counts the bytes written and can stop
+// further writes.
 type countedConn struct {
 	net.Conn
 
@@ -22,6 +23,8 @@
 	written       int64
 	writing       bool
 	writesStopped bool
+
+	retired atomic.Bool // it carries no further requests
 }
 
 func (c *countedConn) Write(b []byte) (int, error) {
@@ -76,6 +79,7 @@
 	baseline    int64 // bytes that earlier requests wrote to conn
 	sentEarlier bool  // bytes may have been sent on an earlier connection
 	used        bool  // earlier requests used conn
+	withheld    bool  // conn was retired before the request
 }
 
 // usedConnection reports whether earlier requests used the connection of the request.
@@ -85,7 +89,26 @@
 	return t.used
 }
 
+// isWithheld reports whether the last connection that the transport offered was retired.
+func (t *sendTracker) isWithheld() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.withheld
+}
+
+// retireConnection keeps further requests off the connection of the request. A request
+// that already has the connection is not affected.
+func (t *sendTracker) retireConnection() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.conn.retired.Store(true)
+}
+
+// trace returns the context for the next round trip.
 func (t *sendTracker) trace(ctx context.Context) context.Context {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.withheld = false // no connection is offered if dialing fails
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
 }
 
@@ -101,10 +124,11 @@
 	t.conn = unwrapCountedConn(info.Conn)
 	t.baseline = t.conn.bytesWritten()
 	t.used = info.Reused
+	t.withheld = t.conn.retired.Load()
 	// net/http retries requests that it considers idempotent, among them every
 	// one with an Idempotency-Key. Retries are decided in plugins/dispatch, so
 	// writes are stopped on the connection of such a retry.
-	if !allowed || t.sentEarlier || !t.sendBy.IsZero() && time.Now().After(t.sendBy) {
+	if !allowed || t.sentEarlier || t.withheld || !t.sendBy.IsZero() && time.Now().After(t.sendBy) {
 		t.conn.stopWrites(t.baseline)
 	}
 }
--- a/plugins/upstream/services.go
+++ b/plugins/upstream/services.go
@@ -17,7 +17,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r := newRequest(ctx, request.Method, u, request.Body)
+	r := newRequest(ctx, request.Method, u)
 	r.Header = request.Header.Clone()
 	if r.Header == nil {
 		r.Header = http.Header{}
@@ -26,20 +26,15 @@
 	if request.IdempotencyKey != "" {
 		r.Header.Set("Idempotency-Key", request.IdempotencyKey)
 	}
-	response, err := c.roundTrip(r, a.SendBy)
+	response, err := c.roundTrip(r, request.Body, a.SendBy)
 	if err != nil {
 		return nil, err
 	}
 	return c.readResponse(response, a)
 }
 
-// readResponse reads the response to an attempt. It fails if the response names
-// another attempt.
+// readResponse reads the response to an attempt.
 func (c *Client) readResponse(response *http.Response, a core.Attempt) (*core.ServiceResponse, error) {
-	if echoed := response.Header.Get(headerAttempt); echoed != "" && echoed != a.ID {
-		_ = response.Body.Close() // not read, so that the connection is not reused
-		return nil, unknownOutcomeError(fmt.Errorf("response names attempt %q instead of %q", echoed, a.ID))
-	}
 	if response.StatusCode < 200 {
 		_ = response.Body.Close()
 		return nil, unknownOutcomeError(fmt.Errorf("worker responded with status %d", response.StatusCode))
