Role router: send calls without an attempt ID on connections of their own

Load polls, orders and cancels shared the pool of connections with attempts.

Cause: these calls have no ID that a response could be compared with, so each response on their connection was taken as theirs. An additional load report passed for the reply to an order; a response to an attempt passed for a load report, which decides how many requests a worker is given after a take-over; a reply without an ID passed for the response to an attempt, because services need not echo theirs.

Ruled out: accepting only responses without an ID. An additional load report has none. A pool of kept connections for polls alone: a poll on demand, after a take-over or before an order, may follow another one at once and read an additional copy of its report.

Change: a request without an attempt ID gets a connection of its own, as in the gateway. Workers of services that don't report their load were polled by a new connection before.

TestCallsWithoutAttemptHaveOwnConnections, a second copy of a response as soon as the next request has arrived, ten pairs of an attempt, a load report, an order and a cancel: the copy was taken as the response in 10 of 10 before, in 0 of 10 now. TestSendOrder left its idle connection by a poll, which leaves none now; a call leaves it.

Not measured: workers with https, where each poll has a TLS handshake, and make capacity.

--- a/plugins/upstream/client.go
+++ b/plugins/upstream/client.go
@@ -31,10 +31,12 @@
 type Client struct {
 	settings  *Settings
 	transport *http.Transport
-	urls      atomic.Pointer[workerURLs]
-	submit    func(func(context.Context)) bool
-	newTimer  func(time.Duration, func()) stallTimer
-	log       *log.Logger
+	// unshared opens a connection for each request.
+	unshared *http.Transport
+	urls     atomic.Pointer[workerURLs]
+	submit   func(func(context.Context)) bool
+	newTimer func(time.Duration, func()) stallTimer
+	log      *log.Logger
 }
 
 // stallTimer is the part of time.Timer that streams use.
@@ -69,6 +71,8 @@
 		MaxResponseHeaderBytes: s.HeaderBytes,
 		DisableCompression:     true,
 	}
+	c.unshared = c.transport.Clone()
+	c.unshared.DisableKeepAlives = true
 	config.Subscribe(c.apply)
 	return c
 }
@@ -162,6 +166,15 @@
 	return nil, unknownOutcomeError(err)
 }
 
+// transportFor returns the transport for a request. The response to one without an
+// attempt ID is attributed by its connection, so it gets a connection of its own.
+func (c *Client) transportFor(r *http.Request) *http.Transport {
+	if r.Header.Get(headerAttempt) == "" {
+		return c.unshared
+	}
+	return c.transport
+}
+
 // exchange sends the request on a connection that is not retired. Nothing of it is
 // sent on retired connections that the transport offers; these end.
 func (c *Client) exchange(r *http.Request, body []byte, tracker *sendTracker) (*http.Response, error) {
@@ -169,7 +182,7 @@
 		if err := r.Context().Err(); err != nil {
 			return nil, err
 		}
-		response, err := c.transport.RoundTrip(withBody(tracker.trace(r.Context()), r, body))
+		response, err := c.transportFor(r).RoundTrip(withBody(tracker.trace(r.Context()), r, body))
 		if !tracker.isWithheld() {
 			return response, err
 		}
@@ -206,9 +219,9 @@
 	return response.StatusCode >= 400 && response.Header.Get(headerOutcome) == string(core.OutcomeNotRun)
 }
 
-// isAttributed reports whether a response belongs to the attempt of the request. A
-// refusal that names no attempt may be an additional one to an earlier request, if
-// the connection was used before.
+// isAttributed reports whether a response belongs to the request. A refusal that names
+// no attempt may be an additional one to an earlier request, if the connection was used
+// before.
 func isAttributed(r *http.Request, response *http.Response, usedConnection bool) bool {
 	sent, echoed := r.Header.Get(headerAttempt), response.Header.Get(headerAttempt)
 	return sent == "" || echoed == sent || echoed == "" && !(usedConnection && statesNotRun(response))
--- a/plugins/upstream/foreign_test.go
+++ b/plugins/upstream/foreign_test.go
@@ -65,7 +65,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey(name, t, func() {
 			c := newClient("http://worker:1")
-			c.transport.DialContext = w.dial
+			c.transport.DialContext, c.unshared.DialContext = w.dial, w.dial
 			defer w.close()
 			body(c)
 		})
@@ -160,3 +160,82 @@
 		So(w.requests, ShouldEqual, 1)
 	})
 }
+
+// Guards against calls without an attempt ID on the connections of others: an additional
+// response was taken as the report of a worker or the reply to an order, and a reply
+// without an ID as the response to an attempt.
+func TestCallsWithoutAttemptHaveOwnConnections(t *testing.T) {
+	call := func(c *Client, id string) (string, error) {
+		a := newAttempt()
+		a.ID = id
+		response, err := c.Call(context.Background(), a, &core.ServiceRequest{Method: "POST", Path: "/x", Body: []byte("{}")})
+		if err != nil {
+			return "", err
+		}
+		return string(response.Body), nil
+	}
+	load := func(c *Client, _ string) (string, error) {
+		report, err := c.Load(context.Background(), "pool", "w1")
+		return reportText(report), err
+	}
+	order := func(c *Client, _ string) (string, error) {
+		report, err := c.SendOrder(context.Background(), core.Order{Upstream: "pool", Worker: "w1", Order: "load", Model: "m"})
+		return reportText(report), err
+	}
+	cancel := func(c *Client, id string) (string, error) {
+		a := newAttempt()
+		a.ID = id
+		ended := make(chan struct{})
+		c.Cancel(a, func() { close(ended) })
+		<-ended
+		return "", nil
+	}
+	type send = func(c *Client, id string) (string, error)
+	for _, test := range []struct {
+		desc          string
+		before, after send
+	}{
+		{"an attempt, before an order", call, order},
+		{"an attempt, before a load report", call, load},
+		{"a load report, before an order", load, order},
+		{"a load report, before a load report", load, load},
+		{"a load report, before an attempt", load, call},
+		{"an order, before a load report", order, load},
+		{"an order, before an order", order, order},
+		{"an order, before an attempt", order, call},
+		{"a cancelled attempt, before an order", cancel, order},
+		{"a cancelled attempt, before an attempt", cancel, call},
+	} {
+		t.Run(test.desc, func(t *testing.T) {
+			// The first response is written again as soon as the next request has arrived.
+			var first string
+			w := &pipeWorker{}
+			w.serve = func(conn net.Conn, r *http.Request, n int) {
+				header := ""
+				if id := r.Header.Get(headerAttempt); id != "" {
+					header = headerAttempt + ": " + id + "\r\n"
+				}
+				response := httpResponse(http.StatusOK, header, fmt.Sprintf(`{"running":%d,"limit":9}`, n))
+				if n == 1 {
+					first = response
+				} else if conn == w.conns[0] {
+					_, _ = io.WriteString(conn, first)
+				}
+				_, _ = io.WriteString(conn, response)
+			}
+			withPipeWorker(t, "A second copy of the response to "+test.desc+", is not taken as the response to it", w, func(c *Client) {
+				_, err := test.before(c, "a1")
+				So(err, ShouldBeNil)
+				time.Sleep(time.Millisecond)
+				got, err := test.after(c, "a2")
+				So(err, ShouldBeNil)
+				So(got, ShouldEqual, `{"running":2,"limit":9}`)
+				So(w.requests, ShouldEqual, 2)
+			})
+		})
+	}
+}
+
+func reportText(r core.LoadReport) string {
+	return fmt.Sprintf(`{"running":%d,"limit":%d}`, r.Running, r.Limit)
+}
--- a/plugins/upstream/orders_test.go
+++ b/plugins/upstream/orders_test.go
@@ -12,8 +12,8 @@
 	"github.com/auburnlead/auburnlead/internal/standin/engine"
 )
 
-// Guards against orders that are sent although Allowed returns false, on a new or
-// a reused connection, and against treating a refusal as success.
+// Guards against orders that are sent although Allowed returns false, with or without
+// an idle connection to the worker, and against treating a refusal as success.
 func TestSendOrder(t *testing.T) {
 	Convey("Orders are sent to an engine that checks fencing tokens", t, func() {
 		e := engine.New(engine.Settings{Models: []string{"m1"}, ChecksFencing: true})
@@ -32,7 +32,8 @@
 			So(outcomeOf(err), ShouldEqual, core.OutcomeNotRun)
 			So(e.Stats().Orders, ShouldBeEmpty)
 			allowed = true
-			_, err = c.Load(context.Background(), "pool", "w1") // leaves an idle connection for the second iteration
+			// leaves an idle connection for the second iteration
+			_, err = c.Call(context.Background(), newAttempt(), &core.ServiceRequest{Method: "GET", Path: "/v1/load"})
 			So(err, ShouldBeNil)
 		}
 		report, err := send("load", 5)
