Follow a router without eras only until the store has come back

Found in a review. A router of the release before names no era, and its versions counted as of the era that the receiver knows. After a return a router that was stuck at a lost version was the newest one, and routers that do not read the store took rows of the lost span from it: a worker that was draining there stayed so although the store said ready.

Once a router has seen the store come back, positions and rows without an era count as earlier ones.

--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -230,6 +230,15 @@
 		_, u := merged()
 		So(u.Unread, ShouldBeNil)
 	})
+	Convey("A version without an era counts as an earlier one once the store has come back", t, func() {
+		v := newView()
+		v.SetTable(0, Position{1, 50}, now)
+		v.SetTable(0, Position{2, 12}, now)
+		u, err := v.Merge(now, from, oldMessage)
+		So(err, ShouldBeNil)
+		So(u.TablesChanged, ShouldBeFalse)
+		So(v.TableStatus(now, 0).Position, ShouldResemble, Position{2, 12})
+	})
 	Convey("Flags and extensions of a newer router are skipped", t, func() {
 		_, u := merged(9, 3, 1, 2, 3, 200, 0)
 		So(u.Unread, ShouldBeNil)
--- a/gossip/view.go
+++ b/gossip/view.go
@@ -120,6 +120,7 @@
 	position    Position       // position of this router's copy
 	newest      Position       // newest position known to any router
 	peer        netip.AddrPort // a router that has the newest position
+	returned    bool           // the store has come back from an older copy since the start
 	lastContact time.Time      // when any router last had contact with the store
 }
 
@@ -148,7 +149,7 @@
 		t.position = position
 	}
 	if t.newest.Before(position) {
-		t.newest, t.peer = position, v.cfg.Address
+		t.advance(position, v.cfg.Address)
 	}
 	if contact.After(t.lastContact) {
 		t.lastContact = contact
@@ -306,10 +307,17 @@
 	return u, nil
 }
 
+// advance records a newer position than those known before.
+func (t *tableState) advance(p Position, peer netip.AddrPort) {
+	t.returned = t.returned || t.newest.Era > 0 && p.Era > t.newest.Era
+	t.newest, t.peer = p, peer
+}
+
 // inKnownEra completes the position of a router of an older release, which names no
-// era, for the table with index i.
+// era, for the table with index i. Once the store has come back it may be a position that
+// the store has lost, and counts as an earlier one.
 func (v *View) inKnownEra(i int, p Position) Position {
-	if p.Era == 0 {
+	if p.Era == 0 && !v.tables[i].returned {
 		p.Era = v.tables[i].newest.Era
 	}
 	return p
@@ -318,7 +326,7 @@
 func (v *View) mergeTable(now time.Time, t *tableState, received tableEntry) bool {
 	newer := t.newest.Before(received.newest)
 	if newer {
-		t.newest, t.peer = received.newest, received.peer
+		t.advance(received.newest, received.peer)
 	}
 	if contact := now.Add(-time.Duration(received.contactAgeMs) * time.Millisecond); contact.After(t.lastContact) {
 		t.lastContact = contact
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -243,10 +243,7 @@
 		f.Events.Warning("cannot read a snapshot from a peer", err)
 		return false
 	}
-	if set.Era == 0 {
-		set.Era = f.Copy.Position().Era
-	}
-	if set.Position().Before(f.Copy.Position()) {
+	if f.Copy.isBehind(set) {
 		f.Events.Warning("peer's snapshot is older than the copy", nil)
 		return false
 	}
--- a/replica/held.go
+++ b/replica/held.go
@@ -138,7 +138,7 @@
 	if result.From.Era == 0 {
 		return rows, nil // the copy was empty, or its source named no era
 	}
-	c.informed = true
+	c.informed, c.returned = true, true
 	return rows, result
 }
 
@@ -158,6 +158,22 @@
 	return removed
 }
 
+// eraOf returns the era of a set. A router of an older release names none; once the store
+// has come back, its rows may be those that the store has lost. The caller holds mu.
+func (c *Copy) eraOf(set RowSet) int64 {
+	if set.Era == 0 && !c.returned {
+		return c.era
+	}
+	return set.Era
+}
+
+// isBehind reports whether a snapshot is older than the copy.
+func (c *Copy) isBehind(snapshot RowSet) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Position{c.eraOf(snapshot), snapshot.Version}.Before(Position{c.era, c.version})
+}
+
 // lowerBase takes over the base of another router that read the table of this era sooner.
 // The caller holds mu.
 func (c *Copy) lowerBase(set RowSet) {
--- a/replica/held_test.go
+++ b/replica/held_test.go
@@ -112,3 +112,25 @@
 		So(c.adopt(later.Snapshot().Held), ShouldBeEmpty)
 	})
 }
+
+// Guards against lost rows that a router of an older release, which knows no eras, passes
+// on after the store's return.
+func TestRowsOfRouterWithoutEra(t *testing.T) {
+	Convey("A router without an era is followed until the store has come back", t, func() {
+		row := func(value string, version int64) Row { return Row{Key: "w", Value: []byte(value), Version: version} }
+		c, old := NewCopy(), NewCopy()
+		old.replaceAll(RowSet{Version: 50, Rows: []Row{row("draining", 48)}})
+		c.replaceAll(RowSet{Era: 1, Version: 10, Rows: []Row{row("ready", 10)}})
+		changes := old.Snapshot()
+		rows, complete := c.applyChanges(changes)
+		So(complete, ShouldBeTrue)
+		So(rows, ShouldHaveLength, 1)
+		So(c.Position(), ShouldResemble, Position{1, 50})
+		c.replaceAll(RowSet{Era: 2, Version: 12, Rows: []Row{row("ready", 10)}})
+		rows, complete = c.applyChanges(changes)
+		So(complete, ShouldBeTrue)
+		So(rows, ShouldBeEmpty)
+		So(c.isBehind(changes), ShouldBeTrue)
+		So(c.Position(), ShouldResemble, Position{2, 12})
+	})
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -55,7 +55,7 @@
 	Rows    []Row `json:"rows"`
 	Version int64 `json:"version"`
 	// Era is the era of the store, 0 if it is not known. It then counts as that of the
-	// copy to which the set is applied.
+	// copy to which the set is applied, until the store has come back from an older copy.
 	Era int64 `json:"era,omitempty"`
 	// Base is the version at which the first router read the table in this era, 0 if it
 	// is not known. Later rows were written after the store's return.
@@ -171,6 +171,7 @@
 	digest         uint64             // see RowSet.Digest
 	filledAt       time.Time          // when the first snapshot was applied, zero for never
 	informed       bool               // see RowSet.Informed
+	returned       bool               // the store has come back since this router's start
 	lastContact    time.Time
 }
 
@@ -260,9 +261,7 @@
 func (c *Copy) applyChanges(set RowSet) ([]Row, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if set.Era == 0 {
-		set.Era = c.era
-	}
+	set.Era = c.eraOf(set)
 	if set.Era != c.era {
 		return nil, set.Era < c.era
 	}
@@ -289,9 +288,7 @@
 	if c.filledAt.IsZero() {
 		c.filledAt = time.Now()
 	}
-	if snapshot.Era == 0 {
-		snapshot.Era = c.era
-	}
+	snapshot.Era = c.eraOf(snapshot)
 	if snapshot.Era < c.era {
 		return nil, nil
 	}
