Spread the long polls of routers after a change

Cause: after a change all routers of a small fleet wait for the batch delay of 1 s and begin their long polls in the same instant. If the store is silent then, all polls are lost together and end 4.3 s later; no router knows of a change meanwhile, and none can tell the others. Traced: all nine polls begin at 16.67 s, the silence ends at 16.75 s, the change is confirmed at 18.92 s and in force on all at 21.03 s.

The first long poll after a change waits an eighth to a half of the usual time, the second one a half to all of it. In calm the calls stay as they were (TestStoreWithoutChanges).

--- a/replica/follower.go
+++ b/replica/follower.go
@@ -59,6 +59,7 @@
 	storeFailed   bool      // the last call to the store failed
 	sourcesLost   bool      // SourcesLost was called, and SourcesRecovered not since
 	joinUntil     time.Time // until then a peer is asked for the rows that it holds
+	pollsAlike    int       // long polls since the routers' began together, see pollWait
 	joined        bool      // an informed peer has replied, or none did in time
 }
 
@@ -366,7 +367,7 @@
 	if f.storeFailed || !f.Peers.ReadsStore() {
 		wait = 0
 	}
-	wait = min(wait, f.Copy.untilExpiry(time.Now()))
+	wait = min(f.pollWait(wait), f.Copy.untilExpiry(time.Now()))
 	set, err := f.pollStore(ctx, wait)
 	if err != nil {
 		return err
@@ -381,6 +382,7 @@
 	}
 	f.storePosition = set.Position()
 	if len(set.Rows) > 0 {
+		f.pollsAlike = 0
 		f.reportChanges(f.Copy.apply(set.Rows), set.Version)
 		sleep(ctx, batchDelay)
 	}
@@ -402,7 +404,7 @@
 		return nil
 	}
 	f.Copy.recordContact(time.Now())
-	f.storePosition, f.synced = set.Position(), true
+	f.storePosition, f.synced, f.pollsAlike = set.Position(), true, 1
 	f.Events.Changed(f.replaceAll(ctx, set), set.Version)
 	f.Peers.AnnounceChange()
 	return nil
--- a/replica/killed_test.go
+++ b/replica/killed_test.go
@@ -57,6 +57,26 @@
 	})
 }
 
+// Guards against long polls of all routers that begin together after a change and are lost
+// together, so that none of them knows of the next change to tell it to the others.
+func TestAllPollsAreLost(t *testing.T) {
+	for _, routers := range []int{4, 9, 15} {
+		inSubtest(t, fmt.Sprintf("%d routers have a change in time whose polls were all lost", routers), func(ctx context.Context) {
+			f := newEraFleet(ctx, routers)
+			f.change()
+			advanceTime(f.routers[0].Config.BatchDelay - 100*time.Millisecond)
+			f.silence(true)
+			advanceTime(200 * time.Millisecond) // long polls begin
+			f.silence(false)
+			advanceTime(contactTime - applyWithin)
+			f.change()
+			advanceTime(applyWithin)
+			synctest.Wait()
+			So(f.without(desiredKey, f.written[desiredKey]), ShouldEqual, 0)
+		})
+	}
+}
+
 // Guards against a change that routers have late although others know of it: their long
 // polls were under way while the store was silent and never get a reply.
 func TestChangeAfterReadersWereKilled(t *testing.T) {
--- a/replica/poll.go
+++ b/replica/poll.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 )
 
@@ -16,6 +17,24 @@
 // unresponsive never gets a reply.
 var errOvertaken = errors.New("replica: other routers have read changes that the store did not send to this router; calling the store again")
 
+// pollWait returns the wait of the next long poll, at most the given one. After a change
+// the polls of all routers begin together; if they were lost together, none of them could
+// tell the others of the next change. So the first poll is short and the second one of
+// random length, by which they spread.
+func (f *Follower) pollWait(longest time.Duration) time.Duration {
+	if longest == 0 {
+		return 0
+	}
+	f.pollsAlike++
+	switch f.pollsAlike {
+	case 1:
+		return longest/8 + rand.N(longest/2-longest/8+1)
+	case 2:
+		return longest/2 + rand.N(longest-longest/2+1)
+	}
+	return longest
+}
+
 // pollStore calls the store for changes. While the call waits, changes that other routers
 // have read are read from them.
 func (f *Follower) pollStore(ctx context.Context, wait time.Duration) (RowSet, error) {
