--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -106,7 +106,7 @@
 	}
 	if f := checkResponseHeader(x.header.ID, resp.StatusCode, h, conn); f != nil {
 		if f.reason == failWrongRequest || f.reason == failUnattributed {
-			conn.conn.retired.Store(true) // the response to this request may still follow
+			conn.retire() // the response to this request may still follow
 		}
 		stall.stop()
 		cancel()
@@ -175,7 +175,8 @@
 }
 
 // namesRequest reports whether a response bears the ID of the request, and no other
-// request on its connection had this ID.
+// request on its connection had this ID. An attempt is not sent on a connection that has
+// carried its ID, so the second condition holds as long as that is kept.
 func namesRequest(id string, h core.ResponseHeader, conn connHistory) bool {
 	return h.RequestID == id && !conn.carriedID
 }
--- a/plugins/gateway/upstream.go
+++ b/plugins/gateway/upstream.go
@@ -63,7 +63,7 @@
 		conn := connHistory{}
 		trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 			conn.finish() // of a connection that the transport gave up
-			conn = startRequest(info, x.header.ID)
+			conn = admitRequest(info, x.header.ID)
 		}}
 		resp, err := transport.RoundTrip(g.newAttemptRequest(httptrace.WithClientTrace(ctx, trace), x, c, lastEvent))
 		conn.finish()
--- a/plugins/gateway/workerconn.go
+++ b/plugins/gateway/workerconn.go
@@ -55,12 +55,12 @@
 	requests  int
 	reused    bool // it may bear responses to earlier requests
 	carriedID bool // one of them had the ID of this request
-	withheld  bool // nothing of the attempt was sent on it
+	withheld  bool // the connection was blocked, so that nothing of this request is sent on it
 }
 
-// startRequest records a request on the connection and returns what it carried before.
+// admitRequest records a request on the connection and returns what it carried before.
 // If it may not carry the request, it is blocked.
-func startRequest(info httptrace.GotConnInfo, id string) connHistory {
+func admitRequest(info httptrace.GotConnInfo, id string) connHistory {
 	c := info.Conn.(*workerConn)
 	hash := xxhash.Sum64String(id)
 	h := connHistory{conn: c, number: c.number, requests: len(c.carried), reused: info.Reused, carriedID: slices.Contains(c.carried, hash)}
@@ -75,6 +75,9 @@
 	return h
 }
 
+// retire lets the connection carry no further requests.
+func (h connHistory) retire() { h.conn.retired.Store(true) }
+
 // finish records that the round trip of the request has returned.
 func (h connHistory) finish() {
 	if h.answered != nil {
