--- a/replica/follower.go
+++ b/replica/follower.go
@@ -59,7 +59,7 @@
 	storeFailed   bool      // the last call to the store failed
 	sourcesLost   bool      // SourcesLost was called, and SourcesRecovered not since
 	joinUntil     time.Time // until then a peer is asked for the rows that it holds
-	pollsAlike    int       // long polls since the routers' began together, see pollWait
+	pollsAlike    int       // long polls since the last change, see pollWait
 	joined        bool      // an informed peer has replied, or none did in time
 }
 
