--- a/review/kit/client.go
+++ b/review/kit/client.go
@@ -21,7 +21,6 @@
 // Answer is what a requester saw.
 type Answer struct {
 	ID, Machine string
-	Attempt     string // see AttemptHeader
 	SentAt      time.Time
 	Took        time.Duration
 	Status      int // 0: the channel closed without an answer
@@ -50,17 +49,9 @@
 // NewID returns an ID for one attempt.
 func NewID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
-// AttemptHeader names a request apart from its ID, which a requester may use again.
-const AttemptHeader = "Review-Attempt"
-
 // Send sends one request. It isn't sent again.
 func (c *Client) Send(method, path string, body []byte, deadline time.Duration) Answer {
-	return c.SendAs(NewID(), "", method, path, body, deadline)
-}
-
-// SendAs sends one request with an ID and, if it isn't empty, the name of the attempt.
-func (c *Client) SendAs(id, attempt, method, path string, body []byte, deadline time.Duration) Answer {
-	a := Answer{ID: id, Attempt: attempt, Machine: c.Machine.Name, SentAt: time.Now()}
+	a := Answer{ID: NewID(), Machine: c.Machine.Name, SentAt: time.Now()}
 	var reader io.Reader
 	if body != nil {
 		reader = io.NopCloser(bytes.NewReader(body)) // no second sending by the library
@@ -76,9 +67,6 @@
 	r.Header.Set("Auburnlead-Request-Id", a.ID)
 	r.Header.Set("Auburnlead-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	r.Header.Set("Api-Key", Key)
-	if attempt != "" {
-		r.Header.Set(AttemptHeader, attempt)
-	}
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { a.Kept = i.Reused }}))
 	client := *c.http
 	client.Timeout = deadline + time.Second
--- a/review/kit/gateway.go
+++ b/review/kit/gateway.go
@@ -15,8 +15,8 @@
 	"time"
 )
 
-// Root is the root of the repository whose build is started. Scripts run there.
-var Root = "."
+// Root is the root of the repository. Scripts run there.
+const Root = "."
 
 // Machine is one machine of the system: a process with the run line of the deploy file.
 type Machine struct {
@@ -36,7 +36,6 @@
 	GraceS     int
 	RetrySlack int
 	Seeds      []string
-	LogLines   int // lines of one kind per second in a machine's log; 0 for the default
 }
 
 var (
@@ -155,9 +154,6 @@
 			"bounds.retrySlack": fmt.Sprint(site.RetrySlack),
 			"seeds":             strings.Join(seeds, ","), "limits.linkMbps": "1000.0", "provider.address": site.Store.Address(name),
 		})
-		if site.LogLines > 0 {
-			text = strings.Replace(text, "[gateway]\n", fmt.Sprintf("[gateway]\nlog_lines = %d\n", site.LogLines), 1)
-		}
 		m.settings = filepath.Join(TempDir(), name+".conf")
 		m.log = filepath.Join(TempDir(), name+".log")
 		if err := os.WriteFile(m.settings, []byte(text), 0o600); err != nil {
--- a/review/kit/record.go
+++ b/review/kit/record.go
@@ -25,7 +25,7 @@
 // is stopped from outside or takes too long.
 func NewRecord(path string) *Record {
 	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGPIPE)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
 		select {
 		case s := <-stop:
--- a/review/kit/worker.go
+++ b/review/kit/worker.go
@@ -15,7 +15,6 @@
 // Arrival is a request that reached a worker.
 type Arrival struct {
 	ID, Worker string
-	Attempt    string // see AttemptHeader
 	At         time.Time
 	Ran        bool
 }
--- a/review/cases/copies/layouts.go
+++ b/scripts/copies/layouts.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"auburnlead.example/review/kit"
 )
 
 // layout is one arrangement of workers, entries and requesters.
@@ -12,7 +10,7 @@
 	workers int
 	both    bool // each worker has a second entry, under which it serves too
 	gone    bool // an entry of an instance that is gone stands at each worker's address
-	refusal kit.Refusal
+	refusal refusal
 	reuse   string // how requesters use an ID again, if they do
 	stream  bool
 	resume  bool   // the streams may be resumed, and some break off
@@ -33,8 +31,8 @@
 )
 
 var (
-	busy    = kit.Refusal{Status: 503}
-	limited = kit.Refusal{Status: 429}
+	busy    = refusal{Status: 503}
+	limited = refusal{Status: 429}
 )
 
 var layouts = []layout{
@@ -46,10 +44,10 @@
 	{name: "single2", workers: 2, refusal: busy},
 	{name: "single6", workers: 6, refusal: busy},
 	{name: "single2-429", workers: 2, refusal: limited},
-	{name: "single2-pause", workers: 2, refusal: kit.Refusal{Status: 503, RetryAfter: "0.4"}},
-	{name: "single2-body", workers: 2, refusal: kit.Refusal{Status: 503, BodyBytes: 300}},
-	{name: "single2-late", workers: 2, refusal: kit.Refusal{Status: 503, Delay: 40 * time.Millisecond}},
-	{name: "both2-body", workers: 2, both: true, refusal: kit.Refusal{Status: 503, BodyBytes: 300}},
+	{name: "single2-pause", workers: 2, refusal: refusal{Status: 503, RetryAfter: "0.4"}},
+	{name: "single2-body", workers: 2, refusal: refusal{Status: 503, BodyBytes: 300}},
+	{name: "single2-late", workers: 2, refusal: refusal{Status: 503, Delay: 40 * time.Millisecond}},
+	{name: "both2-body", workers: 2, both: true, refusal: refusal{Status: 503, BodyBytes: 300}},
 	{name: "both2-429", workers: 2, both: true, refusal: limited},
 	{name: "reuse-after", workers: 2, refusal: busy, reuse: afterRefusal},
 	{name: "reuse-in-the-end", workers: 1, refusal: busy, reuse: inTheEnd},
@@ -58,7 +56,7 @@
 	{name: "reuse-answer", workers: 2, refusal: busy, reuse: afterAnswer},
 	{name: "restart-worker-new", workers: 3, refusal: busy, restart: workerNew},
 	{name: "restart-worker-same", workers: 3, refusal: busy, restart: workerSame},
-	{name: "relist", workers: 2, refusal: kit.Refusal{Status: 503, Delay: 1400 * time.Millisecond}, restart: relist},
+	{name: "relist", workers: 2, refusal: refusal{Status: 503, Delay: 1400 * time.Millisecond}, restart: relist},
 	{name: "restart-router-term", workers: 2, refusal: busy, restart: routerTerm},
 	{name: "restart-router-kill", workers: 2, refusal: busy, restart: routerKill},
 	{name: "stream", workers: 2, refusal: busy, stream: true},
--- a/review/cases/copies/main.go
+++ b/scripts/copies/main.go
@@ -31,13 +31,22 @@
 	rate     = flag.Float64("rate", 450, "requests per second")
 	load     = flag.Float64("load", 1, "offered load as a part of what the workers can run")
 	requests = flag.Int("requests", 1800, "requests to send")
-	net      = flag.Int("net", 79, "second byte of the loopback addresses; runs side by side need different ones")
+	subnet   = flag.Int("net", 79, "second byte of the loopback addresses; runs side by side need different ones")
 	slack    = flag.Int("slack", 1800, "retry_slack of the routers")
 )
 
 func main() {
 	flag.Parse()
-	kit.Root = *root
+	if *logs != "" {
+		folder, err := filepath.Abs(*logs)
+		if err != nil {
+			kit.Unable("%v", err)
+		}
+		*logs = folder
+	}
+	if err := os.Chdir(*root); err != nil {
+		kit.Unable("%v", err)
+	}
 	for _, l := range layouts {
 		if l.name == *name {
 			run(l)
@@ -56,14 +65,14 @@
 type site struct {
 	layout
 	store    *kit.Store
-	journal  *kit.Journal
+	arrivals *list[arrival]
 	record   *kit.Record
 	mu       sync.Mutex
-	workers  []*kit.SheddingWorker // the instances that serve
-	ended    []*kit.SheddingWorker
+	workers  []*sheddingWorker // the instances that serve
+	ended    []*sheddingWorker
 	machines []*kit.Machine
-	clients  []*kit.Client
-	answers  kit.Answers
+	clients  []*client
+	answers  list[answer]
 	count    int // instance IDs given out
 }
 
@@ -72,7 +81,7 @@
 	if folder == "" {
 		folder = kit.TempDir()
 	}
-	s := &site{layout: l, journal: &kit.Journal{}, record: kit.NewRecord(filepath.Join(folder, "record.txt"))}
+	s := &site{layout: l, arrivals: &list[arrival]{}, record: kit.NewRecord(filepath.Join(folder, "record.txt"))}
 	s.start()
 	before := s.sum(accepted)
 	began := time.Now()
@@ -100,7 +109,7 @@
 }
 
 func (s *site) start() {
-	ip := func(last ...any) string { return fmt.Sprintf("127.%d.", *net) + fmt.Sprintf("%d.%d", last...) }
+	ip := func(last ...any) string { return fmt.Sprintf("127.%d.", *subnet) + fmt.Sprintf("%d.%d", last...) }
 	zones := []string{"bengal-west-a", "bengal-west-b", "bengal-west-c"}
 	names := []string{"front-bengal-west-a-1", "front-bengal-west-b-1", "front-bengal-west-c-1"}
 	ips := []string{ip(1, 10), ip(2, 10), ip(3, 10)}
@@ -128,13 +137,13 @@
 		route["maxAttempts"] = 3
 	}
 	s.store.Put("op", "config", kit.Desired(7, []map[string]any{route}, service))
-	s.machines = kit.Fleet(names, zones, ips, kit.Site{Store: s.store, GraceS: 2, RetrySlack: *slack, Seeds: ips, LogLines: 100000})
+	s.machines = kit.Fleet(names, zones, ips, kit.Site{Store: s.store, GraceS: 2, RetrySlack: *slack, Seeds: ips})
 	for _, m := range s.machines {
 		m.Start()
 	}
 	for _, m := range s.machines {
 		m.AwaitReady(30 * time.Second)
-		s.clients = append(s.clients, kit.NewClient(m))
+		s.clients = append(s.clients, newClient(m))
 	}
 	time.Sleep(2 * time.Second) // all machines are in touch
 }
@@ -145,8 +154,8 @@
 	return fmt.Sprintf("i-%08x", 0x7f3b0000+s.count)
 }
 
-func (s *site) worker(zone, id string) *kit.SheddingWorker {
-	w := &kit.SheddingWorker{ID: id, Service: service, Zone: zone, Slots: slots, Refusal: s.refusal, Copies: *copies, CopyAnswers: s.reuse == afterAnswer, Journal: s.journal, Record: s.record}
+func (s *site) worker(zone, id string) *sheddingWorker {
+	w := &sheddingWorker{ID: id, Service: service, Zone: zone, Slots: slots, Refusal: s.refusal, Copies: *copies, CopyAnswers: s.reuse == afterAnswer, Arrivals: s.arrivals, Record: s.record}
 	w.Work = time.Duration(*load * float64(slots*s.layout.workers) / *rate * float64(time.Second))
 	if s.reuse != "" && s.reuse != inTheEnd {
 		w.Work /= 2 // each ID is sent up to twice
@@ -163,7 +172,7 @@
 // send sends the n-th request, and its ID again where the layout says so.
 func (s *site) send(n int) {
 	c, id := s.clients[n%len(s.clients)], kit.NewID()
-	send := func(c *kit.Client, attempt int) kit.Answer { return s.sendAs(c, id, attempt) }
+	send := func(c *client, attempt int) answer { return s.sendAs(c, id, attempt) }
 	var wg sync.WaitGroup
 	switch s.reuse {
 	case atOnce:
@@ -173,24 +182,24 @@
 	}
 	a := send(c, 1)
 	wg.Wait()
-	if s.reuse == afterRefusal && isPromise(a.Status) || s.reuse == afterAnswer && a.Status == 200 {
+	if s.reuse == afterRefusal && isPromise(a.status) || s.reuse == afterAnswer && a.status == 200 {
 		send(c, 2)
 	}
 }
 
-func (s *site) sendAs(c *kit.Client, id string, attempt int) kit.Answer {
-	a := c.SendAs(id, fmt.Sprintf("%s.%d", id, attempt), "POST", path, []byte(`{"well":"north","week":31}`), deadline)
-	s.answers.Add(a)
+func (s *site) sendAs(c *client, id string, attempt int) answer {
+	a := c.send(id, fmt.Sprintf("%s.%d", id, attempt), []byte(`{"well":"north","week":31}`))
+	s.answers.add(a)
 	return a
 }
 
 // sendRefused sends the IDs of all refused requests again if the layout says so.
 func (s *site) sendRefused() {
-	for n, a := range s.answers.All() {
-		if s.reuse == inTheEnd && isPromise(a.Status) {
+	for n, a := range s.answers.all() {
+		if s.reuse == inTheEnd && isPromise(a.status) {
 			for _, c := range s.clients {
-				if c.Machine.Name == a.Machine {
-					s.sendAs(c, a.ID, n+2)
+				if c.machine.Name == a.machine {
+					s.sendAs(c, a.id, n+2)
 				}
 			}
 		}
@@ -248,16 +257,16 @@
 	s.ended, s.workers[i] = append(s.ended, old), w
 }
 
-func accepted(w *kit.SheddingWorker) int64    { return w.Accepted.Load() }
-func cameAgain(w *kit.SheddingWorker) int64   { return w.CameAgain.Load() }
-func misdirected(w *kit.SheddingWorker) int64 { return w.Misdirected.Load() }
-func copied(w *kit.SheddingWorker) int64      { return w.Copied.Load() }
+func accepted(w *sheddingWorker) int64    { return w.Accepted.Load() }
+func cameAgain(w *sheddingWorker) int64   { return w.CameAgain.Load() }
+func misdirected(w *sheddingWorker) int64 { return w.Misdirected.Load() }
+func copied(w *sheddingWorker) int64      { return w.Copied.Load() }
 
-func (s *site) sum(of func(*kit.SheddingWorker) int64) int64 {
+func (s *site) sum(of func(*sheddingWorker) int64) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	total := int64(0)
-	for _, w := range append(append([]*kit.SheddingWorker(nil), s.workers...), s.ended...) {
+	for _, w := range append(append([]*sheddingWorker(nil), s.workers...), s.ended...) {
 		total += of(w)
 	}
 	return total
@@ -272,31 +281,31 @@
 // may run more than once.
 func (s *site) report(opened int64, restarts int) bool {
 	runs, shed := map[string][]string{}, 0
-	for _, a := range s.journal.All() {
-		if a.Ran {
-			runs[a.Attempt] = append(runs[a.Attempt], a.Worker)
+	for _, a := range s.arrivals.all() {
+		if a.ran {
+			runs[a.attempt] = append(runs[a.attempt], a.worker)
 		} else {
 			shed++
 		}
 	}
-	all, byStatus := s.answers.All(), map[int]int{}
+	all, byStatus := s.answers.all(), map[int]int{}
 	twice, refused, foreign, lost := 0, 0, 0, 0
 	for _, a := range all {
-		byStatus[a.Status]++
-		ran := runs[a.Attempt]
+		byStatus[a.status]++
+		ran := runs[a.attempt]
 		if len(ran) > 1 && !s.resume {
 			twice++
-			s.record.Line("TWICE: request %s ran %d times, at %v; the requester got %d", a.Attempt, len(ran), ran, a.Status)
+			s.record.Line("TWICE: request %s ran %d times, at %v; the requester got %d", a.attempt, len(ran), ran, a.status)
 		}
-		if len(ran) > 0 && isPromise(a.Status) {
+		if len(ran) > 0 && isPromise(a.status) {
 			refused++
-			s.record.Line("REFUSED: request %s ran at %v; the requester got %d", a.Attempt, ran, a.Status)
+			s.record.Line("REFUSED: request %s ran at %v; the requester got %d", a.attempt, ran, a.status)
 		}
-		if a.Status == 200 && !s.stream && !strings.Contains(a.Body, a.Attempt) {
+		if a.status == 200 && !s.stream && !strings.Contains(a.body, a.attempt) {
 			foreign++
-			s.record.Line("FOREIGN: request %s got %q", a.Attempt, a.Body)
+			s.record.Line("FOREIGN: request %s got %q", a.attempt, a.body)
 		}
-		if a.Status == 502 && len(ran) == 0 {
+		if a.status == 502 && len(ran) == 0 {
 			lost++
 		}
 	}
--- a/review/kit/sheddingworker.go
+++ b/scripts/copies/worker.go
@@ -1,4 +1,4 @@
-package kit
+package main
 
 import (
 	"bufio"
@@ -13,26 +13,28 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"auburnlead.example/review/kit"
 )
 
-// Refusal is how a SheddingWorker turns requests away while all its slots are taken.
-type Refusal struct {
+// refusal is how a sheddingWorker turns requests away while all its slots are taken.
+type refusal struct {
 	Status     int
 	RetryAfter string // empty for none
 	BodyBytes  int
 	Delay      time.Duration
 }
 
-// SheddingWorker is a worker of a plain service that runs as many requests as it has slots
+// sheddingWorker is a worker of a plain service that runs as many requests as it has slots
 // and refuses the others. When a request ID comes again on the channel on which it was
 // refused, the worker writes that refusal once more, byte for byte, and then serves the
 // request.
-type SheddingWorker struct {
+type sheddingWorker struct {
 	ID, Service, Zone, Address string
 	Also                       []string // further instance IDs that it accepts
 	Slots                      int
 	Work                       time.Duration
-	Refusal                    Refusal
+	Refusal                    refusal
 	Copies                     bool // write the copies
 	CopyAnswers                bool // write complete answers once more too
 	// Requests whose path contains StreamPath get a stream of Events, and a share Broken of
@@ -40,8 +42,8 @@
 	StreamPath string
 	Events     int
 	Broken     float64
-	Journal    *Journal
-	Record     *Record
+	Arrivals   *list[arrival]
+	Record     *kit.Record
 
 	CameAgain   atomic.Int64 // request IDs that came again on the channel that had refused them
 	Copied      atomic.Int64 // copies written, of refusals and answers
@@ -56,10 +58,10 @@
 }
 
 // Start listens at an address, which may have port 0, and serves.
-func (w *SheddingWorker) Start(address string) {
+func (w *sheddingWorker) Start(address string) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
-		Unable("worker: %v", err)
+		kit.Unable("worker: %v", err)
 	}
 	w.listener, w.Address, w.born = l, l.Addr().String(), time.Now().UnixMilli()
 	w.running, w.conns = make(chan struct{}, w.Slots), map[net.Conn]bool{}
@@ -79,7 +81,7 @@
 }
 
 // Crash resets all channels and frees the address, as the end of the process does.
-func (w *SheddingWorker) Crash() {
+func (w *sheddingWorker) Crash() {
 	_ = w.listener.Close()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -90,11 +92,11 @@
 }
 
 // Entry is what the worker writes about itself to the store.
-func (w *SheddingWorker) Entry(state string) map[string]any {
+func (w *sheddingWorker) Entry(state string) map[string]any {
 	return map[string]any{"service": w.Service, "address": w.Address, "zone": w.Zone, "version": "v1", "slots": w.Slots, "state": state, "coldLeftMs": 0, "callSeq": 0, "born": w.born}
 }
 
-func (w *SheddingWorker) serve(c net.Conn) {
+func (w *sheddingWorker) serve(c net.Conn) {
 	defer func() {
 		w.mu.Lock()
 		delete(w.conns, c)
@@ -144,7 +146,7 @@
 
 // answer returns the answer to a request, whether the request ran, and whether the channel
 // stays. A stream has been written already.
-func (w *SheddingWorker) answer(c net.Conn, r *http.Request, id string) (answer []byte, ran, keep bool) {
+func (w *sheddingWorker) answer(c net.Conn, r *http.Request, id string) (answer []byte, ran, keep bool) {
 	echo := fmt.Sprintf("Auburnlead-Request-Id: %s\r\nAuburnlead-Instance-Id: %s\r\n", id, w.ID)
 	if want := r.Header.Get("Auburnlead-Expect-Instance"); want != "" && want != w.ID && !slices.Contains(w.Also, want) {
 		w.Misdirected.Add(1)
@@ -153,12 +155,12 @@
 	if r.URL.Path == "/healthz" || strings.HasPrefix(r.URL.Path, "/v1/") {
 		return []byte("HTTP/1.1 200 OK\r\n" + echo + "Content-Length: 0\r\n\r\n"), true, true
 	}
-	a := Arrival{ID: id, Attempt: r.Header.Get(AttemptHeader), Worker: w.ID, At: time.Now()}
+	a := arrival{attempt: r.Header.Get(attemptHeader), worker: w.ID}
 	select {
 	case w.running <- struct{}{}:
 		defer func() { <-w.running }()
 	default:
-		w.Journal.Add(a)
+		w.Arrivals.add(a)
 		time.Sleep(w.Refusal.Delay)
 		pause := ""
 		if w.Refusal.RetryAfter != "" {
@@ -166,19 +168,19 @@
 		}
 		return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n%sAuburnlead-Not-Executed: 1\r\n%sContent-Length: %d\r\n\r\n%s", w.Refusal.Status, http.StatusText(w.Refusal.Status), echo, pause, w.Refusal.BodyBytes, bytes.Repeat([]byte("."), w.Refusal.BodyBytes)), false, true
 	}
-	a.Ran = true
-	w.Journal.Add(a)
+	a.ran = true
+	w.Arrivals.add(a)
 	if w.StreamPath != "" && strings.Contains(r.URL.Path, w.StreamPath) {
 		return nil, true, w.stream(c, r, echo)
 	}
 	time.Sleep(w.Work)
-	body := fmt.Appendf(nil, "%s ran %s for %s\n", w.ID, id, a.Attempt)
-	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%sAuburnlead-Response-Seal: %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", echo, Seal(body), len(body), body), true, true
+	body := fmt.Appendf(nil, "%s ran %s for %s\n", w.ID, id, a.attempt)
+	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%sAuburnlead-Response-Seal: %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", echo, kit.Seal(body), len(body), body), true, true
 }
 
 // stream writes the events after the one that the request names. It returns false if the
 // stream breaks off.
-func (w *SheddingWorker) stream(c net.Conn, r *http.Request, echo string) bool {
+func (w *sheddingWorker) stream(c net.Conn, r *http.Request, echo string) bool {
 	if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+echo+"Auburnlead-Response-Seal: 3e1b.07.0.0.0.00000000\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
 		return false
 	}
