Wait in virtual time by a timer channel in the tests of foreign responses

The two waits of plugins/upstream/foreign_test.go run in synctest bubbles; written like the other tests, no reader has to look for that.

--- a/plugins/upstream/foreign_test.go
+++ b/plugins/upstream/foreign_test.go
@@ -126,7 +126,7 @@
 			if n == 3 {
 				_, _ = io.WriteString(conn, test.additional)
 			}
-			time.Sleep(time.Millisecond)
+			<-time.After(time.Millisecond) // virtual time
 			id := r.Header.Get(headerAttempt)
 			_, _ = io.WriteString(conn, httpResponse(http.StatusOK, headerAttempt+": "+id+"\r\nContent-Type: text/event-stream\r\n", test.body(id)))
 		}}
@@ -226,7 +226,7 @@
 			withPipeWorker(t, "A second copy of the response to "+test.desc+", is not taken as the response to it", w, func(c *Client) {
 				_, err := test.before(c, "a1")
 				So(err, ShouldBeNil)
-				time.Sleep(time.Millisecond)
+				<-time.After(time.Millisecond) // virtual time
 				got, err := test.after(c, "a2")
 				So(err, ShouldBeNil)
 				So(got, ShouldEqual, `{"running":2,"limit":9}`)
