Send nothing to the workers of evacuated failure domains

Ruled out: moving traffic out in steps, since the sum of gathering, a poll and the spread leaves no time for it; and counts of each router for the share of workers that are taken back, since a router of a large fleet sends fewer requests in the period than there are workers.

An attempt whose worker was evacuated since its choice is withheld when it has got its connection. Workers that are taken back get at most the mean share of the requests without a prompt for 3 s. The router's isolation looks at the remaining domains only.

--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -118,6 +118,14 @@
 	DecodeResponse(status int, h http.Header) ResponseHeader
 }
 
+// Evacuations provides the failure domains to whose workers nothing may be sent.
+type Evacuations interface {
+	// SubscribeEvacuations calls fn with the sorted names of the evacuated failure
+	// domains, if the set is known, and then with each changed set. Calls do not
+	// overlap. fn must not block or keep the slice.
+	SubscribeEvacuations(fn func(domains []string))
+}
+
 // WorkerList provides the list of the workers of all upstreams.
 type WorkerList interface {
 	// Workers returns the newest list, nil before the first one.
--- a/internal/unreadable/unreadable.go
+++ b/internal/unreadable/unreadable.go
@@ -28,6 +28,7 @@
 	TokenCounts   Kind = "token counts"   // header of a caller's request
 	Registration  Kind = "registration"   // row that a worker writes
 	DesiredState  Kind = "desired state"  // row that the operator writes
+	Evacuation    Kind = "evacuation"     // row that the operator writes
 	StoreRow      Kind = "store row"      // row in a reply of the store
 	StoreEra      Kind = "store era"      // header of a reply of the store
 	RouterMessage Kind = "router message" // datagram of another router
--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -58,6 +58,7 @@
 // Reasons of failed attempts, as they appear in logs and metrics.
 const (
 	failConnect      = "connect"        // no connection could be opened
+	failEvacuated    = "evacuated"      // the worker's failure domain was evacuated before the request was sent
 	failNoResponse   = "no answer"      // connection reset, closed or unreadable before a response header
 	failWrongRequest = "foreign answer" // the response belongs to another request
 	failUnsealed     = "unsealed answer"
@@ -119,9 +120,10 @@
 }
 
 // isFault reports whether a failure may be a fault of the worker. A refusal is none,
-// and neither is one that may be an additional response to an earlier request.
+// and neither is an evacuation or one that may be an additional response to an earlier
+// request.
 func (f *failure) isFault() bool {
-	return f.reason != failRefused && f.reason != failUnattributed && !f.paused
+	return f.reason != failRefused && f.reason != failEvacuated && f.reason != failUnattributed && !f.paused
 }
 
 // markStalled marks a failure that the stall timer caused. Its retry has
@@ -133,6 +135,9 @@
 }
 
 func classifySendError(err error, connected bool) *failure {
+	if errors.Is(err, errEvacuated) {
+		return &failure{outcome: core.OutcomeNotRun, reason: failEvacuated, err: err}
+	}
 	var dial *dialError
 	if errors.As(err, &dial) || !connected {
 		return &failure{outcome: core.OutcomeNotRun, reason: failConnect, err: err}
--- a/plugins/gateway/buffered.go
+++ b/plugins/gateway/buffered.go
@@ -190,6 +190,11 @@
 		g.refuseStopping(x)
 	case x.quarantined > 0:
 		g.refuseQuarantined(x)
+	case x.evacuated:
+		if last != nil {
+			x.err = last
+		}
+		g.refuseEvacuated(x)
 	case x.pausedWorkers > 0:
 		if last != nil {
 			x.err = last
--- a/plugins/gateway/choose.go
+++ b/plugins/gateway/choose.go
@@ -29,7 +29,8 @@
 	if !ok {
 		x.nextPermit, x.limitedWorkers = g.fleet.NextPermit(x.upstream, time.Now())
 		x.nextOpening, x.pausedWorkers = g.fleet.NextOpening(x.upstream, time.Now())
-		g.decisions.logRequest("no worker to choose", "request", x.header.ID, "upstream", x.upstream, "tried", len(x.tried), "limited", x.limitedWorkers, "next_permit_ms", x.nextPermit.Milliseconds(), "paused", x.pausedWorkers, "next_opening_ms", x.nextOpening.Milliseconds())
+		x.evacuated = g.fleet.AllEvacuated(x.upstream)
+		g.decisions.logRequest("no worker to choose", "request", x.header.ID, "upstream", x.upstream, "tried", len(x.tried), "limited", x.limitedWorkers, "next_permit_ms", x.nextPermit.Milliseconds(), "paused", x.pausedWorkers, "next_opening_ms", x.nextOpening.Milliseconds(), "evacuated", x.evacuated)
 		return c, false
 	}
 	x.tried = append(x.tried, c.Worker)
--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -40,6 +40,7 @@
 	nextPermit     time.Duration
 	pausedWorkers  int           // workers of the upstream that want no requests for now
 	nextOpening    time.Duration // time until one of them takes requests again
+	evacuated      bool          // all workers that could run it are in evacuated failure domains
 	tooLate        bool          // the router stops before the request's deadline
 	quarantined    time.Duration // remaining quarantine of one of its prompt parts, 0 for none
 	status         int
--- a/plugins/gateway/isolation.go
+++ b/plugins/gateway/isolation.go
@@ -31,8 +31,15 @@
 // about the time that the restart of a failure domain takes.
 const isolationGracePeriod = time.Minute
 
+// forget lets the next updateIsolation decide without isolationGracePeriod.
+func (i *isolation) forget() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.lastOnMinoritySide = time.Time{}
+}
+
 // updateIsolation re-evaluates isolation after a change of which workers are
-// listed or reachable. A router is isolated if it reaches no worker of another
+// listed, reachable or evacuated. A router is isolated if it reaches no worker of another
 // failure domain although the other domains have more than half of the workers.
 // At most one side of a partition can be isolated.
 func (g *Gateway) updateIsolation() {
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -9,7 +9,8 @@
 // router itself), decision.go (log and metrics). reachability.go and isolation.go
 // track which workers are reachable, quarantine.go which requests crash them,
 // ratelimit.go how many requests they take, pauses.go which of them other routers have
-// to spare. callerconns.go tells a stop which connections are in use.
+// to spare, evacuation.go in which failure domains they may get none. callerconns.go
+// tells a stop which connections are in use.
 package gateway
 
 import (
@@ -135,7 +136,8 @@
 	Loads     core.LoadGossip  `optional:"true"`
 	Reloader  *kernel.Reloader `optional:"true"`
 
-	Extensions core.ExtensionGossip `optional:"true"`
+	Extensions  core.ExtensionGossip `optional:"true"`
+	Evacuations core.Evacuations     `optional:"true"`
 }
 
 // Gateway serves the routes of the active configuration revision.
@@ -160,6 +162,7 @@
 	crashes           *crashDetector
 	limits            *rateLimits
 	pauses            *sharedPauses
+	evacuatedDomains  tally.Gauge
 
 	isolation isolation
 	server    *server
@@ -180,6 +183,8 @@
 		workersListed: make(chan struct{}),
 		fleet:         routing.New(fleetConfig(p.Identity.FailureDomain, p.Settings)),
 		conns:         newWorkerConns(p.Settings),
+
+		evacuatedDomains: p.Scope.SubScope(componentName).Gauge("evacuated_domains"),
 	}
 	g.decisions = newDecisionLog(g.log, p.Scope, p.Settings.LogLines)
 	g.crashes = newCrashDetector(g, p.Extensions)
@@ -192,6 +197,9 @@
 		g.loads = p.Loads
 		p.Loads.SubscribeLoads(g.recordSharedLoads)
 	}
+	if p.Evacuations != nil { // before the workers are known
+		p.Evacuations.SubscribeEvacuations(g.applyEvacuations)
+	}
 	p.Config.Subscribe(g.applyConfig)
 	p.Workers.SubscribeWorkers(g.applyWorkers)
 	g.server = newServer(g)
@@ -232,6 +240,10 @@
 	g.workersListedOnce.Do(func() { close(g.workersListed) })
 	g.readiness.SetReady(componentWorkers, true, "")
 	for _, c := range changes {
+		if c.Domain != "" {
+			g.logDomainChange(c)
+			continue
+		}
 		g.decisions.logChange("worker "+c.Kind, "worker", c.Worker, "upstream", c.Upstream, "version", list.Version, "workers", len(list.Workers))
 	}
 	g.updateIsolation()
--- a/plugins/gateway/upstream.go
+++ b/plugins/gateway/upstream.go
@@ -63,7 +63,10 @@
 		conn := connHistory{}
 		trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 			conn.finish() // of a connection that the transport gave up
-			conn = admitRequest(info, x.header.ID)
+			evacuated := false
+			if conn, evacuated = g.withholdEvacuated(c.Worker, info); !evacuated {
+				conn = admitRequest(info, x.header.ID)
+			}
 		}}
 		resp, err := transport.RoundTrip(g.newAttemptRequest(httptrace.WithClientTrace(ctx, trace), x, c, lastEvent))
 		conn.finish()
@@ -73,6 +76,9 @@
 		if err == nil {
 			_ = resp.Body.Close() // to an earlier request
 		}
+		if conn.evacuated {
+			return nil, conn, errEvacuated
+		}
 		g.recordWithheld(x, c, conn)
 	}
 }
--- a/plugins/gateway/workerconn.go
+++ b/plugins/gateway/workerconn.go
@@ -56,6 +56,7 @@
 	reused    bool // it may bear responses to earlier requests
 	carriedID bool // one of them had the ID of this request
 	withheld  bool // the connection was blocked, so that nothing of this request is sent on it
+	evacuated bool // it was because no request may be sent to the worker any more
 }
 
 // admitRequest records a request on the connection and returns what it carried before.
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -116,8 +116,9 @@
 
 func (f *Fleet) pickWorker(p *pool, r Request, now time.Time) (Choice, bool) {
 	reachable := func(w *Worker) bool { return !w.unreachable && !w.said.isPaused(now) }
+	admitsReturned := f.admitsReturned(p, r, now)
 	healthy := func(w *Worker) bool {
-		return reachable(w) && !p.ejector.Ejected(now, w.ID) && p.isWithinShare(w, now)
+		return reachable(w) && !p.ejector.Ejected(now, w.ID) && p.isWithinShare(w, now) && (admitsReturned || !w.hasJustReturned(now))
 	}
 	preferred := func(w *Worker) bool { return healthy(w) && !w.said.isPausedElsewhere(now) }
 	limited := p.hasRateLimit()
--- a/routing/doc.go
+++ b/routing/doc.go
@@ -30,6 +30,9 @@
 //   - Workers that say in their responses that they leave or want no requests for a
 //     while. The router that was told passes them over, until the process ends or the
 //     pause does (statements.go).
+//   - Evacuations. The workers of an evacuated failure domain get nothing from one moment
+//     to the next, and are idle when they are taken back: for some seconds they get at
+//     most the mean share of the requests without a prompt (evacuation.go).
 //   - Retry storms. The retries of all routers together stay within a fraction of
 //     the requests plus a slack, without messages between routers.
 //   - Workers that never respond, as opposed to slow ones. The first-byte timeout
--- a/routing/fetch.go
+++ b/routing/fetch.go
@@ -40,13 +40,14 @@
 
 // formerOwner returns the worker that probably served the key before, nil if that
 // is the chosen one: the first preference among the workers that have been there for
-// ownerAge, those that left recently included. Workers that joined since then have
-// probably not served it yet, also if they now rank before that worker.
+// ownerAge, those that left recently and evacuated ones included. Workers that joined or
+// returned since then have probably not served it yet, also if they now rank before that
+// worker.
 func (f *Fleet) formerOwner(key uint64, c Choice, now time.Time) *Worker {
 	var owner *Worker
 	var topScore uint64
 	consider := func(w *Worker) {
-		if w == c.Worker || !w.joinedAt.IsZero() && now.Sub(w.joinedAt) < ownerAge || !f.reachable(w, now) {
+		if since := w.servingSince(); w == c.Worker || !since.IsZero() && now.Sub(since) < ownerAge || !f.reachable(w, now) {
 			return
 		}
 		if score := placement.Score(key, w.hash); owner == nil || score > topScore {
@@ -54,12 +55,18 @@
 		}
 	}
 	p := f.pool(c.Worker.Upstream)
-	isOwner := c.PreferenceIndex == 0 && (c.Worker.joinedAt.IsZero() || now.Sub(c.Worker.joinedAt) > newWorkerAge)
+	since := c.Worker.servingSince()
+	isOwner := c.PreferenceIndex == 0 && (since.IsZero() || now.Sub(since) > newWorkerAge)
 	if !isOwner {
 		for _, w := range p.workers {
 			consider(w)
 		}
 	}
+	for _, w := range p.evacuated {
+		if f.servedBeforeEvacuation(w) && (!isOwner || placement.Score(key, w.hash) > placement.Score(key, c.Worker.hash)) {
+			consider(w)
+		}
+	}
 	for _, w := range f.leaving {
 		// A worker that left is a source for a long-standing owner only if it was
 		// the key's first preference until then.
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -50,6 +50,9 @@
 	placements     placements
 	maxRoutersSeen int                // largest number of live routers seen at one time
 	byHash         map[uint32]*Worker // by gossip.WorkerHash of the ID, see Load
+
+	evacuated          map[string]time.Time // evacuated failure domains, with the time at which this router learned of it
+	evacuationsInForce map[string]bool      // those of which a worker was listed
 }
 
 // pool holds the workers and the retry state of one upstream.
@@ -57,6 +60,8 @@
 	workers      []*Worker // workers that accept new requests, sorted by ID
 	hashes       []uint64  // hashes of the workers' IDs, in the same order
 	leaving      []*Worker // listed workers that say that they leave
+	evacuated    []*Worker // listed workers of evacuated failure domains
+	returnEnds   time.Time // until then it may have workers that have just returned, see returnPeriod
 	ejector      *retry.Ejector
 	budget       *retry.Budget
 	firstByte    firstByteTimes
@@ -100,13 +105,16 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.IntN
 	}
-	return &Fleet{cfg: cfg, byID: map[string]*Worker{}, departed: map[string]*Worker{}, pools: map[string]*pool{}, placements: newPlacements()}
+	return &Fleet{cfg: cfg, byID: map[string]*Worker{}, departed: map[string]*Worker{}, pools: map[string]*pool{}, placements: newPlacements(), evacuationsInForce: map[string]bool{}}
 }
 
-// Change is a difference between two worker lists.
+// Change is a difference between two worker lists or two sets of evacuated failure
+// domains.
 type Change struct {
-	Kind             string // "joined", "draining" or "left"
-	Worker, Upstream string // worker ID and upstream name
+	Kind             string // "joined", "draining" or "left" of a worker, ChangeEvacuated or ChangeTakenBack of a domain
+	Worker, Upstream string // worker ID and upstream name; empty for a domain
+	Domain           string // failure domain; empty for a worker
+	Workers          int    // number of listed workers of the domain
 }
 
 // Apply replaces the worker list and returns what changed.
@@ -121,7 +129,7 @@
 	for _, info := range list.Workers {
 		w := f.byID[info.ID]
 		if w == nil || !w.isSameProcess(info) {
-			changes = append(changes, Change{"joined", info.ID, info.Upstream})
+			changes = append(changes, Change{Kind: "joined", Worker: info.ID, Upstream: info.Upstream})
 			w = &Worker{WorkerInfo: info, hash: placement.Hash(info.ID)}
 			w.Draining = false
 			f.restoreStatements(w, list.At)
@@ -130,7 +138,7 @@
 			}
 		}
 		if info.Draining && !w.Draining {
-			changes = append(changes, Change{"draining", info.ID, info.Upstream})
+			changes = append(changes, Change{Kind: "draining", Worker: info.ID, Upstream: info.Upstream})
 			f.markLeaving(w, list.At)
 		}
 		w.Slots, w.Draining = info.Slots, info.Draining
@@ -138,7 +146,7 @@
 	}
 	for id, w := range f.byID {
 		if listed[id] == nil {
-			changes = append(changes, Change{"left", id, w.Upstream})
+			changes = append(changes, Change{Kind: "left", Worker: id, Upstream: w.Upstream})
 			f.markLeaving(w, list.At)
 			unlisted = append(unlisted, w)
 		}
@@ -151,6 +159,7 @@
 	for id, w := range listed {
 		f.byHash[gossip.WorkerHash(id)] = w
 	}
+	changes = append(changes, f.enforceEvacuations()...)
 	f.rebuildPools(list.At)
 	return changes
 }
@@ -167,11 +176,13 @@
 func (f *Fleet) rebuildPools(now time.Time) {
 	f.leaving = slices.DeleteFunc(f.leaving, func(w *Worker) bool { return now.Sub(w.leftAt) > departedTTL })
 	for _, p := range f.pools {
-		p.workers, p.hashes, p.leaving = nil, nil, nil
+		p.workers, p.hashes, p.leaving, p.evacuated = nil, nil, nil, nil
 	}
 	for _, w := range f.byID {
 		p := f.pool(w.Upstream)
 		switch {
+		case f.isEvacuated(w.FailureDomain):
+			p.evacuated = append(p.evacuated, w)
 		case w.Draining:
 		case w.said.isLeaving():
 			p.leaving = append(p.leaving, w)
@@ -313,12 +324,12 @@
 	return f.byID[w.ID] == w
 }
 
-// AcceptsRequests reports whether a worker is on the list and neither draining nor
-// leaving.
+// AcceptsRequests reports whether a worker is on the list and neither draining, leaving
+// nor evacuated.
 func (f *Fleet) AcceptsRequests(w *Worker) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.byID[w.ID] == w && !w.Draining && !w.said.isLeaving()
+	return f.byID[w.ID] == w && !w.Draining && !w.said.isLeaving() && !f.isEvacuated(w.FailureDomain)
 }
 
 // SameDomainWorkers returns the other reachable workers of a worker's failure
@@ -353,11 +364,16 @@
 
 // RemoteReachability returns the number of listed workers in failure domains
 // other than the router's, the number of these that are reachable, and the
-// number of workers in all domains.
+// number of workers in all domains. Evacuated workers do not count: no request may go
+// there, and they may be switched off.
 func (f *Fleet) RemoteReachability() (listed, reachable, total int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, w := range f.byID {
+		if f.isEvacuated(w.FailureDomain) {
+			continue
+		}
+		total++
 		if w.FailureDomain == f.cfg.Domain {
 			continue
 		}
@@ -366,7 +382,7 @@
 			reachable++
 		}
 	}
-	return listed, reachable, len(f.byID)
+	return listed, reachable, total
 }
 
 // LoadEffect says what a load report of a worker changed.
--- a/routing/worker.go
+++ b/routing/worker.go
@@ -45,6 +45,7 @@
 	workPercent  int         // how long work took at reportedAt, in percent of the usual time; 0 if unknown
 	sentTimes    []time.Time // send times of this router's requests in the last loadTTL
 	leftAt       time.Time   // when it began to drain or left the list
+	returnedAt   time.Time   // when the last evacuation of its domain ended, zero for none
 	unreachable  bool        // connections to it fail
 	anonymousAt  time.Time   // when it last refused a request without naming it
 	rateLimit    rateLimit
