--- a/plugins/gateway/evacuation_test.go
+++ b/plugins/gateway/evacuation_test.go
@@ -143,10 +143,10 @@
 		So(resp.Code, ShouldEqual, http.StatusOK)
 		So(h.receivedIn("b"), ShouldEqual, 0)
 		So(h.receivedIn("a"), ShouldEqual, 1)
-		for _, w := range h.workers {
-			if w.FailureDomain == "b" {
-				So(h.fleet.RecordFailure(h.fleet.Worker(w.ID), time.Now()), ShouldBeFalse)
-			}
+		h.applyEvacuations(nil)
+		for _, w := range h.workers { // three failures in a row would eject it
+			h.fleet.RecordFailure(h.fleet.Worker(w.ID), time.Now())
+			So(h.fleet.RecordFailure(h.fleet.Worker(w.ID), time.Now()), ShouldBeFalse)
 		}
 	})
 }
