--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -137,7 +137,7 @@
 	Reloader  *kernel.Reloader `optional:"true"`
 
 	Extensions  core.ExtensionGossip `optional:"true"`
-	Evacuations core.Evacuations     `optional:"true"`
+	Evacuations core.Evacuations
 }
 
 // Gateway serves the routes of the active configuration revision.
@@ -197,7 +197,7 @@
 		g.loads = p.Loads
 		p.Loads.SubscribeLoads(g.recordSharedLoads)
 	}
-	if p.Evacuations != nil { // before the workers are known
+	if p.Evacuations != nil { // nil in tests
 		p.Evacuations.SubscribeEvacuations(g.applyEvacuations)
 	}
 	p.Config.Subscribe(g.applyConfig)
