--- a/routing/evacuation.go
+++ b/routing/evacuation.go
@@ -83,6 +83,7 @@
 	return n
 }
 
+// isEvacuated reports whether a failure domain is evacuated. The caller holds mu.
 func (f *Fleet) isEvacuated(domain string) bool {
 	_, ok := f.evacuated[domain]
 	return ok
@@ -138,8 +139,9 @@
 	return w.joinedAt
 }
 
-// servedBeforeEvacuation reports whether an evacuated worker has served prompts before,
-// which are still cached there. The caller of the fleet's method holds mu.
+// servedBeforeEvacuation reports whether an evacuated worker had got requests for
+// ownerAge when its domain was evacuated, so that parts of prompts are probably cached
+// there. The caller holds mu.
 func (f *Fleet) servedBeforeEvacuation(w *Worker) bool {
 	return f.evacuated[w.FailureDomain].Sub(w.servingSince()) >= ownerAge
 }
