Refuse requests at the router while an upstream is full

Change: admission.Gate computes an admitted fraction for each rank and caller from counts that the routers share while rejections occur. Ranks come in order, with a floor of 0.05 of the room each, and callers of a rank get max-min fair shares by weight. Rejected requests are not tried again while an upstream is full. Nothing is refused without rejections, or while less than three quarters of the slots are taken by the estimate.

--- a/gossip/extension.go
+++ b/gossip/extension.go
@@ -17,6 +17,7 @@
 	ExtensionCrashes    byte = 1 // package quarantine
 	ExtensionRateLimits byte = 2 // limits that workers name
 	ExtensionPauses     byte = 3 // pauses that workers ask for
+	ExtensionDemand     byte = 5 // recent requests and rejections, package admission
 )
 
 // ExtensionLimit returns the largest payload of an extension, in bytes.
--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -37,6 +37,7 @@
 type failure struct {
 	outcome       core.Outcome
 	sent          bool          // the worker may have received bytes of the request
+	full          bool          // the worker rejected the request for lack of room
 	paused        bool          // the worker asked for a pause, which is no fault of it
 	retryReserved bool          // the retry has already been taken from the retry budget
 	reason        string        // one of the reasons below, used in logs and metrics
@@ -111,6 +112,7 @@
 		stall.stop()
 		cancel()
 		_ = resp.Body.Close() // a connection with an unread body is not used again
+		f.full = f.reason == failRefused && isFull(resp.StatusCode, h)
 		f.paused = f.reason == failUnstated && h.Pause > 0
 		f.conn, f.answerID = conn, h.RequestID
 		return nil, f
@@ -302,6 +304,9 @@
 			g.decisions.logChange("worker ejected", "worker", c.Worker.ID, "upstream", c.Worker.Upstream, "reason", f.reason)
 		}
 	}
+	if f.full {
+		g.room.recordRejected(x)
+	}
 	g.decisions.count("attempt_failures", "reason", f.reason)
 	g.decisions.logRequest("attempt failed", "request", x.header.ID, "worker", c.Worker.ID, "attempt", len(x.tried), "reason", f.reason, "outcome", f.outcome, "used_connection", f.conn.reused, "connection", f.conn.number, "carried", f.conn.requests, "carried_id", f.conn.carriedID, "answer_id", f.answerID, "shared_parts", formatParts(x.sharedParts()), "error", f.err)
 }
--- a/plugins/gateway/buffered.go
+++ b/plugins/gateway/buffered.go
@@ -27,7 +27,7 @@
 		}
 		resp, f := g.attemptBuffered(x, c)
 		if f == nil && resp.status < http.StatusInternalServerError {
-			g.fleet.RecordEnd(c, true, time.Now())
+			g.recordEnd(x, c, true)
 			if isSuccess(resp.status) && resp.framed {
 				g.crashes.recordSuccess(x.sharedPartIDs())
 			}
@@ -38,7 +38,7 @@
 			failed = resp
 			f = &failure{outcome: core.OutcomeRan, sent: true, reason: failStatus, err: errors.New(strconv.Itoa(resp.status))}
 		}
-		g.fleet.RecordEnd(c, false, time.Now())
+		g.recordEnd(x, c, false)
 		g.recordFailedAttempt(x, c, f)
 		last = f
 		if !g.mayRetry(x, f) {
@@ -190,6 +190,11 @@
 		g.refuseStopping(x)
 	case x.quarantined > 0:
 		g.refuseQuarantined(x)
+	case x.room.Refused:
+		if last != nil {
+			x.err = last
+		}
+		g.refuseNoRoom(x)
 	case x.pausedWorkers > 0:
 		if last != nil {
 			x.err = last
--- a/plugins/gateway/choose.go
+++ b/plugins/gateway/choose.go
@@ -21,6 +21,9 @@
 		x.tooLate = true
 		return routing.Choice{}, false
 	}
+	if g.room.refuses(x) {
+		return routing.Choice{}, false
+	}
 	r := routing.Request{Upstream: x.upstream, Tried: x.tried}
 	if x.route.Sticky {
 		r.SharedParts = routing.SharedParts(x.header.Prompt)
@@ -33,6 +36,7 @@
 		return c, false
 	}
 	x.tried = append(x.tried, c.Worker)
+	g.room.recordSent(x)
 	g.decisions.count("choices", "reason", c.Reason)
 	g.decisions.logRequest("worker chosen", "request", x.header.ID, "upstream", x.upstream, "worker", c.Worker.ID, "reason", c.Reason, "key", strconv.FormatUint(c.PlacementKey, 16), "shared_tokens", c.SharedTokens, "rank", c.PreferenceIndex, "busy", c.EstimatedLoad, "waiting", c.Unanswered, "limit", c.LoadLimit, "spread", c.SpreadSize, "key_rate", math.Round(c.KeyRate*10)/10, "mean", math.Round(c.MeanLoad*10)/10, "fetch_from", c.FetchFrom, "load_age_ms", loadAgeMs(c), "work_percent", c.WorkPercent, "rate_limit", c.RateLimit, "list", c.ListVersion, "list_age_ms", c.ListAge.Milliseconds(), "attempt", len(x.tried))
 	return c, true
--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -10,6 +10,7 @@
 	"os"
 	"time"
 
+	"github.com/auburnlead/auburnlead/admission"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/internal/framing"
 	"github.com/auburnlead/auburnlead/objects"
@@ -38,10 +39,11 @@
 	// limits, and the time until one of them takes one of this router again.
 	limitedWorkers int
 	nextPermit     time.Duration
-	pausedWorkers  int           // workers of the upstream that want no requests for now
-	nextOpening    time.Duration // time until one of them takes requests again
-	tooLate        bool          // the router stops before the request's deadline
-	quarantined    time.Duration // remaining quarantine of one of its prompt parts, 0 for none
+	pausedWorkers  int                // workers of the upstream that want no requests for now
+	nextOpening    time.Duration      // time until one of them takes requests again
+	room           admission.Decision // last decision on the upstream's room
+	tooLate        bool               // the router stops before the request's deadline
+	quarantined    time.Duration      // remaining quarantine of one of its prompt parts, 0 for none
 	status         int
 	outcome        string // one of the outcomes below
 	reason         string // reason of the outcome, for log and metrics
--- a/plugins/gateway/harness_test.go
+++ b/plugins/gateway/harness_test.go
@@ -234,7 +234,7 @@
 
 // newTestGateway returns a gateway that reaches its workers through a fake network.
 func newTestGateway(network *fakeNetwork, identity core.Identity, workers []routing.WorkerInfo, gossip *testGossip) *Gateway {
-	s := &Settings{ConnectTimeout: dialTimeout, SilenceTimeout: 700 * time.Millisecond, IdlePerWorker: 4, WorkerIdleTimeout: 2 * time.Second, HeaderBytes: 1 << 16, BodyBytes: 1 << 20, AnswerBytes: 1 << 16, MaxAnswerBytes: maxForwardedInTest, WriteTimeout: 30 * time.Second, EventBytes: 1 << 12, LoadBound: 2, LeavingGrace: 2 * time.Second, MaxPause: time.Hour, RetryRatio: 0.2, RetrySlack: 160, Routers: 16, LogLines: 100}
+	s := &Settings{ConnectTimeout: dialTimeout, SilenceTimeout: 700 * time.Millisecond, IdlePerWorker: 4, WorkerIdleTimeout: 2 * time.Second, HeaderBytes: 1 << 16, BodyBytes: 1 << 20, AnswerBytes: 1 << 16, MaxAnswerBytes: maxForwardedInTest, WriteTimeout: 30 * time.Second, EventBytes: 1 << 12, LoadBound: 2, LeavingGrace: 2 * time.Second, MaxPause: time.Hour, RetryRatio: 0.2, RetrySlack: 160, Routers: 16, LogLines: 100, AdmissionControl: true}
 	p := Params{
 		Settings: s, Identity: identity, Config: testConfig{testSet()}, Workers: testList{workers},
 		Wire: testCodec{}, Readiness: core.NewReadiness(), Addresses: core.NewAddresses(), Logger: log.New(io.Discard), Scope: tally.NewTestScope("", nil),
--- /dev/null
+++ b/plugins/gateway/room.go
@@ -0,0 +1,199 @@
+package gateway
+
+import (
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/auburnlead/auburnlead/admission"
+	"github.com/auburnlead/auburnlead/gossip"
+	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/objects"
+	"github.com/auburnlead/auburnlead/placement"
+	"github.com/auburnlead/auburnlead/routing"
+)
+
+// roomControl keeps requests from upstreams that are known to be full, see
+// admission.Gate, and shares the counts that it needs with the other routers. It
+// implements core.GossipExtension.
+type roomControl struct {
+	g      *Gateway
+	gate   *admission.Gate
+	gossip core.ExtensionGossip // nil if routers do not tell each other
+
+	mu    sync.Mutex // lock level 55, see internal/core/lockorder.go
+	list  *routing.WorkerList
+	names map[uint32]string // names of the upstreams by gossip.WorkerHash
+}
+
+func newRoomControl(g *Gateway, extensions core.ExtensionGossip) *roomControl {
+	c := &roomControl{g: g, gate: admission.NewGate(placement.Hash(g.identity.Router)), gossip: extensions}
+	if extensions != nil && g.settings.AdmissionControl {
+		extensions.Extend(c)
+	}
+	return c
+}
+
+// setWorkers passes the slots of each upstream to the gate. It is called with each
+// worker list, and without one when the configuration has changed.
+func (c *roomControl) setWorkers(list *routing.WorkerList) {
+	if !c.g.settings.AdmissionControl {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if list != nil {
+		c.list = list
+	}
+	if c.list == nil {
+		return
+	}
+	upstreams, unknown := map[uint32]admission.Upstream{}, map[uint32]bool{}
+	c.names = map[uint32]string{}
+	for _, w := range c.list.Workers {
+		hash := gossip.WorkerHash(w.Upstream)
+		upstreams[hash] = admission.Upstream{Slots: upstreams[hash].Slots + w.Slots, OrdersWaiting: c.ordersWaiting(w.Upstream)}
+		c.names[hash] = w.Upstream
+		unknown[hash] = unknown[hash] || w.Slots == 0
+	}
+	for hash, u := range upstreams {
+		if unknown[hash] { // of one of its workers
+			u.Slots = 0
+			upstreams[hash] = u
+		}
+	}
+	c.gate.SetUpstreams(upstreams)
+}
+
+// ordersWaiting reports whether the workers of an upstream order waiting requests by
+// their priority. Engines do, plain services serve in order of arrival.
+func (c *roomControl) ordersWaiting(upstream string) bool {
+	table := c.g.routes.table.Load()
+	if table == nil {
+		return false
+	}
+	u := table.set.Upstreams[upstream]
+	return u != nil && u.Kind == objects.UpstreamEngine
+}
+
+// refuses reports whether the request has to be refused for lack of room. A stream of
+// which the caller has received a part is always resumed.
+func (c *roomControl) refuses(x *exchange) bool {
+	if x.firstByte > 0 {
+		return false
+	}
+	now := time.Now()
+	r := admission.RoutedRequest{Upstream: gossip.WorkerHash(x.upstream), Rank: x.priority(), Target: x.route.Target, TimeLeft: x.deadline.Sub(now), Repeated: len(x.tried) > 0}
+	if x.caller != nil {
+		r.Caller, r.Weight = gossip.WorkerHash(x.caller.Name), x.caller.Weight
+	}
+	d := c.gate.Decide(now, r)
+	if d.Changed {
+		c.logChanges()
+	}
+	if !d.Refused {
+		return false
+	}
+	x.room = d
+	decision := "refuse"
+	if d.Repeated {
+		decision = "no repeat"
+	}
+	c.g.decisions.count("admission_decisions", "decision", decision)
+	c.g.decisions.logRequest("admission decision", "request", x.header.ID, "upstream", x.upstream, "decision", decision, "rank", r.Rank, "caller", x.callerName(), "left_ms", r.TimeLeft.Milliseconds(), "tried", len(x.tried), "retry_after_ms", d.RetryAfter.Milliseconds())
+	return true
+}
+
+// recordSent counts an attempt.
+func (c *roomControl) recordSent(x *exchange) {
+	c.g.decisions.count("admission_decisions", "decision", "send")
+	c.gate.RecordSent(time.Now(), gossip.WorkerHash(x.upstream))
+}
+
+// recordEnd records the end of an attempt with the fleet and the gate. ok says that
+// the worker served it.
+func (g *Gateway) recordEnd(x *exchange, c routing.Choice, ok bool) {
+	now := time.Now()
+	g.fleet.RecordEnd(c, ok, now)
+	g.room.gate.RecordEnd(now, gossip.WorkerHash(x.upstream), ok)
+}
+
+// recordRejected counts an attempt that a worker rejected for lack of room.
+func (c *roomControl) recordRejected(x *exchange) {
+	c.recordRouters()
+	urgent := c.gate.RecordRejected(time.Now(), gossip.WorkerHash(x.upstream))
+	c.logChanges()
+	if urgent && c.gossip != nil {
+		c.gossip.PushExtensions()
+	}
+}
+
+// recordRouters tells the gate how many routers share the upstreams.
+func (c *roomControl) recordRouters() {
+	if c.g.loads != nil {
+		c.gate.SetRouters(c.g.loads.RouterCount())
+	}
+}
+
+// isFull reports whether a response says that the worker has no room. A worker that
+// leaves, pauses or names a limit rejects requests for another reason, which package
+// routing takes into account.
+func isFull(status int, h core.ResponseHeader) bool {
+	return status == http.StatusServiceUnavailable && h.NotRun && !h.Leaving && h.Pause <= 0 && h.RateLimit == nil
+}
+
+// logChanges logs the starts and ends of admission control.
+func (c *roomControl) logChanges() {
+	for _, change := range c.gate.Changes() {
+		c.mu.Lock()
+		upstream := c.names[change.Upstream]
+		c.mu.Unlock()
+		if !change.On {
+			c.g.decisions.logChange("admission control off", "upstream", upstream, "lasted_ms", change.Age.Milliseconds())
+			continue
+		}
+		c.g.decisions.logChange("admission control on", "upstream", upstream, "sent", int(change.Sent), "rejected", int(change.Rejected), "demand", int(change.Demand), "room", int(change.Room), "in_flight", int(change.InFlight), "slots", change.Slots, "heard", change.Heard, "routers", change.Routers)
+	}
+}
+
+// Type implements core.GossipExtension.
+func (c *roomControl) Type() byte { return gossip.ExtensionDemand }
+
+// Encode implements core.GossipExtension. A router that has just started gets the same
+// counts as the others.
+func (c *roomControl) Encode(now time.Time, limit int, _ bool) []byte {
+	c.gate.Update(now)
+	c.logChanges()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for hash, name := range c.names {
+		if room := c.gate.Room(hash); !math.IsInf(room, 1) {
+			c.g.scope.SubScope(componentName).Tagged(map[string]string{"upstream": name}).Gauge("admission_room").Update(room)
+		}
+	}
+	return c.gate.Digest(now, limit)
+}
+
+// Merge implements core.GossipExtension.
+func (c *roomControl) Merge(now time.Time, payload []byte) error {
+	c.recordRouters()
+	urgent, err := c.gate.Merge(now, payload)
+	c.logChanges()
+	if urgent {
+		c.gossip.PushExtensions()
+	}
+	return err
+}
+
+// reasonNoRoom is the reason of requests that are refused since the upstream is full.
+const reasonNoRoom = "no room"
+
+// refuseNoRoom refuses a request since the upstream is full. The wait is spread, so
+// that callers that were refused together do not return together.
+func (g *Gateway) refuseNoRoom(x *exchange) {
+	g.refuseFor(x, reasonNoRoom, x.room.RetryAfter*3/4+rand.N(x.room.RetryAfter/2))
+}
+
+var _ core.GossipExtension = (*roomControl)(nil)
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -9,7 +9,7 @@
 // router itself), decision.go (log and metrics). reachability.go and isolation.go
 // track which workers are reachable, quarantine.go which requests crash them,
 // ratelimit.go how many requests they take, pauses.go which of them other routers have
-// to spare. callerconns.go tells a stop which connections are in use.
+// to spare, room.go which upstreams are full. callerconns.go tells a stop which connections are in use.
 package gateway
 
 import (
@@ -104,6 +104,9 @@
 	// Routers is the minimum number of routers among which RetrySlack is divided;
 	// if more are known, their number is used. Default 16.
 	Routers int `ini:"routers" default:"16" min:"1" max:"100000"`
+	// AdmissionControl refuses requests at the router while the workers of their
+	// upstream reject requests for lack of room. Default true.
+	AdmissionControl bool `ini:"admission_control" default:"true"`
 	// LogLines limits the log lines of one kind per second; further ones are
 	// suppressed and counted. Default 100.
 	LogLines int `ini:"log_lines" default:"100" min:"1" max:"100000"`
@@ -160,6 +163,7 @@
 	crashes           *crashDetector
 	limits            *rateLimits
 	pauses            *sharedPauses
+	room              *roomControl
 
 	isolation isolation
 	server    *server
@@ -185,6 +189,7 @@
 	g.crashes = newCrashDetector(g, p.Extensions)
 	g.limits = newRateLimits(g, p.Extensions)
 	g.pauses = newSharedPauses(g, p.Extensions)
+	g.room = newRoomControl(g, p.Extensions)
 	g.readiness.Require(componentConfig)
 	g.readiness.Require(componentWorkers)
 	g.readiness.Require(componentName)
@@ -223,12 +228,14 @@
 
 func (g *Gateway) applyConfig(revision *core.ConfigRevision) {
 	changes := g.routes.apply(revision)
+	g.room.setWorkers(nil)
 	g.readiness.SetReady(componentConfig, true, "")
 	g.decisions.logChange("configuration in force", "revision", revision.Revision, "routes", len(revision.Set.Routes), "callers", len(revision.Set.Callers), "upstreams", len(revision.Set.Upstreams), "added", changes.added, "removed", changes.removed)
 }
 
 func (g *Gateway) applyWorkers(list *routing.WorkerList) {
 	changes := g.fleet.Apply(list)
+	g.room.setWorkers(list)
 	g.workersListedOnce.Do(func() { close(g.workersListed) })
 	g.readiness.SetReady(componentWorkers, true, "")
 	for _, c := range changes {
--- a/plugins/gateway/stream.go
+++ b/plugins/gateway/stream.go
@@ -42,7 +42,7 @@
 			return
 		}
 		resp, f := g.attemptStream(x, s, c)
-		g.fleet.RecordEnd(c, f == nil, time.Now())
+		g.recordEnd(x, c, f == nil)
 		if f == nil && resp == nil {
 			x.setOutcome(outcomeServed, "", nil)
 			return
