--- a/admission/admission.go
+++ b/admission/admission.go
@@ -4,6 +4,9 @@
 // above the floors, and fair queueing by caller and workspace within a rank. It
 // does no I/O; the time is passed in.
 //
+// On routes, where no router holds slots, a Gate decides which requests are sent on
+// while an upstream is full, see docs/design/admission-on-routes.md.
+//
 // Contract. A worker is granted a slot only while its load, the new request
 // included, is at most min(MaxInFlight, max(floor(c*mean), ceil(mean'))), where
 // c is Config.LoadBound, mean is the mean load of the open workers of the
