Test that routers learn of a full upstream from each other

A router without requests starts admission control by the digests of the others, and all of them end it within 4 s. The gauge admission_room returns to 0 at the end; before it kept the last rate.

--- a/plugins/gateway/room.go
+++ b/plugins/gateway/room.go
@@ -25,11 +25,12 @@
 
 	mu    sync.Mutex // lock level 55, see internal/core/lockorder.go
 	list  *routing.WorkerList
-	names map[uint32]string // names of the upstreams by gossip.WorkerHash
+	names map[uint32]string  // names of the upstreams by gossip.WorkerHash
+	shown map[uint32]float64 // values of the gauge admission_room
 }
 
 func newRoomControl(g *Gateway, extensions core.ExtensionGossip) *roomControl {
-	c := &roomControl{g: g, gate: admission.NewGate(placement.Hash(g.identity.Router)), gossip: extensions}
+	c := &roomControl{g: g, gate: admission.NewGate(placement.Hash(g.identity.Router)), gossip: extensions, shown: map[uint32]float64{}}
 	if extensions != nil && g.settings.AdmissionControl {
 		extensions.Extend(c)
 	}
@@ -169,8 +170,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for hash, name := range c.names {
-		if room := c.gate.Room(hash); !math.IsInf(room, 1) {
+		room := c.gate.Room(hash)
+		if math.IsInf(room, 1) {
+			room = 0
+		}
+		if room != c.shown[hash] {
 			c.g.scope.SubScope(componentName).Tagged(map[string]string{"upstream": name}).Gauge("admission_room").Update(room)
+			c.shown[hash] = room
 		}
 	}
 	return c.gate.Digest(now, limit)
--- a/plugins/gateway/room_test.go
+++ b/plugins/gateway/room_test.go
@@ -63,6 +63,42 @@
 	})
 }
 
+// Guards against routers that each have to be rejected before they know of a lack of
+// room, and against one that does not forget it.
+func TestRoomIsShared(t *testing.T) {
+	inFleet(t, "A router without requests learns that the engines are full", 1, 10, 2, func(f *testFleet) {
+		var n atomic.Int64
+		f.serve = func(e *testEngineProcess, w http.ResponseWriter, _ *http.Request) {
+			if n.Add(1)%2 == 0 {
+				w.Header().Set(testNotRun, "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			sleep(2 * time.Second)
+			w.Header().Set(testSeal, "s")
+			events(w, 1, 1)
+		}
+		sleep(3 * time.Second) // the routers know each other
+		const requests = 600
+		ended := make(chan bool)
+		for i := range requests {
+			go func() {
+				f.callRouter(1+i%9, "id-"+strconv.Itoa(i), "/chat/x", "1 "+strconv.Itoa(1000+i)+" 2")
+				ended <- true
+			}()
+			sleep(2 * time.Millisecond)
+		}
+		So(changeCount(f.gateways[0], "admission control on"), ShouldEqual, 1)
+		for range requests {
+			<-ended
+		}
+		sleep(4 * time.Second)
+		for _, g := range f.gateways {
+			So(changeCount(g, "admission control off"), ShouldEqual, changeCount(g, "admission control on"))
+		}
+	})
+}
+
 // changeCount returns how often a gateway logged a change.
 func changeCount(g *Gateway, what string) int64 {
 	sum := int64(0)
