--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -9,8 +9,8 @@
 // router itself), decision.go (log and metrics). reachability.go and isolation.go
 // track which workers are reachable, quarantine.go which requests crash them,
 // ratelimit.go how many requests they take, pauses.go which of them other routers have
-// to spare, evacuation.go in which failure domains they may get none. callerconns.go
-// tells a stop which connections are in use.
+// to spare, evacuation.go in which failure domains they may get none, room.go which
+// upstreams are full. callerconns.go tells a stop which connections are in use.
 package gateway
 
 import (
@@ -105,6 +105,9 @@
 	// Routers is the minimum number of routers among which RetrySlack is divided;
 	// if more are known, their number is used. Default 16.
 	Routers int `ini:"routers" default:"16" min:"1" max:"100000"`
+	// AdmissionControl refuses requests at the router while the workers of their
+	// upstream reject requests for lack of room. Default true.
+	AdmissionControl bool `ini:"admission_control" default:"true"`
 	// LogLines limits the log lines of one kind per second; further ones are
 	// suppressed and counted. Default 100.
 	LogLines int `ini:"log_lines" default:"100" min:"1" max:"100000"`
@@ -163,6 +166,7 @@
 	limits            *rateLimits
 	pauses            *sharedPauses
 	evacuatedDomains  tally.Gauge
+	room              *roomControl
 
 	isolation isolation
 	server    *server
@@ -190,6 +194,7 @@
 	g.crashes = newCrashDetector(g, p.Extensions)
 	g.limits = newRateLimits(g, p.Extensions)
 	g.pauses = newSharedPauses(g, p.Extensions)
+	g.room = newRoomControl(g, p.Extensions)
 	g.readiness.Require(componentConfig)
 	g.readiness.Require(componentWorkers)
 	g.readiness.Require(componentName)
@@ -231,12 +236,14 @@
 
 func (g *Gateway) applyConfig(revision *core.ConfigRevision) {
 	changes := g.routes.apply(revision)
+	g.room.setWorkers(nil)
 	g.readiness.SetReady(componentConfig, true, "")
 	g.decisions.logChange("configuration in force", "revision", revision.Revision, "routes", len(revision.Set.Routes), "callers", len(revision.Set.Callers), "upstreams", len(revision.Set.Upstreams), "added", changes.added, "removed", changes.removed)
 }
 
 func (g *Gateway) applyWorkers(list *routing.WorkerList) {
 	changes := g.fleet.Apply(list)
+	g.room.setWorkers(list)
 	g.workersListedOnce.Do(func() { close(g.workersListed) })
 	g.readiness.SetReady(componentWorkers, true, "")
 	for _, c := range changes {
