Count the places of the workers that get requests now

The gate compares the requests in flight with the slots of an upstream and refuses nothing below three quarters of them. It was given the slots of all listed workers, so with a third of them evacuated or unreachable a full upstream seemed to have free places. Now the fleet sums up the slots of reachable workers in the pools; the figures follow lists, evacuations and each round of messages.

--- a/plugins/gateway/evacuation.go
+++ b/plugins/gateway/evacuation.go
@@ -23,6 +23,7 @@
 func (g *Gateway) applyEvacuations(domains []string) {
 	changes := g.fleet.SetEvacuated(domains, time.Now())
 	g.evacuatedDomains.Update(float64(len(domains)))
+	g.room.setUpstreams()
 	for _, c := range changes {
 		g.logDomainChange(c)
 	}
--- a/plugins/gateway/room.go
+++ b/plugins/gateway/room.go
@@ -23,8 +23,7 @@
 	gate   *admission.Gate
 	gossip core.ExtensionGossip // nil if routers do not tell each other
 
-	mu    sync.Mutex // lock level 55, see internal/core/lockorder.go
-	list  *routing.WorkerList
+	mu    sync.Mutex         // lock level 55, see internal/core/lockorder.go
 	names map[uint32]string  // names of the upstreams by gossip.WorkerHash
 	shown map[uint32]float64 // values of the gauge admission_room
 }
@@ -37,34 +36,22 @@
 	return c
 }
 
-// setWorkers passes the slots of each upstream to the gate. It is called with each
-// worker list, and without one when the configuration has changed.
-func (c *roomControl) setWorkers(list *routing.WorkerList) {
+// setUpstreams passes the slots of each upstream to the gate: those of the workers that
+// get requests now. Evacuated and unreachable ones hold no places, so with them an
+// upstream that lost a failure domain would seem to have free places when it is full.
+func (c *roomControl) setUpstreams() {
 	if !c.g.settings.AdmissionControl {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if list != nil {
-		c.list = list
-	}
-	if c.list == nil {
-		return
-	}
-	upstreams, unknown := map[uint32]admission.Upstream{}, map[uint32]bool{}
-	c.names = map[uint32]string{}
-	for _, w := range c.list.Workers {
-		hash := gossip.WorkerHash(w.Upstream)
-		upstreams[hash] = admission.Upstream{Slots: upstreams[hash].Slots + w.Slots, OrdersWaiting: c.ordersWaiting(w.Upstream)}
-		c.names[hash] = w.Upstream
-		unknown[hash] = unknown[hash] || w.Slots == 0
-	}
-	for hash, u := range upstreams {
-		if unknown[hash] { // of one of its workers
-			u.Slots = 0
-			upstreams[hash] = u
-		}
+	upstreams, names := map[uint32]admission.Upstream{}, map[uint32]string{}
+	for name, slots := range c.g.fleet.UsableSlots() {
+		hash := gossip.WorkerHash(name)
+		upstreams[hash] = admission.Upstream{Slots: slots, OrdersWaiting: c.ordersWaiting(name)}
+		names[hash] = name
 	}
+	c.mu.Lock()
+	c.names = names
+	c.mu.Unlock()
 	c.gate.SetUpstreams(upstreams)
 }
 
@@ -165,6 +152,7 @@
 // Encode implements core.GossipExtension. A router that has just started gets the same
 // counts as the others.
 func (c *roomControl) Encode(now time.Time, limit int, _ bool) []byte {
+	c.setUpstreams()
 	c.gate.Update(now)
 	c.logChanges()
 	c.mu.Lock()
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -236,14 +236,14 @@
 
 func (g *Gateway) applyConfig(revision *core.ConfigRevision) {
 	changes := g.routes.apply(revision)
-	g.room.setWorkers(nil)
+	g.room.setUpstreams()
 	g.readiness.SetReady(componentConfig, true, "")
 	g.decisions.logChange("configuration in force", "revision", revision.Revision, "routes", len(revision.Set.Routes), "callers", len(revision.Set.Callers), "upstreams", len(revision.Set.Upstreams), "added", changes.added, "removed", changes.removed)
 }
 
 func (g *Gateway) applyWorkers(list *routing.WorkerList) {
 	changes := g.fleet.Apply(list)
-	g.room.setWorkers(list)
+	g.room.setUpstreams()
 	g.workersListedOnce.Do(func() { close(g.workersListed) })
 	g.readiness.SetReady(componentWorkers, true, "")
 	for _, c := range changes {
--- a/routing/evacuation_test.go
+++ b/routing/evacuation_test.go
@@ -241,3 +241,22 @@
 		So(c.Worker.ID, ShouldEqual, "engine-1")
 	})
 }
+
+// Guards against an upstream that lost a failure domain and seems to have free places
+// because the slots of workers that get nothing are counted.
+func TestUsableSlots(t *testing.T) {
+	Convey("Slots of evacuated and unreachable workers are no places", t, func() {
+		now := time.Unix(1000, 0)
+		f := New(Config{Domain: "a", LoadBound: 2})
+		list := &WorkerList{Version: 1, At: now}
+		for _, domain := range []string{"a", "b", "c"} {
+			list.Workers = append(list.Workers, WorkerInfo{ID: "w-" + domain, Upstream: "desk", Address: "10.0.0.1:1", FailureDomain: domain, Slots: 6})
+		}
+		f.Apply(list)
+		So(f.UsableSlots(), ShouldResemble, map[string]int{"desk": 18})
+		f.SetEvacuated([]string{"b"}, now)
+		So(f.UsableSlots(), ShouldResemble, map[string]int{"desk": 12})
+		f.SetUnreachable(f.Worker("w-c"), true)
+		So(f.UsableSlots(), ShouldResemble, map[string]int{"desk": 6})
+	})
+}
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -237,6 +237,28 @@
 	}
 }
 
+// UsableSlots returns the slots of the workers that get requests now, by upstream; 0 for
+// an upstream with such a worker that states none.
+func (f *Fleet) UsableSlots() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	slots := make(map[string]int, len(f.pools))
+	for name, p := range f.pools {
+		total, unknown := 0, false
+		for _, w := range p.workers {
+			if !w.unreachable {
+				total += w.Slots
+				unknown = unknown || w.Slots == 0
+			}
+		}
+		if unknown {
+			total = 0
+		}
+		slots[name] = total
+	}
+	return slots
+}
+
 // RecordEnd records the end of an attempt and whether it succeeded. A failure
 // counts towards the ejection of the worker only through RecordFailure.
 func (f *Fleet) RecordEnd(c Choice, ok bool, now time.Time) {
