--- a/routing/evacuation_test.go
+++ b/routing/evacuation_test.go
@@ -188,6 +188,7 @@
 				}
 			}
 			f.Apply(&WorkerList{Version: 2, At: now.Add(2 * time.Minute), Workers: restarted})
+			f.SetEvacuated([]string{"b", "x"}, now.Add(150*time.Second)) // the evacuation of b goes on
 			f.leaving, f.placements = nil, newPlacements()
 			c, _ := f.Choose(prompt(key, 9), now.Add(3*time.Minute))
 			So(c.FetchFrom, ShouldNotEqual, owner.Worker.Address)
