Send cold workers requests with permits of all routers together

Cause: a worker that has just started is empty, so it is the least loaded one for all routers at once; one got 21 requests in a second where 17.75 are allowed. Limits that workers name had permits already, but at a rate that the worker has to state first.

Ruled out: a rate for each router (135 requests in a second in the test with 85 routers); permits at 0.4 to 0.5 of coldPerS x coldOver (with a time to use them of 250 ms, 6.4 to 8 are in force in a second; a Poisson count passes 17.75 in one of 8,000 to 600 seconds, and in a tenth to a third of all seconds where half of the routers are known).

Change: one mechanism of permits for named limits and cold workers, with the lower rate. The mean of the permits in force in a second stays five standard deviations below the bound with half of the routers known: 2.3 per second at 85 routers. When the rate changes, the time until a permit changes in proportion, so that routers do not send together. After the cold time the rate doubles each second; a failed or slow response sets it back. Routers record the largest number of routers told, with its age.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -110,7 +110,7 @@
 	}
 	c.ListVersion, c.ListAge = f.listVersion, now.Sub(f.listReadAt)
 	c.Worker.recordSent(now)
-	f.takePermit(c.Worker)
+	f.takePermit(c.Worker, now)
 	return c, true
 }
 
@@ -126,8 +126,9 @@
 		early  time.Duration
 	}{{preferred, 0}, {preferred, earlyPermit}, {healthy, earlyPermit}, {reachable, earlyPermit}} {
 		candidates, hashes := p.candidates(r.Tried, try.accept)
+		sparesCold := f.sparesCold(candidates, now)
 		hasPermit := func(w *Worker) bool {
-			return f.hasPermit(w, now, try.early) && !(limited && p.isFull(w, now))
+			return f.hasPermit(w, now, try.early) && !(limited && p.isFull(w, now)) && !(sparesCold && f.isCold(w, now))
 		}
 		if !slices.ContainsFunc(candidates, hasPermit) {
 			continue
@@ -180,7 +181,7 @@
 	spread := f.spreadSize(p, key, limit, now)
 	preferences := placement.Choose(indexes[:max(preferenceCount, min(spread, widePreferenceCount))], key, hashes)
 	admit := func(w *Worker) bool {
-		return w.rateLimit.admit(key, w.hash, f.maxRoutersSeen, now) && hasPermit(w)
+		return f.admit(w, key, now) && hasPermit(w)
 	}
 	best, withinLimit := f.pickWithinLimit(candidates, preferences, spread, limit, now, admit)
 	if !withinLimit {
--- a/routing/firstbyte.go
+++ b/routing/firstbyte.go
@@ -22,6 +22,9 @@
 	// than in RFC 6298, since prompt lengths vary more than the transit times
 	// of packets.
 	timeoutDeviations = 8
+	// slowDeviations is the number of deviations above the mean from which a response
+	// is slow, as in RFC 6298.
+	slowDeviations = 4
 	// minFirstByteTimeout keeps a worker from counting as stalled after a single
 	// slow response.
 	minFirstByteTimeout = 500 * time.Millisecond
@@ -45,3 +48,7 @@
 	}
 	return max(f.mean+timeoutDeviations*f.deviation, minFirstByteTimeout)
 }
+
+func (f *firstByteTimes) isSlow(t time.Duration) bool {
+	return f.known && t > f.mean+slowDeviations*f.deviation
+}
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -31,6 +31,12 @@
 	// MaxPause limits the time for which a worker gets no requests because it said
 	// so.
 	MaxPause time.Duration
+	// ColdOver and ColdSlack bound the requests of all routers to a cold worker in any
+	// second: ColdOver times UpstreamConfig.ColdRate, plus ColdSlack.
+	ColdOver, ColdSlack float64
+	// MaxRouters is the number of routers that is assumed for cold workers while the
+	// number is not known.
+	MaxRouters int
 	// Random returns a number in [0, n); nil for math/rand/v2.
 	Random func(n int) int
 }
@@ -50,6 +56,9 @@
 	placements     placements
 	maxRoutersSeen int                // largest number of live routers seen at one time
 	byHash         map[uint32]*Worker // by gossip.WorkerHash of the ID, see Load
+	upstreams      map[string]UpstreamConfig
+	coldWorkers    []*Worker // workers that are cold or were so at the last call of ColdState
+	size           fleetSize
 }
 
 // pool holds the workers and the retry state of one upstream.
@@ -124,10 +133,13 @@
 			changes = append(changes, Change{"joined", info.ID, info.Upstream})
 			w = &Worker{WorkerInfo: info, hash: placement.Hash(info.ID)}
 			w.Draining = false
-			f.restoreStatements(w, list.At)
+			isKnown := f.restoreStatements(w, list.At)
 			if !firstList {
 				w.joinedAt = list.At
 			}
+			f.listCold(w, info, !firstList && !isKnown, list.At)
+		} else {
+			f.listCold(w, info, false, list.At)
 		}
 		if info.Draining && !w.Draining {
 			changes = append(changes, Change{"draining", info.ID, info.Upstream})
@@ -233,6 +245,9 @@
 	defer f.mu.Unlock()
 	c.Worker.inFlight--
 	c.markFirstByte()
+	if !ok {
+		f.setBackCold(c.Worker, now)
+	}
 	if ok {
 		p := f.pool(c.Worker.Upstream)
 		p.recordDuration(now.Sub(c.sentAt))
@@ -244,7 +259,11 @@
 func (f *Fleet) RecordFirstByte(c Choice, elapsed time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.pool(c.Worker.Upstream).firstByte.record(elapsed)
+	times := &f.pool(c.Worker.Upstream).firstByte
+	if times.isSlow(elapsed) {
+		f.setBackCold(c.Worker, c.sentAt.Add(elapsed))
+	}
+	times.record(elapsed)
 	c.markFirstByte()
 }
 
@@ -409,6 +428,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.setRouters(routers)
+	f.size.count(routers, now)
 	var reached []uint32
 	for _, l := range list {
 		w := f.byHash[l.WorkerHash]
--- a/routing/ratelimit.go
+++ b/routing/ratelimit.go
@@ -8,8 +8,8 @@
 	"github.com/auburnlead/auburnlead/placement"
 )
 
-// A worker may name the requests per second that it takes from all routers together.
-// Each router uses an equal part of it, without messages for each request: it gets
+// A worker may name the requests per second that it takes from all routers together, and
+// a cold one takes few (coldstart.go). The lower rate counts. Each router uses an equal part of it, without messages for each request: it gets
 // permits at regular times, and a permit that no request has used for some time lapses.
 // The routers' permits begin at random times, so all of them together arrive evenly,
 // also where a router gets one only every few seconds.
@@ -49,7 +49,7 @@
 	perSecond  float64
 	reportedAt time.Time
 	reportID   uint16
-	nextPermit time.Time
+	permits              // for the named rate and for that of a cold worker
 	checkedAt  time.Time // when a request was last sent to confirm the limit
 	// demand is the exponentially decayed count of the requests of this router that
 	// preferred the worker, as of demandAt.
@@ -57,18 +57,71 @@
 	demandAt time.Time
 }
 
+// permits are the times at which this router may send a request to a worker.
+type permits struct {
+	nextPermit time.Time     // when the oldest unused permit begins
+	period     time.Duration // time between two permits that nextPermit is based on, 0 before the first use
+	countedAt  time.Time     // when nextPermit was last computed
+}
+
+// pace says how often a router gets a permit and how long it may use it.
+type pace struct {
+	period  time.Duration // time between two permits
+	ttl     time.Duration // time after which an unused permit lapses
+	early   time.Duration // how early a permit may be used when there is none for any worker
+	gradual bool          // the rate has changed steadily since the last use
+}
+
+// pace returns the pace of a worker's permits, and false if it needs none.
+func (f *Fleet) pace(w *Worker, now time.Time) (pace, bool) {
+	cold, limited := f.coldPace(w, now)
+	if !w.rateLimit.isSet() {
+		return cold, limited
+	}
+	named := pace{period: w.rateLimit.permitPeriod(f.maxRoutersSeen), ttl: permitTTL, early: earlyPermit}
+	if !limited {
+		return named, true
+	}
+	return pace{period: max(named.period, cold.period), ttl: min(named.ttl, cold.ttl), early: min(named.early, cold.early)}, true
+}
+
+// permitAt returns when the next permit that has not lapsed begins. When the pace
+// changes, the time until the next permit changes in proportion: a fixed time until it
+// would let all routers that learn of the change at the same time send together.
+func (f *Fleet) permitAt(w *Worker, pc pace, now time.Time) time.Time {
+	l := &w.rateLimit.permits
+	if l.period == 0 {
+		l.nextPermit, l.period, l.countedAt = now.Add(time.Duration(f.cfg.Random(int(pc.period)))), pc.period, now
+	}
+	if remaining := l.nextPermit.Sub(l.countedAt); pc.gradual && l.period != pc.period {
+		meanRate := (1/l.period.Seconds() + 1/pc.period.Seconds()) / 2
+		permits := remaining.Seconds()/l.period.Seconds() - now.Sub(l.countedAt).Seconds()*meanRate
+		l.nextPermit = now.Add(time.Duration(permits * float64(pc.period)))
+	} else if remaining := l.nextPermit.Sub(now); l.period != pc.period && remaining > 0 {
+		scaled := float64(remaining) * float64(pc.period) / float64(l.period)
+		l.nextPermit = now.Add(time.Duration(min(scaled, float64(pc.period+pc.early))))
+	}
+	l.period, l.countedAt = pc.period, now
+	if lapsed := now.Sub(l.nextPermit) - pc.ttl; lapsed > 0 {
+		l.nextPermit = l.nextPermit.Add(time.Duration(math.Ceil(float64(lapsed)/float64(pc.period))) * pc.period)
+	}
+	return l.nextPermit
+}
+
 // admit counts a request that prefers the worker and reports whether requests with its
 // key stay there: as many keys as the permits cover, the same ones at all routers. If
 // each key alternated between the worker and its next preference, its parts would be
 // copied for each request.
-func (l *rateLimit) admit(key, workerHash uint64, routers int, now time.Time) bool {
+func (f *Fleet) admit(w *Worker, key uint64, now time.Time) bool {
+	l := &w.rateLimit
 	l.demand = 1 + l.demand*math.Exp(-now.Sub(l.demandAt).Seconds()/demandTimeConstant.Seconds())
 	l.demandAt = now
-	if !l.isSet() {
+	pc, limited := f.pace(w, now)
+	if !limited {
 		return true
 	}
-	share := demandTimeConstant.Seconds() / l.permitPeriod(routers).Seconds() / l.demand
-	return float64(placement.Score(key, ^workerHash)) < share*math.MaxUint64
+	share := demandTimeConstant.Seconds() / pc.period.Seconds() / l.demand
+	return float64(placement.Score(key, ^w.hash)) < share*math.MaxUint64
 }
 
 // isSet reports whether the worker names a limit.
@@ -108,18 +161,17 @@
 	return list
 }
 
-// permitPeriod returns the time between two permits of one of several routers.
+// permitPeriod returns the time between two permits of one of several routers for the
+// named rate.
 func (l *rateLimit) permitPeriod(routers int) time.Duration {
-	seconds := float64(max(routers, 1)) / max(l.perSecond, minRateLimit)
-	return max(time.Duration(min(seconds, maxPermitPeriod.Seconds())*float64(time.Second)), minPermitPeriod)
+	return permitPeriod(max(l.perSecond, minRateLimit), float64(routers))
 }
 
-// permitAt returns when the next permit that has not lapsed begins.
-func (l *rateLimit) permitAt(now time.Time, period time.Duration) time.Time {
-	if lapsed := now.Sub(l.nextPermit) - permitTTL; lapsed > 0 {
-		l.nextPermit = l.nextPermit.Add(time.Duration(math.Ceil(float64(lapsed)/float64(period))) * period)
-	}
-	return l.nextPermit
+// permitPeriod returns the time between two permits of one of several routers that
+// together send a number of requests per second.
+func permitPeriod(perSecond, routers float64) time.Duration {
+	seconds := max(routers, 1) / perSecond
+	return max(time.Duration(min(seconds, maxPermitPeriod.Seconds())*float64(time.Second)), minPermitPeriod)
 }
 
 // RecordRateLimit records the rate that a worker names in an answer, NoRateLimit for
@@ -140,12 +192,9 @@
 	if !l.isSet() {
 		return wasSet
 	}
-	period := l.permitPeriod(f.maxRoutersSeen)
-	switch latest := now.Add(period + earlyPermit); {
-	case !wasSet:
-		l.nextPermit = now.Add(time.Duration(f.cfg.Random(int(period))) - permitTTL)
-	case l.nextPermit.After(latest): // the limit has risen
-		l.nextPermit = latest
+	if _, cold := f.coldPace(w, now); !wasSet && !cold {
+		l.period = l.permitPeriod(f.maxRoutersSeen)
+		l.nextPermit = now.Add(time.Duration(f.cfg.Random(int(l.period))) - permitTTL)
 	}
 	return !wasSet || math.Abs(perSecond-before) > before/4
 }
@@ -197,21 +246,21 @@
 }
 
 // hasPermit reports whether this router may send a request to a worker now, with a permit
-// that begins at most early after now.
+// that begins at most early after now, or less where the worker's pace says so.
 func (f *Fleet) hasPermit(w *Worker, now time.Time, early time.Duration) bool {
-	l := &w.rateLimit
-	return !l.isSet() || !l.permitAt(now, l.permitPeriod(f.maxRoutersSeen)).After(now.Add(early))
+	pc, limited := f.pace(w, now)
+	return !limited || !f.permitAt(w, pc, now).After(now.Add(min(early, pc.early)))
 }
 
 // takePermit counts a request that is sent to a worker.
-func (f *Fleet) takePermit(w *Worker) {
-	if l := &w.rateLimit; l.isSet() {
-		l.nextPermit = l.nextPermit.Add(l.permitPeriod(f.maxRoutersSeen))
+func (f *Fleet) takePermit(w *Worker, now time.Time) {
+	if pc, limited := f.pace(w, now); limited {
+		w.rateLimit.nextPermit = f.permitAt(w, pc, now).Add(pc.period)
 	}
 }
 
-// NextPermit returns the time until one of an upstream's limited workers may get a
-// request of this router, and the number of limited workers.
+// NextPermit returns the time until one of an upstream's limited or cold workers may get
+// a request of this router, and the number of these workers.
 func (f *Fleet) NextPermit(upstream string, now time.Time) (wait time.Duration, limited int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -220,12 +269,16 @@
 		return 0, 0
 	}
 	for _, w := range p.workers {
-		l := &w.rateLimit
-		if !l.isSet() || w.unreachable {
+		pc, isLimited := f.pace(w, now)
+		if !isLimited || w.unreachable {
 			continue
 		}
 		limited++
-		if d := max(l.permitAt(now, l.permitPeriod(f.maxRoutersSeen)).Sub(now)-earlyPermit, 0); limited == 1 || d < wait {
+		d := max(f.permitAt(w, pc, now).Sub(now)-pc.early, 0)
+		if !w.rateLimit.isSet() {
+			d = f.coldWait(w, d, now)
+		}
+		if limited == 1 || d < wait {
 			wait = d
 		}
 	}
--- a/routing/statements.go
+++ b/routing/statements.go
@@ -207,12 +207,13 @@
 	return w
 }
 
-// keepIfUnlisted keeps the statements of a worker that is not listed.
+// keepIfUnlisted keeps the statements of a worker that is not listed. A process whose
+// start is known is kept in any case, since it is not cold when it is listed again.
 func (f *Fleet) keepIfUnlisted(w *Worker, now time.Time) {
 	if f.byID[w.ID] == w {
 		return
 	}
-	if w.said.isLeaving() || w.said.isPaused(now) {
+	if w.said.isLeaving() || w.said.isPaused(now) || w.StartedAtMs != 0 {
 		f.departed[w.ID] = w
 	}
 	if len(f.departed) > maxDeparted {
@@ -221,11 +222,18 @@
 }
 
 // restoreStatements gives a worker that is listed again what the same process said
-// before. Where the start of the process is not known, it counts as a new one.
-func (f *Fleet) restoreStatements(w *Worker, now time.Time) {
+// before, and reports whether it is the same process. Where the start of the process is
+// not known, it counts as a new one.
+func (f *Fleet) restoreStatements(w *Worker, now time.Time) bool {
 	before := f.departed[w.ID]
 	delete(f.departed, w.ID)
-	if before != nil && w.StartedAtMs != 0 && before.isSameProcess(w.WorkerInfo) && now.Sub(before.leftAt) < statementTTL {
-		w.said = before.said
+	if before == nil || w.StartedAtMs == 0 || !before.isSameProcess(w.WorkerInfo) || now.Sub(before.leftAt) >= statementTTL {
+		return false
+	}
+	w.said = before.said
+	if !before.cold.startedAt.IsZero() {
+		w.cold, w.rateLimit.permits = before.cold, before.rateLimit.permits
+		f.coldWorkers = append(f.coldWorkers, w)
 	}
+	return true
 }
--- a/routing/worker.go
+++ b/routing/worker.go
@@ -14,6 +14,10 @@
 	Slots         int   // requests that it runs concurrently
 	StartedAtMs   int64 // start time of the process in ms since the epoch, 0 if unknown
 	Draining      bool
+	// ColdLeft is how much longer the worker stays cold as of RegisteredAt, 0 if it is
+	// not cold. RegisteredAt is when its registration arrived, zero for WorkerList.At.
+	ColdLeft     time.Duration
+	RegisteredAt time.Time
 }
 
 // WorkerList is the worker list at a point in time. It is not modified after it
@@ -48,6 +52,7 @@
 	unreachable  bool        // connections to it fail
 	anonymousAt  time.Time   // when it last refused a request without naming it
 	rateLimit    rateLimit
+	cold         coldStart
 	said         statements
 }
 
