Read, log and share cold times of workers on the routes

Cause: routers did not read coldLeftMs, coldStartS, coldPerS, the header Auburnlead-Cold-Ms and the bounds coldOver and coldSlack, so the permits for cold workers had no figures.

Change: registrations and desired states are read with cold figures that cost only themselves if they are malformed; each is named in a log line. Upstreams have cold_start and cold_rate, the section [gateway] cold_over, cold_slack and max_routers. Routers tell each other the largest number of routers and the cold workers (gossip extension 4, nothing without a cold rate).

--- a/internal/core/lockorder.go
+++ b/internal/core/lockorder.go
@@ -13,7 +13,7 @@
 //	40  plugins/peer      schedulers, one for each upstream
 //	50  plugins/dispatch  attempts, worker health
 //	55  plugins/orders    order leases and planners
-//	55  plugins/gateway   isolation state
+//	55  plugins/gateway   isolation state; log of cold workers
 //	60  plugins/upstream  send state of requests; the state of their connections has level 61
 //	60  routing           worker list, loads and retry budgets of a Fleet
 //	70  ledger            pending writes and background jobs
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -96,6 +96,9 @@
 	Load      *WorkerLoad // nil if the worker reported none
 	RateLimit *float64    // requests per second that the worker takes from all routers, nil if it names no limit
 	Leaving   bool        // the worker says that it shuts down
+	// ColdLeft is how much longer the worker stays cold, 0 if it is not cold or does not
+	// say so.
+	ColdLeft time.Duration
 	// Pause is how long the worker wants no requests of this router, from the receipt
 	// of a response that turned a request away. 0 for no pause.
 	Pause time.Duration
--- a/internal/unreadable/unreadable.go
+++ b/internal/unreadable/unreadable.go
@@ -24,6 +24,7 @@
 	RateLimit     Kind = "rate limit"     // header of a worker's response
 	Leaving       Kind = "leaving"        // header of a worker's response
 	Pause         Kind = "pause"          // header of a worker's response
+	ColdTime      Kind = "cold time"      // header of a worker's response, field of a row that it writes
 	PromptParts   Kind = "prompt parts"   // header of a caller's request
 	TokenCounts   Kind = "token counts"   // header of a caller's request
 	Registration  Kind = "registration"   // row that a worker writes
--- a/objects/fields.go
+++ b/objects/fields.go
@@ -75,6 +75,16 @@
 	}
 }
 
+// withoutZero returns a field that has no line in the text of an object while its value
+// is zero.
+func withoutZero[T any](f field[T], zero string) field[T] {
+	get := f.get
+	f.get = func(o *T) []string {
+		return slices.DeleteFunc(get(o), func(v string) bool { return v == zero })
+	}
+	return f
+}
+
 func boolField[T any](key string, ptr func(*T) *bool) field[T] {
 	return field[T]{
 		key: key, defaultValue: "false", allowed: "true, false",
@@ -233,6 +243,8 @@
 	boolField("manage_models", func(u *Upstream) *bool { return &u.ManageModels }),
 	floatField("load_bound", "1.25", 1.05, 100, func(u *Upstream) *float64 { return &u.LoadBound }),
 	intField("max_in_flight", "16", 1, 4096, func(u *Upstream) *int { return &u.MaxInFlight }),
+	withoutZero(durationField("cold_start", "", 0, time.Hour, func(u *Upstream) *time.Duration { return &u.ColdStart }), "0s"),
+	withoutZero(floatField("cold_rate", "", 0, 1e6, func(u *Upstream) *float64 { return &u.ColdRate }), "0"),
 	listField("once_methods", "POST, PUT, PATCH, DELETE", false, validMethod, func(u *Upstream) *[]string { return &u.OnceMethods }),
 	{
 		key: "worker", required: true, repeated: true,
--- a/objects/objects.go
+++ b/objects/objects.go
@@ -123,6 +123,11 @@
 	// MaxInFlight bounds the requests in flight on one worker. 1 to 4096,
 	// default 16.
 	MaxInFlight int `json:"max_in_flight"`
+	// ColdStart is how long a worker is cold after it has started during traffic, and
+	// ColdRate the requests per second that it takes from all routers meanwhile. Routes
+	// only. 0 to 1 h and 0 to 1000000, default 0 for none.
+	ColdStart time.Duration `json:"cold_start,omitempty"`
+	ColdRate  float64       `json:"cold_rate,omitempty"`
 	// OnceMethods are the HTTP methods whose requests need an Idempotency-Key
 	// and run at most once; services only.
 	OnceMethods []string `json:"once_methods,omitempty"`
--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -100,6 +100,7 @@
 	}
 	if isAttributed(x.header.ID, h, conn) && !isMisdirected(resp.StatusCode) {
 		g.recordStatements(x, c.Worker, h)
+		g.cold.record(c.Worker, h)
 	}
 	if h.NotRun && h.RequestID == "" && x.header.ID != "" && g.fleet.RecordAnonymousRefusal(c.Worker, start) {
 		g.decisions.logChange("worker refuses without a request ID", "worker", c.Worker.ID, "upstream", c.Worker.Upstream, "request", x.header.ID, "status", resp.StatusCode, "reused_connection", conn.reused)
--- a/plugins/gateway/buffered.go
+++ b/plugins/gateway/buffered.go
@@ -195,6 +195,8 @@
 			x.err = last
 		}
 		g.refusePaused(x)
+	case last == nil && x.coldWorkers > 0:
+		g.refuseCold(x)
 	case last == nil && x.limitedWorkers > 0:
 		g.decisions.count("limit_refusals", "upstream", x.upstream)
 		g.refuseFor(x, "workers are at their limits", x.nextPermit+time.Duration(rand.Int64N(int64(retryAfterOverloaded))))
--- a/plugins/gateway/choose.go
+++ b/plugins/gateway/choose.go
@@ -28,8 +28,9 @@
 	c, ok := g.fleet.Choose(r, time.Now())
 	if !ok {
 		x.nextPermit, x.limitedWorkers = g.fleet.NextPermit(x.upstream, time.Now())
+		x.coldWorkers = g.fleet.ColdCount(x.upstream, time.Now())
 		x.nextOpening, x.pausedWorkers = g.fleet.NextOpening(x.upstream, time.Now())
-		g.decisions.logRequest("no worker to choose", "request", x.header.ID, "upstream", x.upstream, "tried", len(x.tried), "limited", x.limitedWorkers, "next_permit_ms", x.nextPermit.Milliseconds(), "paused", x.pausedWorkers, "next_opening_ms", x.nextOpening.Milliseconds())
+		g.decisions.logRequest("no worker to choose", "request", x.header.ID, "upstream", x.upstream, "tried", len(x.tried), "limited", x.limitedWorkers, "cold", x.coldWorkers, "next_permit_ms", x.nextPermit.Milliseconds(), "paused", x.pausedWorkers, "next_opening_ms", x.nextOpening.Milliseconds())
 		return c, false
 	}
 	x.tried = append(x.tried, c.Worker)
--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -38,6 +38,7 @@
 	// limits, and the time until one of them takes one of this router again.
 	limitedWorkers int
 	nextPermit     time.Duration
+	coldWorkers    int           // those of them that are cold
 	pausedWorkers  int           // workers of the upstream that want no requests for now
 	nextOpening    time.Duration // time until one of them takes requests again
 	tooLate        bool          // the router stops before the request's deadline
--- a/plugins/gateway/refuse.go
+++ b/plugins/gateway/refuse.go
@@ -68,6 +68,14 @@
 	g.refuseFor(x, "workers are paused", x.nextOpening+rand.N(x.nextOpening/pauseSpread+retryAfterOverloaded))
 }
 
+// refuseCold refuses a request because the workers that could run it are cold and no permit
+// of this router for them is in force. The callers return after the next one begins, not
+// all at once.
+func (g *Gateway) refuseCold(x *exchange) {
+	g.decisions.count("cold_refusals", "upstream", x.upstream)
+	g.refuseFor(x, "workers are cold", x.nextPermit+rand.N(retryAfterOverloaded))
+}
+
 // refuseFor refuses a request and tells the caller how long to wait.
 func (g *Gateway) refuseFor(x *exchange, reason string, wait time.Duration) {
 	x.w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -8,8 +8,8 @@
 // buffered responses or stream.go for streams, refuse.go (responses of the
 // router itself), decision.go (log and metrics). reachability.go and isolation.go
 // track which workers are reachable, quarantine.go which requests crash them,
-// ratelimit.go how many requests they take, pauses.go which of them other routers have
-// to spare. callerconns.go tells a stop which connections are in use.
+// ratelimit.go how many requests they take, coldworkers.go which of them have just
+// started, pauses.go which of them other routers have to spare. callerconns.go tells a stop which connections are in use.
 package gateway
 
 import (
@@ -104,6 +104,14 @@
 	// Routers is the minimum number of routers among which RetrySlack is divided;
 	// if more are known, their number is used. Default 16.
 	Routers int `ini:"routers" default:"16" min:"1" max:"100000"`
+	// ColdOver and ColdSlack bound the requests of all routers to a cold worker in any
+	// second: ColdOver times the upstream's cold rate, plus ColdSlack. Without a cold rate
+	// there is no bound. Default 1 and 0.
+	ColdOver  float64 `ini:"cold_over" default:"1" min:"0.1" max:"100"`
+	ColdSlack float64 `ini:"cold_slack" default:"0" min:"0" max:"100000"`
+	// MaxRouters is the number of routers that a router assumes for the bound on cold
+	// workers until another router has told it one. Default 400.
+	MaxRouters int `ini:"max_routers" default:"400" min:"1" max:"100000"`
 	// LogLines limits the log lines of one kind per second; further ones are
 	// suppressed and counted. Default 100.
 	LogLines int `ini:"log_lines" default:"100" min:"1" max:"100000"`
@@ -160,6 +168,7 @@
 	crashes           *crashDetector
 	limits            *rateLimits
 	pauses            *sharedPauses
+	cold              *coldWorkers
 
 	isolation isolation
 	server    *server
@@ -185,6 +194,7 @@
 	g.crashes = newCrashDetector(g, p.Extensions)
 	g.limits = newRateLimits(g, p.Extensions)
 	g.pauses = newSharedPauses(g, p.Extensions)
+	g.cold = newColdWorkers(g, p.Extensions)
 	g.readiness.Require(componentConfig)
 	g.readiness.Require(componentWorkers)
 	g.readiness.Require(componentName)
@@ -209,20 +219,22 @@
 )
 
 func fleetConfig(domain string, s *Settings) routing.Config {
-	return routing.Config{Domain: domain, LoadBound: s.LoadBound, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, MinRouters: s.Routers, LeavingGrace: s.LeavingGrace, MaxPause: s.MaxPause}
+	return routing.Config{Domain: domain, LoadBound: s.LoadBound, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, MinRouters: s.Routers, LeavingGrace: s.LeavingGrace, MaxPause: s.MaxPause, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, MaxRouters: s.MaxRouters}
 }
 
 // reload applies the settings that can change without a restart: the load bound,
-// the leaving grace, the longest pause and the settings of the retry budget and of
-// the log.
+// the leaving grace, the longest pause, the bound on cold workers and the settings of
+// the retry budget and of the log.
 func (g *Gateway) reload(s *Settings) {
 	g.fleet.Configure(fleetConfig(g.identity.FailureDomain, s))
 	g.decisions.lines.SetMaxLines(s.LogLines)
-	g.decisions.logChange("settings in force", "retry_ratio", s.RetryRatio, "retry_slack", s.RetrySlack, "routers", s.Routers, "leaving_grace", s.LeavingGrace, "max_pause", s.MaxPause, "log_lines", s.LogLines)
+	g.decisions.logChange("settings in force", "retry_ratio", s.RetryRatio, "retry_slack", s.RetrySlack, "routers", s.Routers, "leaving_grace", s.LeavingGrace, "max_pause", s.MaxPause, "cold_over", s.ColdOver, "cold_slack", s.ColdSlack, "max_routers", s.MaxRouters, "log_lines", s.LogLines)
 }
 
 func (g *Gateway) applyConfig(revision *core.ConfigRevision) {
 	changes := g.routes.apply(revision)
+	g.fleet.ConfigureUpstreams(upstreamConfigs(revision.Set))
+	g.cold.update()
 	g.readiness.SetReady(componentConfig, true, "")
 	g.decisions.logChange("configuration in force", "revision", revision.Revision, "routes", len(revision.Set.Routes), "callers", len(revision.Set.Callers), "upstreams", len(revision.Set.Upstreams), "added", changes.added, "removed", changes.removed)
 }
@@ -234,6 +246,7 @@
 	for _, c := range changes {
 		g.decisions.logChange("worker "+c.Kind, "worker", c.Worker, "upstream", c.Upstream, "version", list.Version, "workers", len(list.Workers))
 	}
+	g.cold.update()
 	g.updateIsolation()
 }
 
--- a/routing/coldstart.go
+++ b/routing/coldstart.go
@@ -38,6 +38,10 @@
 	// minColdNews is how much later than known the end of a cold time has to be to count.
 	// Routers tell each other the time left, which is too high by the time in transit.
 	minColdNews = 500 * time.Millisecond
+	// staleColdAge is the time since the start of a process, beyond the stated cold time,
+	// from which a registration that was there before this router is taken to be of the
+	// start. The clocks of workers and routers may differ by seconds.
+	staleColdAge = 10 * time.Second
 	// maxColdLeft limits the cold time that a worker or router may state.
 	maxColdLeft = time.Hour
 )
@@ -52,6 +56,7 @@
 // coldStart is the cold time of a worker. It is guarded by Fleet.mu.
 type coldStart struct {
 	startedAt time.Time // zero if the worker is not cold and needs no permits
+	rate      float64   // see Fleet.coldRate
 	until     time.Time // end of the cold time
 	riseFrom  time.Time // from then the permitted rate rises
 	announced bool      // ColdChanges has returned its begin
@@ -62,6 +67,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.upstreams = upstreams
+	f.updateColdRates()
+}
+
+func (f *Fleet) updateColdRates() {
+	for _, w := range f.coldWorkers {
+		w.cold.rate = f.coldRate(w.Upstream)
+	}
 }
 
 // coldRate returns the requests per second that all routers together send to a cold
@@ -84,7 +96,7 @@
 	if c.startedAt.IsZero() {
 		return pace{}, false
 	}
-	rate := f.coldRate(w.Upstream)
+	rate := c.rate
 	if rate <= 0 {
 		return pace{}, false
 	}
@@ -116,7 +128,7 @@
 		return wait
 	}
 	later := coldDoubling.Seconds() * math.Log2(1+(wait-left).Seconds()*math.Ln2/coldDoubling.Seconds())
-	return left + min(time.Duration(later*float64(time.Second)), coldRise(f.coldRate(w.Upstream), f.coldRouters(now)))
+	return left + min(time.Duration(later*float64(time.Second)), coldRise(w.cold.rate, f.coldRouters(now)))
 }
 
 // isCold reports whether a worker gets requests only with permits because it is cold or
@@ -144,7 +156,7 @@
 	}
 	if !now.Before(c.until) { // it was not cold
 		w.rateLimit.permits = permits{}
-		*c = coldStart{startedAt: now}
+		*c = coldStart{startedAt: now, rate: f.coldRate(w.Upstream)}
 		if !slices.Contains(f.coldWorkers, w) {
 			f.coldWorkers = append(f.coldWorkers, w)
 		}
@@ -153,13 +165,20 @@
 	return true
 }
 
-// listCold records the cold time of a worker by the worker list.
+// listCold records the cold time of a worker by the worker list. A registration states the
+// time left as of its write, which may be long ago where a router finds it at its start.
+// Most such workers are warm; if one has become cold again, the permits of the other
+// routers leave room for the requests of this one until the worker's next response.
 func (f *Fleet) listCold(w *Worker, info WorkerInfo, isNew bool, now time.Time) {
 	since := info.RegisteredAt
 	if since.IsZero() {
 		since = now
 	}
-	f.setCold(w, since.Add(min(info.ColdLeft, maxColdLeft)), now)
+	born := time.UnixMilli(info.StartedAtMs)
+	isStale := info.StartedAtMs != 0 && !since.After(f.firstListAt) && since.Sub(born) > info.ColdLeft+staleColdAge
+	if !isStale {
+		f.setCold(w, since.Add(min(info.ColdLeft, maxColdLeft)), now)
+	}
 	if isNew {
 		f.setCold(w, now.Add(f.upstreams[info.Upstream].ColdStart), now)
 	}
@@ -205,7 +224,7 @@
 		return nil
 	}
 	for hash, w := range f.byHash {
-		if w.cold.until.After(now) && f.coldRate(w.Upstream) > 0 {
+		if w.cold.until.After(now) && w.cold.rate > 0 {
 			list = append(list, Cold{hash, w.cold.until})
 		}
 	}
@@ -264,8 +283,7 @@
 				changes = append(changes, ColdChange{Worker: w.ID, Upstream: w.Upstream, Cold: true, Left: c.until.Sub(now)})
 			}
 			cold++
-			rate := f.coldRate(w.Upstream)
-			if end := max(c.riseFrom.Add(coldRise(rate, f.coldRouters(now))).Sub(now), time.Millisecond); cold == 1 || end < next {
+			if end := max(c.riseFrom.Add(coldRise(c.rate, f.coldRouters(now))).Sub(now), time.Millisecond); cold == 1 || end < next {
 				next = end
 			}
 			return f.byID[w.ID] != w
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -56,6 +56,7 @@
 	placements     placements
 	maxRoutersSeen int                // largest number of live routers seen at one time
 	byHash         map[uint32]*Worker // by gossip.WorkerHash of the ID, see Load
+	firstListAt    time.Time          // when the first worker list was read
 	upstreams      map[string]UpstreamConfig
 	coldWorkers    []*Worker // workers that are cold or were so at the last call of ColdState
 	size           fleetSize
@@ -126,6 +127,9 @@
 	var unlisted []*Worker
 	firstList := f.listVersion == 0 && len(f.byID) == 0
 	f.listVersion, f.listReadAt = list.Version, list.At
+	if firstList {
+		f.firstListAt = list.At
+	}
 	listed := map[string]*Worker{}
 	for _, info := range list.Workers {
 		w := f.byID[info.ID]
@@ -230,6 +234,7 @@
 	cfg.Random = f.cfg.Random
 	f.cfg = cfg
 	f.updateBudgets()
+	f.updateColdRates()
 }
 
 func (f *Fleet) updateBudgets() {
@@ -296,28 +301,6 @@
 	return changed
 }
 
-// anonymousPeriod is how long a worker counts as one that refuses without a request
-// ID: an overload usually lasts no longer.
-const anonymousPeriod = time.Minute
-
-// RecordAnonymousRefusal records that a worker refused a request without a request
-// ID, and reports whether this is the first time within anonymousPeriod.
-func (f *Fleet) RecordAnonymousRefusal(w *Worker, now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	first := now.Sub(w.anonymousAt) >= anonymousPeriod
-	w.anonymousAt = now
-	return first
-}
-
-// RefusesAnonymously reports whether a worker has refused a request without a
-// request ID within anonymousPeriod.
-func (f *Fleet) RefusesAnonymously(w *Worker, now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return now.Sub(w.anonymousAt) < anonymousPeriod
-}
-
 // Worker returns the listed worker with an ID, nil if there is none.
 func (f *Fleet) Worker(id string) *Worker {
 	f.mu.Lock()
@@ -439,23 +422,6 @@
 	return reached
 }
 
-// RecordRouters records the number of routers, this one included.
-func (f *Fleet) RecordRouters(n int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.setRouters(n)
-}
-
-func (f *Fleet) setRouters(n int) {
-	for _, p := range f.pools {
-		p.routers = n
-	}
-	if n > f.maxRoutersSeen {
-		f.maxRoutersSeen = n
-		f.updateBudgets()
-	}
-}
-
 // AllowRetry reports whether the retry budget of an upstream allows a retry
 // now, and counts it if so.
 func (f *Fleet) AllowRetry(upstream string, now time.Time) bool {
--- a/routing/fleetsize.go
+++ b/routing/fleetsize.go
@@ -104,3 +104,20 @@
 	}
 	return FleetSize{}, false
 }
+
+// RecordRouters records the number of routers, this one included.
+func (f *Fleet) RecordRouters(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.setRouters(n)
+}
+
+func (f *Fleet) setRouters(n int) {
+	for _, p := range f.pools {
+		p.routers = n
+	}
+	if n > f.maxRoutersSeen {
+		f.maxRoutersSeen = n
+		f.updateBudgets()
+	}
+}
--- a/routing/ratelimit_test.go
+++ b/routing/ratelimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -61,6 +62,24 @@
 		}
 		So(sent, ShouldBeLessThanOrEqualTo, 3*limit*permitTTL.Seconds())
 	})
+	Convey("When a limit rises, routers that learn of it at the same time do not send together", t, func() {
+		const routers, limit = 60, 3.0
+		var sent [40]int // in each second
+		for router := range routers {
+			f, w, now := newFleet(routers, uint64(router))
+			f.RecordRateLimit(w, 0.05, now)
+			now = now.Add(time.Minute)
+			f.Choose(prompt(1, 2, 3), now)
+			f.RecordRateLimit(w, limit, now)
+			for ms := 0; ms < len(sent)*1000; ms += 10 {
+				if c, ok := f.Choose(prompt(1, 2, 3), now.Add(time.Duration(ms)*time.Millisecond)); ok {
+					sent[ms/1000]++
+					f.RecordEnd(c, true, now)
+				}
+			}
+		}
+		So(slices.Max(sent[:]), ShouldBeLessThanOrEqualTo, 1.5*limit+5)
+	})
 	Convey("A limit ends with an answer that names none, and a limit of 0 is tried now and then", t, func() {
 		f, w, now := newFleet(1, 1)
 		So(f.RecordRateLimit(w, 0, now), ShouldBeTrue)
--- a/routing/statements.go
+++ b/routing/statements.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -198,6 +199,28 @@
 	return c, true
 }
 
+// anonymousPeriod is how long a worker counts as one that refuses without a request
+// ID: an overload usually lasts no longer.
+const anonymousPeriod = time.Minute
+
+// RecordAnonymousRefusal records that a worker refused a request without a request
+// ID, and reports whether this is the first time within anonymousPeriod.
+func (f *Fleet) RecordAnonymousRefusal(w *Worker, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	first := now.Sub(w.anonymousAt) >= anonymousPeriod
+	w.anonymousAt = now
+	return first
+}
+
+// RefusesAnonymously reports whether a worker has refused a request without a
+// request ID within anonymousPeriod.
+func (f *Fleet) RefusesAnonymously(w *Worker, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(w.anonymousAt) < anonymousPeriod
+}
+
 // newestEntry returns the entry of the same process that is listed now, if the worker
 // was unlisted for a while since the request was sent to it, and otherwise the worker.
 func (f *Fleet) newestEntry(w *Worker) *Worker {
@@ -216,6 +239,9 @@
 	if w.said.isLeaving() || w.said.isPaused(now) || w.StartedAtMs != 0 {
 		f.departed[w.ID] = w
 	}
+	if len(f.departed) > maxDeparted {
+		maps.DeleteFunc(f.departed, func(_ string, w *Worker) bool { return now.Sub(w.leftAt) >= statementTTL })
+	}
 	if len(f.departed) > maxDeparted {
 		clear(f.departed)
 	}
@@ -233,6 +259,7 @@
 	w.said = before.said
 	if !before.cold.startedAt.IsZero() {
 		w.cold, w.rateLimit.permits = before.cold, before.rateLimit.permits
+		w.cold.rate = f.coldRate(w.Upstream)
 		f.coldWorkers = append(f.coldWorkers, w)
 	}
 	return true
