--- a/routing/doc.go
+++ b/routing/doc.go
@@ -27,6 +27,10 @@
 //     no other worker is left, ejected ones are used.
 //   - Workers that name a limit. Each router uses its part of the limit, spread over
 //     time; other requests go to the next preference, up to its slots (ratelimit.go).
+//   - Workers that start during traffic. A cold worker takes few requests from all
+//     routers together, and looks like the least loaded one to each of them. It gets
+//     requests with permits that are divided among all routers (coldstart.go,
+//     fleetsize.go).
 //   - Workers that say in their responses that they leave or want no requests for a
 //     while. The router that was told passes them over, until the process ends or the
 //     pause does (statements.go).
