--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -39,6 +39,7 @@
 	// limits, and the time until one of them takes one of this router again.
 	limitedWorkers int
 	nextPermit     time.Duration
+	coldWorkers    int                // those of them that are cold
 	pausedWorkers  int                // workers of the upstream that want no requests for now
 	nextOpening    time.Duration      // time until one of them takes requests again
 	evacuated      bool               // all workers that could run it are in evacuated failure domains
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -8,9 +8,10 @@
 // buffered responses or stream.go for streams, refuse.go (responses of the
 // router itself), decision.go (log and metrics). reachability.go and isolation.go
 // track which workers are reachable, quarantine.go which requests crash them,
-// ratelimit.go how many requests they take, pauses.go which of them other routers have
-// to spare, evacuation.go in which failure domains they may get none, room.go which
-// upstreams are full. callerconns.go tells a stop which connections are in use.
+// ratelimit.go how many requests they take, coldworkers.go which of them have just
+// started, pauses.go which of them other routers have to spare, evacuation.go in which
+// failure domains they may get none, room.go which upstreams are full. callerconns.go
+// tells a stop which connections are in use.
 package gateway
 
 import (
@@ -108,6 +109,14 @@
 	// AdmissionControl refuses requests at the router while the workers of their
 	// upstream reject requests for lack of room. Default true.
 	AdmissionControl bool `ini:"admission_control" default:"true"`
+	// ColdOver and ColdSlack bound the requests of all routers to a cold worker in any
+	// second: ColdOver times the upstream's cold rate, plus ColdSlack. Without a cold rate
+	// there is no bound. Default 1 and 0.
+	ColdOver  float64 `ini:"cold_over" default:"1" min:"0.1" max:"100"`
+	ColdSlack float64 `ini:"cold_slack" default:"0" min:"0" max:"100000"`
+	// MaxRouters is the number of routers that a router assumes for the bound on cold
+	// workers until another router has told it one. Default 400.
+	MaxRouters int `ini:"max_routers" default:"400" min:"1" max:"100000"`
 	// LogLines limits the log lines of one kind per second; further ones are
 	// suppressed and counted. Default 100.
 	LogLines int `ini:"log_lines" default:"100" min:"1" max:"100000"`
@@ -167,6 +176,7 @@
 	pauses            *sharedPauses
 	evacuatedDomains  tally.Gauge
 	room              *roomControl
+	cold              *coldWorkers
 
 	isolation isolation
 	server    *server
@@ -195,6 +205,7 @@
 	g.limits = newRateLimits(g, p.Extensions)
 	g.pauses = newSharedPauses(g, p.Extensions)
 	g.room = newRoomControl(g, p.Extensions)
+	g.cold = newColdWorkers(g, p.Extensions)
 	g.readiness.Require(componentConfig)
 	g.readiness.Require(componentWorkers)
 	g.readiness.Require(componentName)
@@ -222,21 +233,23 @@
 )
 
 func fleetConfig(domain string, s *Settings) routing.Config {
-	return routing.Config{Domain: domain, LoadBound: s.LoadBound, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, MinRouters: s.Routers, LeavingGrace: s.LeavingGrace, MaxPause: s.MaxPause}
+	return routing.Config{Domain: domain, LoadBound: s.LoadBound, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, MinRouters: s.Routers, LeavingGrace: s.LeavingGrace, MaxPause: s.MaxPause, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, MaxRouters: s.MaxRouters}
 }
 
 // reload applies the settings that can change without a restart: the load bound,
-// the leaving grace, the longest pause and the settings of the retry budget and of
-// the log.
+// the leaving grace, the longest pause, the bound on cold workers and the settings of
+// the retry budget and of the log.
 func (g *Gateway) reload(s *Settings) {
 	g.fleet.Configure(fleetConfig(g.identity.FailureDomain, s))
 	g.decisions.lines.SetMaxLines(s.LogLines)
-	g.decisions.logChange("settings in force", "retry_ratio", s.RetryRatio, "retry_slack", s.RetrySlack, "routers", s.Routers, "leaving_grace", s.LeavingGrace, "max_pause", s.MaxPause, "log_lines", s.LogLines)
+	g.decisions.logChange("settings in force", "retry_ratio", s.RetryRatio, "retry_slack", s.RetrySlack, "routers", s.Routers, "leaving_grace", s.LeavingGrace, "max_pause", s.MaxPause, "cold_over", s.ColdOver, "cold_slack", s.ColdSlack, "max_routers", s.MaxRouters, "log_lines", s.LogLines)
 }
 
 func (g *Gateway) applyConfig(revision *core.ConfigRevision) {
 	changes := g.routes.apply(revision)
 	g.room.setUpstreams()
+	g.fleet.ConfigureUpstreams(upstreamConfigs(revision.Set))
+	g.cold.update()
 	g.readiness.SetReady(componentConfig, true, "")
 	g.decisions.logChange("configuration in force", "revision", revision.Revision, "routes", len(revision.Set.Routes), "callers", len(revision.Set.Callers), "upstreams", len(revision.Set.Upstreams), "added", changes.added, "removed", changes.removed)
 }
@@ -253,6 +266,7 @@
 		}
 		g.decisions.logChange("worker "+c.Kind, "worker", c.Worker, "upstream", c.Upstream, "version", list.Version, "workers", len(list.Workers))
 	}
+	g.cold.update()
 	g.updateIsolation()
 }
 
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -31,6 +31,12 @@
 	// MaxPause limits the time for which a worker gets no requests because it said
 	// so.
 	MaxPause time.Duration
+	// ColdOver and ColdSlack bound the requests of all routers to a cold worker in any
+	// second: ColdOver times UpstreamConfig.ColdRate, plus ColdSlack.
+	ColdOver, ColdSlack float64
+	// MaxRouters is the number of routers that is assumed for cold workers while the
+	// number is not known.
+	MaxRouters int
 	// Random returns a number in [0, n); nil for math/rand/v2.
 	Random func(n int) int
 }
@@ -50,6 +56,10 @@
 	placements     placements
 	maxRoutersSeen int                // largest number of live routers seen at one time
 	byHash         map[uint32]*Worker // by gossip.WorkerHash of the ID, see Load
+	firstListAt    time.Time          // when the first worker list was read
+	upstreams      map[string]UpstreamConfig
+	coldWorkers    []*Worker // workers that are cold or were so at the last call of ColdState
+	size           fleetSize
 
 	evacuated          map[string]time.Time // evacuated failure domains, with the time at which this router learned of it
 	evacuationsInForce map[string]bool      // those of which a worker was listed
@@ -125,6 +135,9 @@
 	var unlisted []*Worker
 	firstList := f.listVersion == 0 && len(f.byID) == 0
 	f.listVersion, f.listReadAt = list.Version, list.At
+	if firstList {
+		f.firstListAt = list.At
+	}
 	listed := map[string]*Worker{}
 	for _, info := range list.Workers {
 		w := f.byID[info.ID]
@@ -132,10 +145,13 @@
 			changes = append(changes, Change{Kind: "joined", Worker: info.ID, Upstream: info.Upstream})
 			w = &Worker{WorkerInfo: info, hash: placement.Hash(info.ID)}
 			w.Draining = false
-			f.restoreStatements(w, list.At)
+			isKnown := f.restoreStatements(w, list.At)
 			if !firstList {
 				w.joinedAt = list.At
 			}
+			f.listCold(w, info, !firstList && !isKnown, list.At)
+		} else {
+			f.listCold(w, info, false, list.At)
 		}
 		if info.Draining && !w.Draining {
 			changes = append(changes, Change{Kind: "draining", Worker: info.ID, Upstream: info.Upstream})
@@ -229,6 +245,7 @@
 	cfg.Random = f.cfg.Random
 	f.cfg = cfg
 	f.updateBudgets()
+	f.updateColdRates()
 }
 
 func (f *Fleet) updateBudgets() {
@@ -266,6 +283,9 @@
 	defer f.mu.Unlock()
 	c.Worker.inFlight--
 	c.markFirstByte()
+	if !ok {
+		f.setBackCold(c.Worker, now)
+	}
 	if ok {
 		p := f.pool(c.Worker.Upstream)
 		p.recordDuration(now.Sub(c.sentAt))
@@ -277,7 +297,11 @@
 func (f *Fleet) RecordFirstByte(c Choice, elapsed time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.pool(c.Worker.Upstream).firstByte.record(elapsed)
+	times := &f.pool(c.Worker.Upstream).firstByte
+	if times.isSlow(elapsed) {
+		f.setBackCold(c.Worker, c.sentAt.Add(elapsed))
+	}
+	times.record(elapsed)
 	c.markFirstByte()
 }
 
@@ -310,28 +334,6 @@
 	return changed
 }
 
-// anonymousPeriod is how long a worker counts as one that refuses without a request
-// ID: an overload usually lasts no longer.
-const anonymousPeriod = time.Minute
-
-// RecordAnonymousRefusal records that a worker refused a request without a request
-// ID, and reports whether this is the first time within anonymousPeriod.
-func (f *Fleet) RecordAnonymousRefusal(w *Worker, now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	first := now.Sub(w.anonymousAt) >= anonymousPeriod
-	w.anonymousAt = now
-	return first
-}
-
-// RefusesAnonymously reports whether a worker has refused a request without a
-// request ID within anonymousPeriod.
-func (f *Fleet) RefusesAnonymously(w *Worker, now time.Time) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return now.Sub(w.anonymousAt) < anonymousPeriod
-}
-
 // Worker returns the listed worker with an ID, nil if there is none.
 func (f *Fleet) Worker(id string) *Worker {
 	f.mu.Lock()
@@ -447,6 +449,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.setRouters(routers)
+	f.size.count(routers, now)
 	var reached []uint32
 	for _, l := range list {
 		w := f.byHash[l.WorkerHash]
@@ -457,23 +460,6 @@
 	return reached
 }
 
-// RecordRouters records the number of routers, this one included.
-func (f *Fleet) RecordRouters(n int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.setRouters(n)
-}
-
-func (f *Fleet) setRouters(n int) {
-	for _, p := range f.pools {
-		p.routers = n
-	}
-	if n > f.maxRoutersSeen {
-		f.maxRoutersSeen = n
-		f.updateBudgets()
-	}
-}
-
 // AllowRetry reports whether the retry budget of an upstream allows a retry
 // now, and counts it if so.
 func (f *Fleet) AllowRetry(upstream string, now time.Time) bool {
