Admission on routes: cut deeper at rejections, refuse only with full slots

Ruled out: a shorter time constant for rejections (refusals after the flood in more runs), less waiting at the workers (no fewer rejections), a faster correction (the same).

Change: the admitted rate falls by up to 0.3 instead of 0.2 below what workers accepted, the fractions are computed every 50 ms instead of 100 ms, and while workers reject almost nothing, nothing is refused unless as many requests are at the workers as there are slots.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -66,7 +66,7 @@
 	// overload, and how long the digest of another router counts.
 	pressurePeriod = 2 * time.Second
 	// planPeriod limits how often the fractions are computed.
-	planPeriod = 100 * time.Millisecond
+	planPeriod = 50 * time.Millisecond
 	// planTTL is the age at which a decision computes the fractions itself. With
 	// gossip they are computed when digests arrive.
 	planTTL = 500 * time.Millisecond
--- a/admission/roomplan.go
+++ b/admission/roomplan.go
@@ -27,8 +27,8 @@
 	// with few slots per worker the square root of the requests, as a part of this
 	// number, is within a tenth of the part of the slots that is in use.
 	fullSlots = 1.5
-	// freeSlots is the part of the slots below which nothing is refused: half, and half
-	// of that again for the error of the estimate.
+	// freeSlots is the part of the slots below which nothing is refused: the half below
+	// which a refusal is wrong, and half of that again for the error of the estimate.
 	freeSlots = 0.75
 	// freeProbe is that part while no rejections are known. With it the rate rises
 	// from the least probe to the whole demand within 6 s.
@@ -36,7 +36,7 @@
 	// minObserved is the decayed count of rejections that counts as none.
 	minObserved = 0.1
 	// maxCut bounds how far the admitted rate is below what workers accepted.
-	maxCut = 0.2
+	maxCut = 0.3
 	// recency is the time constant with which the weight of another router's digest
 	// falls. A shorter one leaves the counts of too few routers.
 	recency = 300 * time.Millisecond
@@ -165,10 +165,15 @@
 	u.setPlan(t, rate)
 }
 
-// hasFreePlaces reports whether slots are probably free. A refusal while less than half
-// of them are taken is wrong, and the estimate comes from a part of the routers.
+// hasFreePlaces reports whether slots are probably free. Workers without a queue reject
+// requests while some slots of others are free; without rejections nothing waits as
+// long as there are fewer requests than slots.
 func (u *room) hasFreePlaces(t *totals) bool {
-	return t.inFlight < freeSlots*float64(u.cfg.Slots)
+	part := 1.0
+	if t.rejected > lowShare*t.sent {
+		part = freeSlots
+	}
+	return t.inFlight < part*float64(u.cfg.Slots)
 }
 
 // sum adds up the counts of this router and the recent digests of the others.
