--- a/admission/gate.go
+++ b/admission/gate.go
@@ -13,7 +13,7 @@
 // each rank and caller, computed from counts that the routers share.
 //
 // While workers reject almost nothing the Gate only counts. It starts when at least
-// startShare of the attempts of the last half second were rejected, and ends
+// startShare of the recent attempts of all routers were rejected, and ends
 // pressurePeriod after the last rejection or refusal for lack of room.
 //
 // A Gate is safe for concurrent use.
--- a/admission/roomplan.go
+++ b/admission/roomplan.go
@@ -44,8 +44,8 @@
 	// serve in order of arrival.
 	queueShare = 0.25
 	// settleTime is the time over which the number of requests at the workers is
-	// brought to its goal. Counts are 1 to 1.5 s late; a shorter time would let the
-	// number oscillate.
+	// brought to its goal. Counts are 0.5 to 1 s late; a shorter time lets the number
+	// oscillate.
 	settleTime = 2 * time.Second
 	// maxCorrection bounds that correction, as a part of the capacity.
 	maxCorrection = 0.2
