--- a/admission/gate.go
+++ b/admission/gate.go
@@ -57,8 +57,9 @@
 const (
 	// flowPeriod is the time constant of the counts of requests that arrived, were sent
 	// and have finished. stressPeriod is that of rejections and of requests in flight:
-	// with a longer one the admitted rate is still lowered when the queues have emptied. demandPeriod is that of the demand of callers, of which each router
-	// sees a fraction of a request per second.
+	// with a longer one the admitted rate is still lowered when the queues have
+	// emptied. demandPeriod is that of the demand of callers, of which each router sees
+	// a fraction of a request per second.
 	flowPeriod   = 350 * time.Millisecond
 	stressPeriod = 250 * time.Millisecond
 	demandPeriod = 600 * time.Millisecond
