--- a/admission/gate.go
+++ b/admission/gate.go
@@ -13,7 +13,7 @@
 // each rank and caller, computed from counts that the routers share.
 //
 // While workers reject almost nothing the Gate only counts. It starts when at least
-// startShare of the attempts of the last half second were rejected, and ends
+// startShare of the recent attempts of all routers were rejected, and ends
 // pressurePeriod after the last rejection or refusal for lack of room.
 //
 // A Gate is safe for concurrent use.
@@ -57,8 +57,9 @@
 const (
 	// flowPeriod is the time constant of the counts of requests that arrived, were sent
 	// and have finished. stressPeriod is that of rejections and of requests in flight:
-	// with a longer one the admitted rate is still lowered when the queues have emptied. demandPeriod is that of the demand of callers, of which each router
-	// sees a fraction of a request per second.
+	// with a longer one the admitted rate is still lowered when the queues have
+	// emptied. demandPeriod is that of the demand of callers, of which each router sees
+	// a fraction of a request per second.
 	flowPeriod   = 350 * time.Millisecond
 	stressPeriod = 250 * time.Millisecond
 	demandPeriod = 600 * time.Millisecond
@@ -66,7 +67,7 @@
 	// overload, and how long the digest of another router counts.
 	pressurePeriod = 2 * time.Second
 	// planPeriod limits how often the fractions are computed.
-	planPeriod = 100 * time.Millisecond
+	planPeriod = 50 * time.Millisecond
 	// planTTL is the age at which a decision computes the fractions itself. With
 	// gossip they are computed when digests arrive.
 	planTTL = 500 * time.Millisecond
