--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -203,38 +203,56 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	began = t.evaluate(now, parts)
-	part, ok := t.find(now, parts)
-	if !ok {
+	part, isTrial, ok := t.find(now, parts)
+	if isTrial {
+		t.suspects[part].trialAt = now.Add(t.cfg.TrialPeriod)
+	}
+	if !ok || isTrial {
 		return Change{}, false, began
 	}
+	return t.quarantineOf(part), true, began
+}
+
+// Peek returns what Find would return of the quarantines that have begun, without
+// starting a quarantine or a trial.
+func (t *Tracker) Peek(now time.Time, parts []uint64) (quarantine Change, found bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	part, isTrial, ok := t.find(now, parts)
+	if !ok || isTrial {
+		return Change{}, false
+	}
+	return t.quarantineOf(part), true
+}
+
+func (t *Tracker) quarantineOf(part uint64) Change {
 	s := t.suspects[part]
-	return Change{Kind: Quarantined, Part: part, Crashes: len(s.crashes), Until: s.until}, true, began
+	return Change{Kind: Quarantined, Part: part, Crashes: len(s.crashes), Until: s.until}
 }
 
-// find returns the first quarantined part, unless a trial begins with it.
-func (t *Tracker) find(now time.Time, parts []uint64) (uint64, bool) {
+// find returns the first quarantined part, and whether a trial with it is due.
+func (t *Tracker) find(now time.Time, parts []uint64) (part uint64, isTrial, ok bool) {
 	var found []uint64
 	for _, part := range parts {
 		if s := t.suspects[part]; s != nil && now.Before(s.until) {
 			found = append(found, part)
 		}
 	}
-	if len(found) == 0 || len(found) == 1 && t.startTrial(now, found[0]) {
-		return 0, false
+	if len(found) == 0 {
+		return 0, false, false
 	}
-	return found[0], true
+	return found[0], len(found) == 1 && t.mayTry(now, found[0]), true
 }
 
-// startTrial reports whether a request may be sent although its part is quarantined:
-// all crashes under the part may be due to another quarantined part.
-func (t *Tracker) startTrial(now time.Time, part uint64) bool {
+// mayTry reports whether a request may be sent although its part is quarantined: all
+// crashes under the part may be due to another quarantined part.
+func (t *Tracker) mayTry(now time.Time, part uint64) bool {
 	s := t.suspects[part]
 	if now.Before(s.trialAt) {
 		return false
 	}
 	for other, o := range t.quarantined {
 		if other != part && now.Before(o.until) && o.covers(s) {
-			s.trialAt = now.Add(t.cfg.TrialPeriod)
 			return true
 		}
 	}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -41,8 +41,9 @@
 	ListVersion     int64         // version of the worker list
 	ListAge         time.Duration // time since the worker list was read
 
-	sentAt  time.Time
-	attempt *attempt
+	byPrompt bool // the prompt's parts will be cached on the worker
+	sentAt   time.Time
+	attempt  *attempt
 }
 
 // attempt is the state of a request on a worker. It is guarded by Fleet.mu.
@@ -92,11 +93,28 @@
 	if len(r.Tried) == 0 {
 		p.budget.Success(now) // this budget is a fraction of the requests, not of the successes
 	}
-	c, ok := f.pickWorker(p, r, now)
+	c, ok := f.decide(p, r, now)
 	if !ok {
 		return Choice{}, false
 	}
 	c.sentAt, c.attempt = now, &attempt{}
+	if c.byPrompt {
+		for _, part := range r.SharedParts {
+			f.placements.put(part.ID, c.Worker, now)
+		}
+	}
+	c.Worker.recordSent(now)
+	f.takePermit(c.Worker, now)
+	return c, true
+}
+
+// decide picks a worker and returns it with the values that decided it. Nothing is
+// counted; what it changes is saved by saveChoiceState.
+func (f *Fleet) decide(p *pool, r Request, now time.Time) (Choice, bool) {
+	c, ok := f.pickWorker(p, r, now)
+	if !ok {
+		return Choice{}, false
+	}
 	c.EstimatedLoad = int(p.estimatedLoad(c.Worker, now))
 	c.Unanswered = c.Worker.unanswered
 	c.MeanLoad = p.meanLoad(now)
@@ -109,8 +127,6 @@
 		c.RateLimit = c.Worker.rateLimit.perSecond
 	}
 	c.ListVersion, c.ListAge = f.listVersion, now.Sub(f.listReadAt)
-	c.Worker.recordSent(now)
-	f.takePermit(c.Worker, now)
 	return c, true
 }
 
@@ -200,8 +216,8 @@
 	best.FetchFrom = f.fetchSource(parts, best, now)
 	for _, part := range parts {
 		best.SharedTokens += part.Tokens
-		f.placements.put(part.ID, best.Worker, now)
 	}
+	best.byPrompt = true
 	return best
 }
 
@@ -276,13 +292,19 @@
 		if !hasPermit(w) {
 			continue
 		}
-		load := float64(w.currentLoad(now))
-		if w.FailureDomain != f.cfg.Domain {
-			load += otherDomainPenalty
-		}
+		load := f.comparedLoad(w, now)
 		if best == nil || load < least {
 			best, least = w, load
 		}
 	}
 	return Choice{Worker: best, Reason: ReasonLeastLoaded}
 }
+
+// comparedLoad returns the load by which the least loaded worker is found.
+func (f *Fleet) comparedLoad(w *Worker, now time.Time) float64 {
+	load := float64(w.currentLoad(now))
+	if w.FailureDomain != f.cfg.Domain {
+		load += otherDomainPenalty
+	}
+	return load
+}
--- a/routing/coldstart.go
+++ b/routing/coldstart.go
@@ -250,8 +250,15 @@
 func (f *Fleet) ColdCount(upstream string, now time.Time) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if p := f.pools[upstream]; p != nil {
+		return f.coldCount(p, now)
+	}
+	return 0
+}
+
+func (f *Fleet) coldCount(p *pool, now time.Time) int {
 	n := 0
-	if p := f.pools[upstream]; p != nil && len(f.coldWorkers) > 0 {
+	if len(f.coldWorkers) > 0 {
 		for _, w := range p.workers {
 			if !w.unreachable && f.isCold(w, now) {
 				n++
--- a/routing/evacuation.go
+++ b/routing/evacuation.go
@@ -103,9 +103,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.pools[upstream]
-	return p != nil && len(p.evacuated) > 0 && len(p.workers) == 0
+	return p != nil && p.isEvacuated()
 }
 
+func (p *pool) isEvacuated() bool { return len(p.evacuated) > 0 && len(p.workers) == 0 }
+
 // hasJustReturned reports whether the worker's domain was evacuated until less than
 // returnPeriod ago.
 func (w *Worker) hasJustReturned(now time.Time) bool {
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -69,7 +69,7 @@
 type pool struct {
 	workers      []*Worker // workers that accept new requests, sorted by ID
 	hashes       []uint64  // hashes of the workers' IDs, in the same order
-	leaving      []*Worker // listed workers that say that they leave
+	leaving      []*Worker // listed workers that say that they leave, sorted by ID
 	evacuated    []*Worker // listed workers of evacuated failure domains
 	returnEnds   time.Time // until then it may have workers that have just returned, see returnPeriod
 	ejector      *retry.Ejector
@@ -207,7 +207,9 @@
 		}
 	}
 	for _, p := range f.pools {
-		slices.SortFunc(p.workers, func(a, b *Worker) int { return strings.Compare(a.ID, b.ID) })
+		byID := func(a, b *Worker) int { return strings.Compare(a.ID, b.ID) }
+		slices.SortFunc(p.workers, byID)
+		slices.SortFunc(p.leaving, byID)
 		for _, w := range p.workers {
 			p.hashes = append(p.hashes, w.hash)
 		}
--- a/routing/ratelimit.go
+++ b/routing/ratelimit.go
@@ -264,10 +264,13 @@
 func (f *Fleet) NextPermit(upstream string, now time.Time) (wait time.Duration, limited int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := f.pools[upstream]
-	if p == nil {
-		return 0, 0
+	if p := f.pools[upstream]; p != nil {
+		return f.nextPermit(p, now)
 	}
+	return 0, 0
+}
+
+func (f *Fleet) nextPermit(p *pool, now time.Time) (wait time.Duration, limited int) {
 	for _, w := range p.workers {
 		pc, isLimited := f.pace(w, now)
 		if !isLimited || w.unreachable {
--- a/routing/statements.go
+++ b/routing/statements.go
@@ -150,10 +150,13 @@
 func (f *Fleet) NextOpening(upstream string, now time.Time) (wait time.Duration, paused int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := f.pools[upstream]
-	if p == nil {
-		return 0, 0
+	if p := f.pools[upstream]; p != nil {
+		return p.nextOpening(now)
 	}
+	return 0, 0
+}
+
+func (p *pool) nextOpening(now time.Time) (wait time.Duration, paused int) {
 	for _, w := range p.workers {
 		if w.unreachable {
 			continue
