auburnlead explain: where a request would go now, and why

Operators asked why a request goes to one worker and not to another. The log says so only for requests that have come, and not what kept the others away.

GET /explain on the gateway's metrics listener and the command explain show the route, the upstreams with their weights, rank, admission control, the answer if the request would be refused, the worker with its reason, the source of prompt parts, and the state of each candidate. The handler takes a caller's name and no key, repeats no value of a wrong parameter, logs nothing, and makes one explanation at a time.

A test compares explanations with the requests that follow for eleven states of an upstream. It found that the Retry-After of a refusal depends on the first permit, which is drawn at random; such answers are marked as by chance.

--- a/admission/explain_test.go
+++ b/admission/explain_test.go
@@ -26,14 +26,16 @@
 			other := r
 			other.Caller++
 			explained.Explain(now.Add(time.Second), other)
-			d, d2 := explained.Decide(now, r), plain.Decide(now, r)
-			So(d, ShouldResemble, d2)
+			d, without := explained.Decide(now, r), plain.Decide(now, r)
+			if d != without {
+				t.Fatalf("request %d: %+v, without explanations %+v", i, d, without)
+			}
 			d.Changed = false
-			So(e.Decision, ShouldResemble, d)
-			So(e.Known, ShouldBeTrue)
+			if e.Decision != d || !e.Known || d.Refused && !e.On {
+				t.Fatalf("request %d: %+v, explained as %+v", i, d, e)
+			}
 			if d.Refused {
 				refused++
-				So(e.On, ShouldBeTrue)
 				continue
 			}
 			inFlight++
--- a/internal/cli/admin.go
+++ b/internal/cli/admin.go
@@ -43,7 +43,10 @@
 	Status statusCmd `cmd:"" help:"Show readiness and the revision in force on every router."`
 	Drain  drainCmd  `cmd:"" help:"Stop sending new requests to a worker, or resume."`
 	Audit  auditCmd  `cmd:"" help:"List the published revisions with authors and changes."`
-	Check  checkCmd  `cmd:"" help:"Check an object set or a router's settings locally; nothing is sent."`
+
+	Explain explainCmd `cmd:"" help:"Show where a gateway would send a request now, and why; nothing is sent."`
+
+	Check checkCmd `cmd:"" help:"Check an object set or a router's settings locally; nothing is sent."`
 }
 
 // problemError is an error response of the admin API.
@@ -57,14 +60,20 @@
 	return strings.Join(lines, "\n")
 }
 
-// unreachableError reports that the admin API did not respond.
+// endpoint is an HTTP interface of a router, as error messages name it.
+type endpoint struct{ flag, name string }
+
+var adminEndpoint = endpoint{"--admin", "a router's admin API"}
+
+// unreachableError reports that an endpoint did not respond.
 type unreachableError struct {
+	endpoint
 	url string
 	err error
 }
 
 func (e *unreachableError) Error() string {
-	return fmt.Sprintf("no answer from %s: %v; check --admin and that the router is running", e.url, e.err)
+	return fmt.Sprintf("no answer from %s: %v; check %s and that the router is running", e.url, e.err, e.flag)
 }
 
 func (e *unreachableError) Unwrap() error { return e.err }
@@ -93,12 +102,12 @@
 		return &ExitError{ExitUsage, err}
 	}
 	httpRequest.Header.Set("Authorization", "Bearer "+f.AdminKey)
-	return doRequest(httpRequest, response)
+	return doRequest(httpRequest, adminEndpoint, response)
 }
 
-func doRequest(r *http.Request, result any) error {
+func doRequest(r *http.Request, to endpoint, result any) error {
 	unreachable := func(err error) error {
-		return &ExitError{ExitUnreachable, &unreachableError{r.URL.Host, err}}
+		return &ExitError{ExitUnreachable, &unreachableError{to, r.URL.Host, err}}
 	}
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
@@ -110,19 +119,19 @@
 		return unreachable(err)
 	}
 	if response.StatusCode != http.StatusOK {
-		return responseError(response, body)
+		return responseError(response, to, body)
 	}
 	if err := json.Unmarshal(body, result); err != nil {
-		return unreachable(fmt.Errorf("the response is not from an admin API: %w", err))
+		return unreachable(fmt.Errorf("the response is not from %s: %w", to.name, err))
 	}
 	return nil
 }
 
 // responseError returns the error of a response with its exit code.
-func responseError(response *http.Response, body []byte) error {
+func responseError(response *http.Response, to endpoint, body []byte) error {
 	e := &problemError{}
 	if json.Unmarshal(body, &e.body) != nil || e.body.Title == "" {
-		e.body.Title, e.body.Detail, e.body.Remedy = response.Status, strings.TrimSpace(string(body)), "check that --admin is the URL of a router's admin API"
+		e.body.Title, e.body.Detail, e.body.Remedy = response.Status, strings.TrimSpace(string(body)), fmt.Sprintf("check that %s is the URL of %s", to.flag, to.name)
 		if response.StatusCode >= http.StatusInternalServerError {
 			e.body.Outcome = core.OutcomeUnknown // an intermediary may have sent the response
 		}
--- a/plugins/gateway/choose.go
+++ b/plugins/gateway/choose.go
@@ -29,7 +29,7 @@
 	x.tried = append(x.tried, c.Worker)
 	g.room.recordSent(x)
 	g.decisions.count("choices", "reason", c.Reason)
-	g.decisions.logRequest("worker chosen", "request", x.header.ID, "upstream", x.upstream, "worker", c.Worker.ID, "reason", c.Reason, "key", strconv.FormatUint(c.PlacementKey, 16), "shared_tokens", c.SharedTokens, "rank", c.PreferenceIndex, "busy", c.EstimatedLoad, "waiting", c.Unanswered, "limit", c.LoadLimit, "spread", c.SpreadSize, "key_rate", math.Round(c.KeyRate*10)/10, "mean", math.Round(c.MeanLoad*10)/10, "fetch_from", c.FetchFrom, "load_age_ms", loadAgeMs(c), "work_percent", c.WorkPercent, "rate_limit", c.RateLimit, "list", c.ListVersion, "list_age_ms", c.ListAge.Milliseconds(), "attempt", len(x.tried))
+	g.decisions.logRequest("worker chosen", "request", x.header.ID, "upstream", x.upstream, "worker", c.Worker.ID, "reason", c.Reason, "key", strconv.FormatUint(c.PlacementKey, 16), "shared_tokens", c.SharedTokens, "rank", c.PreferenceIndex, "busy", c.EstimatedLoad, "waiting", c.Unanswered, "limit", c.LoadLimit, "spread", c.SpreadSize, "key_rate", round10(c.KeyRate), "mean", round10(c.MeanLoad), "fetch_from", c.FetchFrom, "load_age_ms", loadAgeMs(c.LoadAge), "work_percent", c.WorkPercent, "rate_limit", c.RateLimit, "list", c.ListVersion, "list_age_ms", c.ListAge.Milliseconds(), "attempt", len(x.tried))
 	return c, true
 }
 
@@ -55,15 +55,18 @@
 	return r
 }
 
-// loadAgeMs returns the age of the worker's load report in milliseconds, -1 if
-// there is no report.
-func loadAgeMs(c routing.Choice) int64 {
-	if c.LoadAge < 0 {
+// loadAgeMs returns the age of a worker's load report in milliseconds, -1 if it is
+// negative because there is no report.
+func loadAgeMs(age time.Duration) int64 {
+	if age < 0 {
 		return -1
 	}
-	return c.LoadAge.Milliseconds()
+	return age.Milliseconds()
 }
 
+// round10 rounds to tenths.
+func round10(v float64) float64 { return math.Round(v*10) / 10 }
+
 // recordLoad records the load that a worker reported and shares it with other
 // routers, at once if they would send to the worker without knowing it.
 func (g *Gateway) recordLoad(w *routing.Worker, l core.WorkerLoad) {
--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -211,14 +211,19 @@
 			return false
 		}
 	}
+	x.setDeadline()
+	x.upstream = pickUpstream(x.route, rand.Float64())
+	x.waitFor(g.workersListed)
+	return g.readBody(x)
+}
+
+// setDeadline sets the timeout and the deadline from those of the route and the caller.
+func (x *exchange) setDeadline() {
 	x.timeout = x.route.Timeout
 	if x.header.Timeout > 0 && x.header.Timeout < x.timeout {
 		x.timeout = x.header.Timeout
 	}
 	x.deadline = x.start.Add(x.timeout)
-	x.upstream = pickUpstream(x.route, rand.Float64())
-	x.waitFor(g.workersListed)
-	return g.readBody(x)
 }
 
 func (g *Gateway) readBody(x *exchange) bool {
--- a/plugins/gateway/harness_test.go
+++ b/plugins/gateway/harness_test.go
@@ -65,18 +65,6 @@
 	return r, err
 }
 
-func (testCodec) ParsePrompt(text string) ([]routing.PromptPart, error) {
-	var prompt []routing.PromptPart
-	for part := range strings.FieldsSeq(text) {
-		id, err := strconv.ParseUint(part, 10, 64)
-		if err != nil {
-			return prompt, err
-		}
-		prompt = append(prompt, routing.PromptPart{ID: id, Tokens: 100})
-	}
-	return prompt, nil
-}
-
 func (testCodec) EncodeAttempt(h http.Header, a core.AttemptHeader) {
 	h.Del(testKey)
 	h.Set(testWorker, a.Worker)
--- a/plugins/gateway/routes.go
+++ b/plugins/gateway/routes.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/objects"
@@ -19,17 +20,18 @@
 
 // routeTable is the index of one revision; it is immutable.
 type routeTable struct {
-	revision uint64
-	set      *objects.Set
-	byHost   map[string]map[string]*objects.Route // by host, then by path prefix
-	callers  map[[sha256.Size]byte]*objects.Caller
+	revision  uint64
+	appliedAt time.Time
+	set       *objects.Set
+	byHost    map[string]map[string]*objects.Route // by host, then by path prefix
+	callers   map[[sha256.Size]byte]*objects.Caller
 }
 
 type routeChanges struct{ added, removed int }
 
 // apply activates a revision and counts the routes that were added and removed.
 func (i *routeIndex) apply(revision *core.ConfigRevision) routeChanges {
-	t := &routeTable{revision: revision.Revision, set: revision.Set, byHost: map[string]map[string]*objects.Route{}, callers: map[[sha256.Size]byte]*objects.Caller{}}
+	t := &routeTable{revision: revision.Revision, appliedAt: revision.AppliedAt, set: revision.Set, byHost: map[string]map[string]*objects.Route{}, callers: map[[sha256.Size]byte]*objects.Caller{}}
 	for _, r := range revision.Set.Routes {
 		host := strings.ToLower(r.Host)
 		if t.byHost[host] == nil {
--- a/plugins/gateway/server.go
+++ b/plugins/gateway/server.go
@@ -13,6 +13,7 @@
 	"github.com/gorilla/mux"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/auburnlead/auburnlead/internal/explainapi"
 	"github.com/auburnlead/auburnlead/internal/framing"
 	"github.com/auburnlead/auburnlead/internal/metrics"
 )
@@ -68,11 +69,11 @@
 }
 
 func (s *server) start(ctx context.Context) error {
-	if err := s.listen(ctx, "readiness", s.g.settings.Readiness, s.newAuxServer(s.g.settings.ReadinessPath, s.readyz).Serve); err != nil {
+	if err := s.listen(ctx, "readiness", s.g.settings.Readiness, s.newAuxServer(map[string]http.Handler{s.g.settings.ReadinessPath: http.HandlerFunc(s.readyz)}).Serve); err != nil {
 		return err
 	}
 	if s.g.settings.Metrics != "" {
-		if err := s.listen(ctx, "metrics", s.g.settings.Metrics, s.newAuxServer("/metrics", s.metrics).Serve); err != nil {
+		if err := s.listen(ctx, "metrics", s.g.settings.Metrics, s.newMetricsServer().Serve); err != nil {
 			return err
 		}
 	}
@@ -111,10 +112,17 @@
 	return err
 }
 
-// newAuxServer returns a server with one handler that stop closes last.
-func (s *server) newAuxServer(path string, handler http.HandlerFunc) *http.Server {
+// newMetricsServer returns the server of the metrics listener, which operators use.
+func (s *server) newMetricsServer() *http.Server {
+	return s.newAuxServer(map[string]http.Handler{"/metrics": http.HandlerFunc(s.metrics), explainapi.Path: &explainer{g: s.g}})
+}
+
+// newAuxServer returns a server with handlers by path that stop closes last.
+func (s *server) newAuxServer(handlers map[string]http.Handler) *http.Server {
 	r := mux.NewRouter()
-	r.HandleFunc(path, handler).Methods(http.MethodGet)
+	for path, handler := range handlers {
+		r.Handle(path, handler).Methods(http.MethodGet)
+	}
 	h := &http.Server{Handler: r, ReadHeaderTimeout: s.g.settings.HeaderTimeout, IdleTimeout: s.g.settings.IdleTimeout}
 	s.auxServers = append(s.auxServers, h)
 	return h
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -11,7 +11,8 @@
 // ratelimit.go how many requests they take, coldworkers.go which of them have just
 // started, pauses.go which of them other routers have to spare, evacuation.go in which
 // failure domains they may get none, room.go which upstreams are full. callerconns.go
-// tells a stop which connections are in use.
+// tells a stop which connections are in use. explain.go tells operators what would be
+// decided.
 package gateway
 
 import (
@@ -42,7 +43,7 @@
 	Readiness string `ini:"readiness" required:"true" check:"hostport"`
 	// ReadinessPath is the path of the readiness check. Default /readyz.
 	ReadinessPath string `ini:"readiness_path" default:"/readyz"`
-	// Metrics is the address that serves /metrics. Default none.
+	// Metrics is the address that serves /metrics and /explain. Default none.
 	Metrics string `ini:"metrics" check:"hostport"`
 	// HeaderBytes limits the header of a request. Default 65536 bytes.
 	HeaderBytes int `ini:"header_bytes" default:"65536" min:"4096" max:"1048576"`
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -169,6 +169,12 @@
 			q.RecordCrash(at(float64(i)), uint32(i), []uint64{deadly, sound})
 		}
 		So(q.isQuarantined(at(2.5), deadly, sound), ShouldBeTrue)
+		for range 2 { // Peek starts no trial
+			_, found := q.Peek(at(2+4), []uint64{sound})
+			So(found, ShouldBeFalse)
+		}
+		_, found := q.Peek(at(2+4), []uint64{deadly, sound})
+		So(found, ShouldBeTrue)
 		So(q.isQuarantined(at(2+4), sound), ShouldBeFalse) // a trial
 		So(q.isQuarantined(at(2+4), sound), ShouldBeTrue)
 		So(q.isQuarantined(at(2+4), deadly, sound), ShouldBeTrue)
--- a/routing/explain.go
+++ b/routing/explain.go
@@ -15,7 +15,7 @@
 	Known    bool // the upstream has or had a worker
 	Chosen   bool // a worker would be chosen; otherwise Choice is the zero value
 	Choice   Choice
-	ByChance bool // a random number takes part; the next request may go elsewhere
+	ByChance bool // a random number takes part in the choice, or without one in NextPermit
 
 	NoChoice // state of the upstream that says why there is no worker
 	// Candidates are the upstream's listed workers: those that accept requests in the
@@ -126,6 +126,9 @@
 	e.Choice, e.Chosen = f.decide(p, r, now)
 	byChance := e.ByChance
 	e.NextPermit, e.LimitedWorkers = f.nextPermit(p, now)
+	if !e.Chosen {
+		byChance = e.ByChance // of the next permit
+	}
 	e.ColdWorkers = f.coldCount(p, now)
 	e.NextOpening, e.PausedWorkers = p.nextOpening(now)
 	e.AllEvacuated = p.isEvacuated()
