--- a/routing/explain.go
+++ b/routing/explain.go
@@ -178,7 +178,3 @@
 	}
 	return 0
 }
-
-// InPool reports whether the worker takes part in choices: it is neither leaving,
-// draining nor evacuated.
-func (c Candidate) InPool() bool { return c.group() == 0 }
