Learn which workers are slow and send them fewer requests

Cause: a worker that takes three to four times as long for many seconds kept its prompts and its turns as the least loaded worker, since the choice went by counts of requests. Each router sees a request of each worker every few seconds, too few to learn a speed by itself.

Change: each router compares the pace of streams, and the times of whole responses and of short streams, with the usual times of the upstream for that work and load. Samples of workers that differ are shared by gossip (extension 6). A worker whose low quantile of two seconds is 2.2 times that of the median worker keeps a part of its prompts, the same ones at all routers, and the least loaded worker is the one with the least load times slowness. The load bound is unchanged. Setting learn_speed, default true.

--- a/gossip/extension.go
+++ b/gossip/extension.go
@@ -17,6 +17,7 @@
 	ExtensionCrashes    byte = 1 // package quarantine
 	ExtensionRateLimits byte = 2 // limits that workers name
 	ExtensionPauses     byte = 3 // pauses that workers ask for
+	ExtensionSpeeds     byte = 6 // samples of the speed of workers
 )
 
 // ExtensionLimit returns the largest payload of an extension, in bytes.
--- a/internal/bench/routerun.go
+++ b/internal/bench/routerun.go
@@ -23,6 +23,7 @@
 	partLastUsed  map[uint64]time.Duration
 	partTokens    map[uint64]int
 	cachedTokens  int
+	cacheLimit    int            // tokens that the cache holds
 	loadReports   []routing.Load // in order of time
 }
 
@@ -44,7 +45,7 @@
 		}
 		w.partLastUsed[p.ID] = now
 	}
-	for w.cachedTokens > routeCacheTokens {
+	for w.cachedTokens > w.cacheLimit {
 		oldest := uint64(0)
 		for id, used := range w.partLastUsed {
 			if oldest == 0 || used < w.partLastUsed[oldest] || used == w.partLastUsed[oldest] && id < oldest {
@@ -84,6 +85,7 @@
 	scenario       routeScenario
 	strategy       routeStrategy
 	rnd            *rand.Rand
+	speedRnd       *rand.Rand // of the messages about speeds, so that they change nothing else
 	events         routeEventQueue
 	seq            int
 	workers        []*routeWorker
@@ -107,7 +109,7 @@
 
 // simulateRoutes runs a scenario.
 func simulateRoutes(size routeSize, scenario routeScenario, strategy routeStrategy, seed uint64) *routeResult {
-	r := &routeSim{size: size, scenario: scenario, strategy: strategy, rnd: rand.New(rand.NewPCG(seed, 7)), byID: map[string]*routeWorker{}, byAddr: map[string]*routeWorker{}, partLastUsed: map[uint64]time.Duration{}}
+	r := &routeSim{size: size, scenario: scenario, strategy: strategy, rnd: rand.New(rand.NewPCG(seed, 7)), speedRnd: rand.New(rand.NewPCG(seed, 8)), byID: map[string]*routeWorker{}, byAddr: map[string]*routeWorker{}, partLastUsed: map[uint64]time.Duration{}}
 	steps := int(scenario.length/(100*time.Millisecond)) + 1
 	r.result.sent, r.result.overBound = make([]int, steps), make([]int, steps)
 	for range size.workers {
@@ -133,25 +135,18 @@
 
 func (r *routeSim) newWorker() *routeWorker {
 	r.workersCreated++
-	w := &routeWorker{slowFactor: 1, burstFactor: 1, partLastUsed: map[uint64]time.Duration{}, partTokens: map[uint64]int{}}
-	w.WorkerInfo = routing.WorkerInfo{ID: fmt.Sprintf("w%d", r.workersCreated), Upstream: "u", Address: fmt.Sprintf("a%d", r.workersCreated), FailureDomain: "d", Slots: routeSlots}
+	w := &routeWorker{slowFactor: 1, burstFactor: 1, cacheLimit: r.size.model.cacheTokens, partLastUsed: map[uint64]time.Duration{}, partTokens: map[uint64]int{}}
+	w.WorkerInfo = routing.WorkerInfo{ID: fmt.Sprintf("w%d", r.workersCreated), Upstream: "u", Address: fmt.Sprintf("a%d", r.workersCreated), FailureDomain: "d", Slots: r.size.model.slots}
 	r.byID[w.ID], r.byAddr[w.Address] = w, w
 	return w
 }
 
-// routeKinds are the kinds of requests: reports on long prompts, questions, and
-// short classification requests.
-var routeKinds = []struct {
-	share                float64 // fraction of the requests
-	shared, outputTokens int     // tokens of the prompt's shared parts, and of the output
-}{{0.23, 10_000, 400}, {0.41, 700, 300}, {0.36, 2_000, 20}}
-
 // makePrompts creates prompts from a root part that many prompts share and a
 // second part of their own. The part that belongs to a single request is added
 // later.
 func (r *routeSim) makePrompts() {
-	for i := range routePrompts {
-		kind := routeKinds[i%len(routeKinds)]
+	for i := range r.size.model.prompts {
+		kind := r.size.model.kinds[i%len(r.size.model.kinds)]
 		root := uint64(1 + i%routeRoots)
 		r.prompts = append(r.prompts, []routing.PromptPart{{ID: root, Tokens: kind.shared / 5}, {ID: uint64(1000 + i), Tokens: kind.shared * 4 / 5}})
 	}
@@ -160,21 +155,21 @@
 // pickPrompt picks a kind by its fraction and then a prompt of the kind.
 // Squaring the random number favours low indexes: a tenth of the prompts of a
 // kind gets a third of its requests.
-func (r *routeSim) pickPrompt() (prompt []routing.PromptPart, outputTokens int) {
-	kind, u := 0, r.rnd.Float64()
-	for kind < len(routeKinds)-1 && u > routeKinds[kind].share {
-		u -= routeKinds[kind].share
+func (r *routeSim) pickPrompt() (prompt []routing.PromptPart, kind int) {
+	kinds, u := r.size.model.kinds, r.rnd.Float64()
+	for kind < len(kinds)-1 && u > kinds[kind].share {
+		u -= kinds[kind].share
 		kind++
 	}
-	each := routePrompts / len(routeKinds)
+	each := r.size.model.prompts / len(kinds)
 	v := r.rnd.Float64()
-	return r.prompts[int(v*v*float64(each))*len(routeKinds)+kind], routeKinds[kind].outputTokens
+	return r.prompts[int(v*v*float64(each))*len(kinds)+kind], kind
 }
 
 func (r *routeSim) startRouters(now time.Duration) {
 	r.fleets = nil
 	for range r.size.routers {
-		f := routing.New(routing.Config{Domain: "d", LoadBound: r.strategy.loadBound, RetryRatio: 0.2, RetrySlack: 54, MinRouters: r.size.routers, Random: r.rnd.IntN})
+		f := routing.New(routing.Config{Domain: "d", LoadBound: r.strategy.loadBound, RetryRatio: 0.2, RetrySlack: 54, MinRouters: r.size.routers, LearnSpeed: r.strategy.learnsSpeed, Random: r.rnd.IntN})
 		r.fleets = append(r.fleets, f)
 	}
 	r.publishWorkers(now)
@@ -210,11 +205,13 @@
 			var share func(now time.Duration)
 			share = func(now time.Duration) {
 				r.shareLoads(i, now)
+				r.shareSpeeds(i, now)
 				r.schedule(now+loadShareInterval, share)
 			}
 			r.schedule(time.Duration(r.rnd.Int64N(int64(loadShareInterval))), share)
 		}
 	}
+	r.planThirdSlow()
 	if scenario.bursts {
 		for _, w := range r.workers {
 			r.scheduleBursts(w)
@@ -299,20 +296,24 @@
 // newRequest starts one request. During a surge a part of them use the hot
 // prompts.
 func (r *routeSim) newRequest(now time.Duration, surging bool) {
-	prompt, meanOutput := r.pickPrompt()
+	kinds := r.size.model.kinds
+	prompt, kind := r.pickPrompt()
 	if surging && r.rnd.Float64() < r.scenario.hotShare {
 		i := 1 + r.rnd.IntN(max(r.scenario.hotPrompts, 1))
-		prompt, meanOutput = r.prompts[i], routeKinds[i%len(routeKinds)].outputTokens
+		prompt, kind = r.prompts[i], i%len(kinds)
 	}
-	own := routing.PromptPart{ID: uint64(1_000_000 + r.seq), Tokens: 200}
-	outputTokens := 1 + int(float64(meanOutput)*(0.5+r.rnd.Float64()))
+	own := routing.PromptPart{ID: uint64(1_000_000 + r.seq), Tokens: kinds[kind].own}
+	outputTokens := 1 + int(float64(kinds[kind].outputTokens)*(0.5+r.rnd.Float64()))
 	router := r.rnd.IntN(r.size.routers)
-	r.attempt(now, now, router, append(slices.Clone(prompt), own), outputTokens, nil)
+	r.attempt(now, now, router, append(slices.Clone(prompt), own), kind, outputTokens, nil)
 }
 
-func (r *routeSim) attempt(now, arrivedAt time.Duration, router int, prompt []routing.PromptPart, outputTokens int, tried []*routing.Worker) {
+func (r *routeSim) attempt(now, arrivedAt time.Duration, router int, prompt []routing.PromptPart, kind, outputTokens int, tried []*routing.Worker) {
 	f := r.fleets[router]
-	q := routing.Request{Upstream: "u", Tried: tried}
+	q := routing.Request{Upstream: "u", Tried: tried, ExpectedOutput: outputTokens, Target: largestTarget}
+	for _, p := range prompt {
+		q.PromptTokens += p.Tokens
+	}
 	if r.strategy.byPrompt {
 		q.SharedParts = routing.SharedParts(prompt)
 	}
@@ -329,11 +330,12 @@
 		r.schedule(now+unreachableTimeout, func(now time.Duration) {
 			f.RecordEnd(c, false, routeEpoch.Add(now))
 			f.SetUnreachable(c.Worker, true)
-			r.attempt(now, arrivedAt, router, prompt, outputTokens, append(tried, c.Worker))
+			r.attempt(now, arrivedAt, router, prompt, kind, outputTokens, append(tried, c.Worker))
 		})
 		return
 	}
 	r.recordRequest(w, now)
+	r.recordSlow(w, now)
 	if r.strategy.fetchesParts && fetchFrom != nil && fetchFrom != w && !fetchFrom.unresponsive {
 		fetched := fetchFrom.cachedPrefix(prompt)
 		for _, p := range fetched[min(len(w.cachedPrefix(prompt)), len(fetched)):] {
@@ -341,8 +343,8 @@
 		}
 		w.storeParts(fetched, now)
 	}
-	start := func(now time.Duration) { r.runRequest(w, now, arrivedAt, f, c, prompt, outputTokens) }
-	if w.running >= routeSlots {
+	start := func(now time.Duration) { r.runRequest(w, now, arrivedAt, f, c, prompt, kind, outputTokens) }
+	if w.running >= r.size.model.slots {
 		w.queue = append(w.queue, start)
 		return
 	}
@@ -403,7 +405,7 @@
 
 // runRequest prefills the parts of the prompt that are not cached and generates
 // the output.
-func (r *routeSim) runRequest(w *routeWorker, now, arrivedAt time.Duration, f *routing.Fleet, c routing.Choice, prompt []routing.PromptPart, outputTokens int) {
+func (r *routeSim) runRequest(w *routeWorker, now, arrivedAt time.Duration, f *routing.Fleet, c routing.Choice, prompt []routing.PromptPart, kind, outputTokens int) {
 	cached := len(w.cachedPrefix(prompt))
 	prefill := 0
 	for i, p := range prompt {
@@ -419,17 +421,19 @@
 		}
 		r.partLastUsed[p.ID] = now
 	}
-	w.prefillFreeAt = max(w.prefillFreeAt, now) + time.Duration(w.factor()*float64(prefill)/routePrefill*float64(time.Second))
+	w.prefillFreeAt = max(w.prefillFreeAt, now) + time.Duration(w.factor()*float64(prefill)/r.size.model.prefill*float64(time.Second))
 	r.schedule(w.prefillFreeAt, func(now time.Duration) {
 		w.storeParts(prompt, now)
 		r.result.firstTokens = append(r.result.firstTokens, now-arrivedAt)
 		f.RecordFirstByte(c, now-arrivedAt)
+		r.recordLargest(kind, arrivedAt, now)
 		report := routing.Load{WorkerHash: gossip.WorkerHash(w.ID), InFlight: w.load(), At: routeEpoch.Add(now)}
 		w.loadReports = append(w.loadReports, report)
 		if f.RecordLoad(c.Worker, w.load(), w.workPercent(), routeEpoch.Add(now)).ReachedLimit && r.strategy.sharesLoads {
 			r.pushLoad(report, now)
 		}
-		step := time.Duration(w.factor() * float64(routeStep+time.Duration(w.running)*routeStepEach))
+		step := time.Duration(w.factor() * float64(r.size.model.step+time.Duration(w.running)*r.size.model.stepEach))
+		r.planPace(w, f, c, now, step, outputTokens)
 		r.schedule(now+time.Duration(outputTokens)*step, func(now time.Duration) {
 			f.RecordEnd(c, !w.unresponsive, routeEpoch.Add(now))
 			w.running--
--- a/internal/bench/routes.go
+++ b/internal/bench/routes.go
@@ -16,11 +16,35 @@
 	name             string
 	routers, workers int
 	perSecond        float64 // requests per second
+	model            routeModel
+}
+
+// routeModel describes the workers and the requests of a deployment.
+type routeModel struct {
+	slots, cacheTokens int
+	prefill            float64       // prompt tokens that a worker prefills per second
+	step, stepEach     time.Duration // time per token, and what is added for each running request
+	kinds              []routeKind
+	prompts            int // number of different shared prompts
+}
+
+// routeKind is a kind of requests.
+type routeKind struct {
+	share        float64 // fraction of the requests
+	shared, own  int     // tokens of the prompt's shared parts, and of the part of the request alone
+	outputTokens int
+}
+
+// usualModel is the model of the sizes of routeSizes: reports on long prompts, questions,
+// and short classification requests.
+var usualModel = routeModel{
+	slots: routeSlots, cacheTokens: routeCacheTokens, prefill: routePrefill, step: routeStep, stepEach: routeStepEach, prompts: routePrompts,
+	kinds: []routeKind{{0.23, 10_000, 200, 400}, {0.41, 700, 200, 300}, {0.36, 2_000, 200, 20}},
 }
 
 // routeSizes returns the sizes of the two sites and a larger one.
 func routeSizes() []routeSize {
-	return []routeSize{{"kup-seva", 9, 9, 60}, {"board", 7, 9, 46}, {"grown", 86, 60, 420}, {"large", 95, 58, 320}}
+	return []routeSize{{"kup-seva", 9, 9, 60, usualModel}, {"board", 7, 9, 46, usualModel}, {"grown", 86, 60, 420, usualModel}, {"large", 95, 58, 320, usualModel}}
 }
 
 // Parameters of the workers and of the load.
@@ -56,11 +80,12 @@
 	surgeFactor float64
 	hotShare    float64
 	hotPrompts  int
-	release     time.Duration // 40% of the workers are replaced, spread over 4 s
-	crash       time.Duration // a fifth of the workers stops responding
-	restart     time.Duration // all routers lose their state
-	bursts      bool          // each worker turns slow and usual by turns, since others use its machine
-	slow        bool          // a fifth of the workers takes four times as long
+	release     time.Duration    // 40% of the workers are replaced, spread over 4 s
+	crash       time.Duration    // a fifth of the workers stops responding
+	restart     time.Duration    // all routers lose their state
+	bursts      bool             // each worker turns slow and usual by turns, since others use its machine
+	slow        bool             // a fifth of the workers takes four times as long
+	thirdSlow   [2]time.Duration // start and end of a time in which a third of the workers takes three times as long
 }
 
 // routeStrategy is a strategy for choosing workers.
@@ -71,15 +96,16 @@
 	loadBound    float64 // multiple of the mean load; math.MaxFloat32 for none
 	fetchesParts bool    // workers fetch cached parts from each other
 	isOracle     bool    // knows the cache and the load of each worker
+	learnsSpeed  bool    // routers learn which workers are slow
 }
 
 func routeStrategies() []routeStrategy {
 	return []routeStrategy{
-		{"auburnlead", true, true, routeLoadBound, true, false},
-		{"oracle", true, true, routeLoadBound, true, true},
-		{"least busy", false, true, routeLoadBound, false, false},
-		{"hash without bound", true, true, math.MaxFloat32, false, false},
-		{"own loads only", true, false, routeLoadBound, true, false},
+		{"auburnlead", true, true, routeLoadBound, true, false, true},
+		{"oracle", true, true, routeLoadBound, true, true, false},
+		{"least busy", false, true, routeLoadBound, false, false, false},
+		{"hash without bound", true, true, math.MaxFloat32, false, false, false},
+		{"own loads only", true, false, routeLoadBound, true, false, false},
 	}
 }
 
@@ -89,6 +115,8 @@
 	movedTokens                  int   // shared tokens that workers fetched from each other
 	sent, overBound              []int // by 100 ms: requests sent, and requests sent to workers above the load bound
 	firstTokens                  []time.Duration
+	largest, largestOnTime       int // requests of the first kind from the start of scenario.thirdSlow to its end, and those whose first token came within largestTarget
+	sentInSlowTime, slowSent     int // requests of all kinds in that time, and those sent to slow workers
 	refused                      int // requests for which no worker was available
 }
 
--- a/internal/bench/rows.go
+++ b/internal/bench/rows.go
@@ -37,6 +37,9 @@
 			bencher{report: r, seed: o.Seed, short: o.Short}.routes(size)
 		}
 	}
+	for _, size := range slowThirdSizes() {
+		bencher{report: r, seed: o.Seed, short: o.Short}.slowThird(size)
+	}
 	reportDecisions(r)
 	return r
 }
--- a/internal/core/route.go
+++ b/internal/core/route.go
@@ -20,11 +20,21 @@
 	Prompt          []routing.PromptPart
 	PromptTokens    int // 0 if not set
 	MaxOutputTokens int // limit of generated tokens, 0 if not set
+	LengthHint      int // the caller's estimate of the generated tokens, 0 if not set
 	// Unread lists the values that are treated as not set because they are
 	// malformed.
 	Unread []unreadable.Input
 }
 
+// ExpectedOutput returns the caller's estimate of the generated tokens, at most their
+// limit; the limit if there is no estimate; 0 if neither is set.
+func (h *RequestHeader) ExpectedOutput() int {
+	if h.LengthHint == 0 || h.MaxOutputTokens > 0 && h.MaxOutputTokens < h.LengthHint {
+		return h.MaxOutputTokens
+	}
+	return h.LengthHint
+}
+
 // AttemptHeader holds the values that a router adds to the header of a request
 // that it sends to a worker.
 type AttemptHeader struct {
--- a/internal/unreadable/unreadable.go
+++ b/internal/unreadable/unreadable.go
@@ -26,6 +26,7 @@
 	Pause         Kind = "pause"          // header of a worker's response
 	PromptParts   Kind = "prompt parts"   // header of a caller's request
 	TokenCounts   Kind = "token counts"   // header of a caller's request
+	LengthHint    Kind = "length hint"    // header of a caller's request
 	Registration  Kind = "registration"   // row that a worker writes
 	DesiredState  Kind = "desired state"  // row that the operator writes
 	StoreRow      Kind = "store row"      // row in a reply of the store
--- a/plugins/gateway/buffered.go
+++ b/plugins/gateway/buffered.go
@@ -96,7 +96,7 @@
 		return nil, f
 	}
 	resp.stallTimer.stop()
-	g.fleet.RecordFirstByte(c, took)
+	g.speeds.recordFirstByte(c, took)
 	return buffered, nil
 }
 
--- a/plugins/gateway/choose.go
+++ b/plugins/gateway/choose.go
@@ -7,6 +7,7 @@
 
 	"github.com/auburnlead/auburnlead/gossip"
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/objects"
 	"github.com/auburnlead/auburnlead/routing"
 )
 
@@ -21,7 +22,10 @@
 		x.tooLate = true
 		return routing.Choice{}, false
 	}
-	r := routing.Request{Upstream: x.upstream, Tried: x.tried}
+	r := routing.Request{
+		Upstream: x.upstream, Tried: x.tried, PromptTokens: x.header.PromptTokens, ExpectedOutput: x.header.ExpectedOutput(),
+		Whole: x.route.Kind != objects.RouteStream, Target: x.route.Target, TimeLeft: time.Until(x.deadline),
+	}
 	if x.route.Sticky {
 		r.SharedParts = routing.SharedParts(x.header.Prompt)
 	}
@@ -34,7 +38,7 @@
 	}
 	x.tried = append(x.tried, c.Worker)
 	g.decisions.count("choices", "reason", c.Reason)
-	g.decisions.logRequest("worker chosen", "request", x.header.ID, "upstream", x.upstream, "worker", c.Worker.ID, "reason", c.Reason, "key", strconv.FormatUint(c.PlacementKey, 16), "shared_tokens", c.SharedTokens, "rank", c.PreferenceIndex, "busy", c.EstimatedLoad, "waiting", c.Unanswered, "limit", c.LoadLimit, "spread", c.SpreadSize, "key_rate", math.Round(c.KeyRate*10)/10, "mean", math.Round(c.MeanLoad*10)/10, "fetch_from", c.FetchFrom, "load_age_ms", loadAgeMs(c), "work_percent", c.WorkPercent, "rate_limit", c.RateLimit, "list", c.ListVersion, "list_age_ms", c.ListAge.Milliseconds(), "attempt", len(x.tried))
+	g.decisions.logRequest("worker chosen", "request", x.header.ID, "upstream", x.upstream, "worker", c.Worker.ID, "reason", c.Reason, "key", strconv.FormatUint(c.PlacementKey, 16), "shared_tokens", c.SharedTokens, "rank", c.PreferenceIndex, "busy", c.EstimatedLoad, "waiting", c.Unanswered, "limit", c.LoadLimit, "spread", c.SpreadSize, "key_rate", math.Round(c.KeyRate*10)/10, "mean", math.Round(c.MeanLoad*10)/10, "fetch_from", c.FetchFrom, "load_age_ms", loadAgeMs(c), "work_percent", c.WorkPercent, "rate_limit", c.RateLimit, "expected_wait_ms", c.ExpectedWait.Milliseconds(), "slowness", math.Round(c.Slowness*100)/100, "list", c.ListVersion, "list_age_ms", c.ListAge.Milliseconds(), "attempt", len(x.tried))
 	return c, true
 }
 
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -9,7 +9,7 @@
 // router itself), decision.go (log and metrics). reachability.go and isolation.go
 // track which workers are reachable, quarantine.go which requests crash them,
 // ratelimit.go how many requests they take, pauses.go which of them other routers have
-// to spare. callerconns.go tells a stop which connections are in use.
+// to spare, speeds.go how fast they are. callerconns.go tells a stop which connections are in use.
 package gateway
 
 import (
@@ -87,6 +87,9 @@
 	// LoadBound is the multiple of the mean load of an upstream's workers that no
 	// worker should exceed. Default 2.
 	LoadBound float64 `ini:"load_bound" default:"2" min:"1.05" max:"100"`
+	// LearnSpeed makes workers that take at least twice as long as the others of their
+	// upstream get fewer requests. Default true.
+	LearnSpeed bool `ini:"learn_speed" default:"true"`
 	// LeavingGrace is how long a worker that says in a response that it leaves still
 	// gets requests that no other worker takes. It has to be shorter than the time for
 	// which workers keep serving after that. Default 1s.
@@ -160,6 +163,7 @@
 	crashes           *crashDetector
 	limits            *rateLimits
 	pauses            *sharedPauses
+	speeds            *speeds
 
 	isolation isolation
 	server    *server
@@ -185,6 +189,7 @@
 	g.crashes = newCrashDetector(g, p.Extensions)
 	g.limits = newRateLimits(g, p.Extensions)
 	g.pauses = newSharedPauses(g, p.Extensions)
+	g.speeds = newSpeeds(g, p.Extensions)
 	g.readiness.Require(componentConfig)
 	g.readiness.Require(componentWorkers)
 	g.readiness.Require(componentName)
@@ -209,16 +214,16 @@
 )
 
 func fleetConfig(domain string, s *Settings) routing.Config {
-	return routing.Config{Domain: domain, LoadBound: s.LoadBound, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, MinRouters: s.Routers, LeavingGrace: s.LeavingGrace, MaxPause: s.MaxPause}
+	return routing.Config{Domain: domain, LoadBound: s.LoadBound, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, MinRouters: s.Routers, LeavingGrace: s.LeavingGrace, MaxPause: s.MaxPause, LearnSpeed: s.LearnSpeed}
 }
 
 // reload applies the settings that can change without a restart: the load bound,
-// the leaving grace, the longest pause and the settings of the retry budget and of
+// whether speeds are learned, the leaving grace, the longest pause and the settings of the retry budget and of
 // the log.
 func (g *Gateway) reload(s *Settings) {
 	g.fleet.Configure(fleetConfig(g.identity.FailureDomain, s))
 	g.decisions.lines.SetMaxLines(s.LogLines)
-	g.decisions.logChange("settings in force", "retry_ratio", s.RetryRatio, "retry_slack", s.RetrySlack, "routers", s.Routers, "leaving_grace", s.LeavingGrace, "max_pause", s.MaxPause, "log_lines", s.LogLines)
+	g.decisions.logChange("settings in force", "retry_ratio", s.RetryRatio, "retry_slack", s.RetrySlack, "routers", s.Routers, "leaving_grace", s.LeavingGrace, "max_pause", s.MaxPause, "learn_speed", s.LearnSpeed, "log_lines", s.LogLines)
 }
 
 func (g *Gateway) applyConfig(revision *core.ConfigRevision) {
--- a/plugins/gateway/stream.go
+++ b/plugins/gateway/stream.go
@@ -110,6 +110,7 @@
 	defer resp.stallTimer.stop()
 	var firstEventAt time.Time
 	survived := false
+	var pace paceMeter
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) && !resp.isFramed() && firstEventAt.IsZero() && !s.confirmEmptyRest() {
@@ -128,7 +129,7 @@
 		}
 		if firstEventAt.IsZero() {
 			firstEventAt = time.Now()
-			g.fleet.RecordFirstByte(c, time.Since(resp.sentAt))
+			g.speeds.recordFirstByte(c, time.Since(resp.sentAt))
 		}
 		if !survived && time.Since(firstEventAt) >= survivalTime {
 			survived = true
@@ -139,9 +140,11 @@
 		}
 		resp.stallTimer.reset(gapFactor * x.route.GapTarget)
 		x.extendWriteDeadline(g.settings.WriteTimeout)
+		arrived := time.Now()
 		if err := g.forwardEvent(x, s, resp, e, events.Buffered() == 0); err != nil {
 			return &failure{outcome: core.OutcomeUnknown, sent: true, reason: failDisconnected, err: err}
 		}
+		pace.record(g.speeds, c, arrived, time.Now())
 	}
 }
 
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -19,6 +19,13 @@
 	Upstream    string
 	SharedParts []PromptPart // prompt parts that other requests share, see function SharedParts
 	Tried       []*Worker    // workers that the request was already sent to
+	// PromptTokens and ExpectedOutput are the tokens of the whole prompt and of the
+	// response, 0 if not known.
+	PromptTokens, ExpectedOutput int
+	Whole                        bool // the response is not a stream: its first byte comes with its end
+	// Target is the time within which the first byte is useful, TimeLeft the time until
+	// the caller's deadline; 0 if not known.
+	Target, TimeLeft time.Duration
 }
 
 // Choice is the worker chosen for an attempt, with the values that decided it.
@@ -38,15 +45,23 @@
 	LoadAge         time.Duration // age of the worker's load report, negative for none
 	WorkPercent     int           // how long work took on the worker at that report, in percent of the usual time; 0 if unknown
 	RateLimit       float64       // requests per second that the worker takes from all routers, NoRateLimit for no limit
+	ExpectedWait    time.Duration // expected time to the first byte, 0 if not known
+	Slowness        float64       // how much longer work takes than on the median worker; 1 if it is not slow
 	ListVersion     int64         // version of the worker list
 	ListAge         time.Duration // time since the worker list was read
 
-	sentAt  time.Time
-	attempt *attempt
+	sentAt    time.Time
+	workClass uint8
+	whole     bool
+	attempt   *attempt
 }
 
 // attempt is the state of a request on a worker. It is guarded by Fleet.mu.
-type attempt struct{ gotFirstByte bool }
+type attempt struct {
+	gotFirstByte bool
+	// first is the time to the first byte of a stream until it has shown its pace.
+	first time.Duration
+}
 
 // Values of Choice.Reason.
 const (
@@ -108,6 +123,8 @@
 	if c.Worker.rateLimit.isSet() {
 		c.RateLimit = c.Worker.rateLimit.perSecond
 	}
+	c.workClass, c.whole, c.Slowness = r.workClass(), r.Whole, c.Worker.slowness(now)
+	c.ExpectedWait = p.expectedWait(c.Worker, c.workClass, now)
 	c.ListVersion, c.ListAge = f.listVersion, now.Sub(f.listReadAt)
 	c.Worker.recordSent(now)
 	f.takePermit(c.Worker)
@@ -140,7 +157,7 @@
 			return c, true
 		}
 		if len(r.SharedParts) > 0 {
-			return f.pickByPrompt(r.SharedParts, candidates, hashes, hasPermit, now), true
+			return f.pickByPrompt(&r, candidates, hashes, hasPermit, now), true
 		}
 		return f.pickLeastLoaded(candidates, hasPermit, now), true
 	}
@@ -148,16 +165,16 @@
 }
 
 // candidates returns the workers that the request has not been sent to and for
-// which accept returns true, with their hashes.
+// which accept returns true, with their hashes. The slices are valid until the next call.
 func (p *pool) candidates(tried []*Worker, accept func(*Worker) bool) ([]*Worker, []uint64) {
-	var workers []*Worker
-	var hashes []uint64
+	workers, hashes := p.candidateBuffer[:0], p.hashBuffer[:0]
 	for i, w := range p.workers {
 		if !slices.Contains(tried, w) && accept(w) {
 			workers = append(workers, w)
 			hashes = append(hashes, p.hashes[i])
 		}
 	}
+	p.candidateBuffer, p.hashBuffer = workers, hashes
 	return workers, hashes
 }
 
@@ -171,16 +188,19 @@
 }
 
 // pickByPrompt picks the first preference of the last shared part whose load is
-// within the limit. Workers without a permit are passed over; one candidate has one.
-func (f *Fleet) pickByPrompt(parts []PromptPart, candidates []*Worker, hashes []uint64, hasPermit func(*Worker) bool, now time.Time) Choice {
+// within the limit. Workers without a permit are passed over, one candidate has one, and
+// so are slow workers for a part of the prompts.
+func (f *Fleet) pickByPrompt(r *Request, candidates []*Worker, hashes []uint64, hasPermit func(*Worker) bool, now time.Time) Choice {
+	parts := r.SharedParts
 	key := parts[len(parts)-1].ID
 	var indexes [widePreferenceCount]int
 	p := f.pool(candidates[0].Upstream)
 	limit := f.loadLimit(candidates, now)
 	spread := f.spreadSize(p, key, limit, now)
 	preferences := placement.Choose(indexes[:max(preferenceCount, min(spread, widePreferenceCount))], key, hashes)
+	work := r.workClass()
 	admit := func(w *Worker) bool {
-		return w.rateLimit.admit(key, w.hash, f.maxRoutersSeen, now) && hasPermit(w)
+		return w.rateLimit.admit(key, w.hash, f.maxRoutersSeen, now) && hasPermit(w) && w.keeps(key, now) && p.meetsTarget(w, r, work, now)
 	}
 	best, withinLimit := f.pickWithinLimit(candidates, preferences, spread, limit, now, admit)
 	if !withinLimit {
@@ -263,8 +283,7 @@
 	return Choice{Worker: w, Reason: ReasonLaterPreference, PreferenceIndex: preference}
 }
 
-// pickLeastLoaded picks the worker with a permit and the lowest load. A worker of another
-// failure domain wins only by a margin of otherDomainPenalty.
+// pickLeastLoaded picks the worker with a permit and the least load, see comparedLoad.
 func (f *Fleet) pickLeastLoaded(candidates []*Worker, hasPermit func(*Worker) bool, now time.Time) Choice {
 	var best *Worker
 	least := 0.0
@@ -274,10 +293,7 @@
 		if !hasPermit(w) {
 			continue
 		}
-		load := float64(w.currentLoad(now))
-		if w.FailureDomain != f.cfg.Domain {
-			load += otherDomainPenalty
-		}
+		load := f.comparedLoad(w, now)
 		if best == nil || load < least {
 			best, least = w, load
 		}
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -31,6 +31,8 @@
 	// MaxPause limits the time for which a worker gets no requests because it said
 	// so.
 	MaxPause time.Duration
+	// LearnSpeed makes workers that take longer than the others get fewer requests.
+	LearnSpeed bool
 	// Random returns a number in [0, n); nil for math/rand/v2.
 	Random func(n int) int
 }
@@ -49,19 +51,26 @@
 	listReadAt     time.Time // when the worker list was read
 	placements     placements
 	maxRoutersSeen int                // largest number of live routers seen at one time
+	speedChanges   []SpeedChange      // since the last call of SpeedChanges
 	byHash         map[uint32]*Worker // by gossip.WorkerHash of the ID, see Load
 }
 
 // pool holds the workers and the retry state of one upstream.
 type pool struct {
-	workers      []*Worker // workers that accept new requests, sorted by ID
-	hashes       []uint64  // hashes of the workers' IDs, in the same order
-	leaving      []*Worker // listed workers that say that they leave
-	ejector      *retry.Ejector
-	budget       *retry.Budget
-	firstByte    firstByteTimes
-	routers      int           // estimated number of routers, this one included; each is assumed to send to the upstream
-	meanDuration time.Duration // mean time of a request on a worker, 0 if not known
+	workers         []*Worker // workers that accept new requests, sorted by ID
+	hashes          []uint64  // hashes of the workers' IDs, in the same order
+	leaving         []*Worker // listed workers that say that they leave
+	ejector         *retry.Ejector
+	budget          *retry.Budget
+	firstByte       firstByteTimes
+	routers         int           // estimated number of routers, this one included; each is assumed to send to the upstream
+	meanDuration    time.Duration // mean time of a request on a worker, 0 if not known
+	expected        expectedTimes
+	speeds          []float64 // buffer of updateMedian
+	candidateBuffer []*Worker // buffers of candidates
+	hashBuffer      []uint64
+	medianSpeed     float64 // median of the workers' speed.estimate, as of medianAt
+	medianAt        time.Time
 }
 
 // Times after which recorded state is no longer used, and the window of the retry
@@ -217,6 +226,9 @@
 	defer f.mu.Unlock()
 	cfg.Random = f.cfg.Random
 	f.cfg = cfg
+	if !cfg.LearnSpeed {
+		f.forgetSpeeds()
+	}
 	f.updateBudgets()
 }
 
@@ -236,6 +248,7 @@
 	if ok {
 		p := f.pool(c.Worker.Upstream)
 		p.recordDuration(now.Sub(c.sentAt))
+		f.recordUnpaced(p, c, now)
 		p.ejector.Success(now, c.Worker.ID)
 	}
 }
@@ -244,7 +257,9 @@
 func (f *Fleet) RecordFirstByte(c Choice, elapsed time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.pool(c.Worker.Upstream).firstByte.record(elapsed)
+	p := f.pool(c.Worker.Upstream)
+	p.firstByte.record(elapsed)
+	f.recordFirst(p, c, elapsed)
 	c.markFirstByte()
 }
 
--- a/routing/worker.go
+++ b/routing/worker.go
@@ -49,6 +49,7 @@
 	anonymousAt  time.Time   // when it last refused a request without naming it
 	rateLimit    rateLimit
 	said         statements
+	speed        speed
 }
 
 // isSameProcess reports whether an entry of the worker list is about this process.
