Compare workers by work and by the memory that requests hold at their end

Cause: requests with long prompts and outputs fill the memory of an engine while it has slots left; the choice counted requests only.

Ruled out: passing over a worker without memory also where only workers above the load bound have it, since that would send more to them than today.

Change: prompt tokens and expected output (Auburnlead-Length-Hint, at most the limit in Auburnlead-Token-Counts) are counted for each worker; requests of other routers count with the mean. A worker whose memory (kvCapacity of the engine) a request would exceed is passed over while another one is within the load bound. Of two workers of a hot prompt the one with less work gets the request: unread tokens relative to the mean, times slowness.

--- a/objects/fields.go
+++ b/objects/fields.go
@@ -233,6 +233,7 @@
 	boolField("manage_models", func(u *Upstream) *bool { return &u.ManageModels }),
 	floatField("load_bound", "1.25", 1.05, 100, func(u *Upstream) *float64 { return &u.LoadBound }),
 	intField("max_in_flight", "16", 1, 4096, func(u *Upstream) *int { return &u.MaxInFlight }),
+	intField("kv_capacity", "0", 0, 1<<30, func(u *Upstream) *int { return &u.KVCapacity }),
 	listField("once_methods", "POST, PUT, PATCH, DELETE", false, validMethod, func(u *Upstream) *[]string { return &u.OnceMethods }),
 	{
 		key: "worker", required: true, repeated: true,
--- a/objects/objects.go
+++ b/objects/objects.go
@@ -123,6 +123,9 @@
 	// MaxInFlight bounds the requests in flight on one worker. 1 to 4096,
 	// default 16.
 	MaxInFlight int `json:"max_in_flight"`
+	// KVCapacity is the number of tokens that the memory of a worker holds. Default 0,
+	// not known.
+	KVCapacity int `json:"kv_capacity,omitempty"`
 	// OnceMethods are the HTTP methods whose requests need an Idempotency-Key
 	// and run at most once; services only.
 	OnceMethods []string `json:"once_methods,omitempty"`
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -228,10 +228,19 @@
 
 func (g *Gateway) applyConfig(revision *core.ConfigRevision) {
 	changes := g.routes.apply(revision)
+	g.fleet.ConfigureUpstreams(upstreamConfigs(revision))
 	g.readiness.SetReady(componentConfig, true, "")
 	g.decisions.logChange("configuration in force", "revision", revision.Revision, "routes", len(revision.Set.Routes), "callers", len(revision.Set.Callers), "upstreams", len(revision.Set.Upstreams), "added", changes.added, "removed", changes.removed)
 }
 
+func upstreamConfigs(revision *core.ConfigRevision) map[string]routing.UpstreamConfig {
+	configs := map[string]routing.UpstreamConfig{}
+	for name, u := range revision.Set.Upstreams {
+		configs[name] = routing.UpstreamConfig{KVCapacity: u.KVCapacity}
+	}
+	return configs
+}
+
 func (g *Gateway) applyWorkers(list *routing.WorkerList) {
 	changes := g.fleet.Apply(list)
 	g.workersListedOnce.Do(func() { close(g.workersListed) })
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -60,7 +60,9 @@
 type attempt struct {
 	gotFirstByte bool
 	// first is the time to the first byte of a stream until it has shown its pace.
-	first time.Duration
+	first  time.Duration
+	tokens int // of Worker.tokens
+	unread int // of Worker.unread
 }
 
 // Values of Choice.Reason.
@@ -92,6 +94,10 @@
 	if !c.attempt.gotFirstByte {
 		c.attempt.gotFirstByte = true
 		c.Worker.unanswered--
+		if c.attempt.unread > 0 {
+			c.Worker.unread -= c.attempt.unread
+			c.Worker.unreadCount--
+		}
 	}
 }
 
@@ -127,6 +133,7 @@
 	c.ExpectedWait = p.expectedWait(c.Worker, c.workClass, now)
 	c.ListVersion, c.ListAge = f.listVersion, now.Sub(f.listReadAt)
 	c.Worker.recordSent(now)
+	p.recordTokens(&c, &r)
 	f.takePermit(c.Worker)
 	return c, true
 }
@@ -159,7 +166,11 @@
 		if len(r.SharedParts) > 0 {
 			return f.pickByPrompt(&r, candidates, hashes, hasPermit, now), true
 		}
-		return f.pickLeastLoaded(candidates, hasPermit, now), true
+		hasRoom := func(w *Worker) bool { return hasPermit(w) && p.hasMemory(w, &r, now) }
+		if !slices.ContainsFunc(candidates, hasRoom) {
+			hasRoom = hasPermit
+		}
+		return f.pickLeastLoaded(candidates, hasRoom, now), true
 	}
 	return f.pickLeaving(p, r.Tried, now)
 }
@@ -189,7 +200,8 @@
 
 // pickByPrompt picks the first preference of the last shared part whose load is
 // within the limit. Workers without a permit are passed over, one candidate has one, and
-// so are slow workers for a part of the prompts.
+// so are slow workers for a part of the prompts, and workers without memory for the request
+// as long as another one is within the limit.
 func (f *Fleet) pickByPrompt(r *Request, candidates []*Worker, hashes []uint64, hasPermit func(*Worker) bool, now time.Time) Choice {
 	parts := r.SharedParts
 	key := parts[len(parts)-1].ID
@@ -200,14 +212,17 @@
 	preferences := placement.Choose(indexes[:max(preferenceCount, min(spread, widePreferenceCount))], key, hashes)
 	work := r.workClass()
 	admit := func(w *Worker) bool {
-		return w.rateLimit.admit(key, w.hash, f.maxRoutersSeen, now) && hasPermit(w) && w.keeps(key, now) && p.meetsTarget(w, r, work, now)
+		return w.rateLimit.admit(key, w.hash, f.maxRoutersSeen, now) && hasPermit(w) && p.hasMemory(w, r, now) && w.keeps(key, now) && p.meetsTarget(w, r, work, now)
 	}
 	best, withinLimit := f.pickWithinLimit(candidates, preferences, spread, limit, now, admit)
 	if !withinLimit {
 		if len(candidates) > len(preferences) {
 			preferences = placement.Choose(indexes[:], key, hashes)
 		}
-		best, _ = f.pickWithinLimit(candidates, preferences, spread, limit, now, hasPermit)
+		hasRoom := func(w *Worker) bool { return hasPermit(w) && p.hasMemory(w, r, now) }
+		if best, withinLimit = f.pickWithinLimit(candidates, preferences, spread, limit, now, hasRoom); !withinLimit {
+			best, _ = f.pickWithinLimit(candidates, preferences, spread, limit, now, hasPermit)
+		}
 	}
 	if best.Worker == nil { // all of widePreferenceCount workers are without a permit
 		best = f.pickLeastLoaded(candidates, hasPermit, now)
@@ -251,7 +266,7 @@
 	return best, false
 }
 
-// pickFromSpread picks the less loaded of two random workers among the first spread
+// pickFromSpread picks the one with less work of two random workers among the first spread
 // preferences within the limit, and takes twice as many preferences while none is. The
 // first one in order would be the same for all routers, which would send to it together
 // until they learn its load.
@@ -268,7 +283,7 @@
 			continue
 		}
 		one, other := within[f.cfg.Random(len(within))], within[f.cfg.Random(len(within))]
-		if p.estimatedLoad(candidates[preferences[other]], now) < p.estimatedLoad(candidates[preferences[one]], now) {
+		if p.work(candidates[preferences[other]], now) < p.work(candidates[preferences[one]], now) {
 			one = other
 		}
 		return choiceAt(candidates[preferences[one]], one), true
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -71,6 +71,9 @@
 	hashBuffer      []uint64
 	medianSpeed     float64 // median of the workers' speed.estimate, as of medianAt
 	medianAt        time.Time
+	config          UpstreamConfig
+	meanTokens      float64 // mean of Request.endTokens, 0 if not known
+	meanUnread      float64 // mean of Request.unreadTokens, 0 if not known
 }
 
 // Times after which recorded state is no longer used, and the window of the retry
@@ -244,6 +247,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c.Worker.inFlight--
+	c.Worker.tokens -= c.attempt.tokens
 	c.markFirstByte()
 	if ok {
 		p := f.pool(c.Worker.Upstream)
--- a/routing/work.go
+++ b/routing/work.go
@@ -1,127 +1,87 @@
 package routing
 
-import (
-	"math"
-	"math/bits"
-	"time"
-)
+import "time"
 
-// The time to the first byte of a response depends on the work of the request and on
-// the requests already on the worker. Both are learned for each upstream, so that what
-// remains can be attributed to the worker (speed.go).
+// Load pattern: some requests with long prompts and outputs fill the memory of an engine
+// while it has slots left, and then its requests wait or are started again. The memory that
+// the running requests hold at their end is estimated from those of this router and, for
+// those of other routers, from the mean.
 
-const (
-	// workClasses is the number of classes of work: one for each power of two of tokens,
-	// separately for streams and for whole responses, and one for the events of streams.
-	workClasses = 2*wholeClass + 1
-	wholeClass  = 24
-	paceClass   = workClasses - 1
-	loadClasses = 13 // one for each power of two of requests on a worker
-	// outputWork is the work of generating a token, in prompt tokens read meanwhile: a
-	// step of some 4 ms at an engine that reads 125 tokens in a ms.
-	outputWork = 500
-	// lowQuantile is the quantile of the times that are compared. A prompt that is not
-	// cached, a queue and a machine that is busy for some 100 ms make single requests take
-	// longer; on a slow worker the fastest requests take longer too.
-	lowQuantile = 0.3
-	// workStep is the step of a quantile for a sample, as a logarithm, and maxDrift the
-	// sum of the steps in a second. At some requests per second the usual times follow the
-	// upstream within half a minute, and at any rate a worker is found to be slow before
-	// its times become the usual ones.
-	workStep = 0.06
-	maxDrift = 0.6
-	// loadStep is the step for the factors of the load. A slow worker has a load that the
-	// others do not have, and its times must not become the usual ones of that load.
-	loadStep = 0.02
-	// calibratedAt is the number of samples of a class of work from which its times can
-	// be compared.
-	calibratedAt = 20
-	// timeOffset is added to measured times before they are compared, so that the jitter
-	// of a small router of some ms does not look like a slow worker.
-	timeOffset = 3 * time.Millisecond
-)
-
-// logQuantile estimates a quantile of logarithms. A sample moves it by a step whose size
-// does not depend on the sample, so outliers count like any other sample.
-type logQuantile struct {
-	value   float64
-	samples int
-	at      time.Time // of the last sample
+// UpstreamConfig holds the figures of an upstream that the operator has configured.
+type UpstreamConfig struct {
+	KVCapacity int // tokens that the memory of a worker holds, 0 if not known
 }
 
-func (m *logQuantile) record(deviation, quantile, step float64, now time.Time) {
-	if m.samples++; m.samples < calibratedAt {
-		step = 2 / float64(m.samples)
-	} else {
-		step = min(step, maxDrift*max(now.Sub(m.at), 0).Seconds())
+// ConfigureUpstreams sets the figures of the upstreams; others count as not known.
+func (f *Fleet) ConfigureUpstreams(configs map[string]UpstreamConfig) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, p := range f.pools {
+		p.config = configs[name]
 	}
-	m.move(deviation, quantile, step, now)
-}
-
-func (m *logQuantile) move(deviation, quantile, step float64, now time.Time) {
-	m.at = now
-	if deviation > 0 {
-		m.value += min(step*quantile, deviation)
-		return
+	for name, c := range configs {
+		f.pool(name).config = c
 	}
-	m.value += max(-step*(1-quantile), deviation)
 }
 
-// expectedTimes holds an upstream's times to the first byte, as a product of a factor for
-// the work of the request and one for the load of the worker. It is guarded by Fleet.mu.
-type expectedTimes struct {
-	byWork  [workClasses]logQuantile // lowQuantile
-	byLoad  [loadClasses]logQuantile // lowQuantile
-	medians [workClasses]logQuantile
+// endTokens returns the tokens that a request holds at its end, 0 if not known.
+func (r *Request) endTokens() int {
+	if r.PromptTokens == 0 {
+		return 0
+	}
+	return r.PromptTokens + r.ExpectedOutput
 }
 
-// workClass returns the class of a request's work: the prompt tokens that the worker has
-// to read, and the output if the response is not streamed.
-func (r *Request) workClass() uint8 {
+// unreadTokens returns the prompt tokens that a worker has to read that has the shared
+// parts cached, 0 if not known.
+func (r *Request) unreadTokens() int {
 	tokens := r.PromptTokens
 	for _, p := range r.SharedParts {
 		tokens -= p.Tokens
 	}
-	tokens, base := max(tokens, 0), 0
-	if r.Whole {
-		tokens, base = tokens+outputWork*r.ExpectedOutput, wholeClass
-	}
-	return uint8(base + min(bits.Len(uint(tokens)), wholeClass-1))
+	return max(tokens, 0)
 }
 
-func loadClass(load int) int { return min(bits.Len(uint(max(load, 0))), loadClasses-1) }
-
-// expect returns the median time to the first byte, 0 if not known.
-func (e *expectedTimes) expect(work uint8, load int) time.Duration {
-	m := &e.byWork[work]
-	if m.samples < calibratedAt {
-		return 0
+// recordTokens counts the tokens of a request that is sent to a worker.
+func (p *pool) recordTokens(c *Choice, r *Request) {
+	if r.PromptTokens == 0 {
+		return
+	}
+	c.attempt.tokens = r.endTokens()
+	c.Worker.tokens += c.attempt.tokens
+	moveMean(&p.meanTokens, c.attempt.tokens)
+	if c.attempt.unread = r.unreadTokens(); c.attempt.unread > 0 {
+		c.Worker.unread += c.attempt.unread
+		c.Worker.unreadCount++
+		moveMean(&p.meanUnread, c.attempt.unread)
 	}
-	seconds := math.Exp(e.medians[work].value + e.byLoad[loadClass(load)].value)
-	return max(time.Duration(seconds*float64(time.Second))-timeOffset, 0)
 }
 
-// deviation returns the logarithm of a measured time over the expected one, and false
-// while there are too few samples of the class of work.
-func (e *expectedTimes) deviation(work uint8, load int, took time.Duration) (float64, bool) {
-	m := &e.byWork[work]
-	return logTime(took) - m.value - e.byLoad[loadClass(load)].value, m.samples >= calibratedAt
+func moveMean(mean *float64, sample int) {
+	if *mean == 0 {
+		*mean = float64(sample)
+	}
+	*mean += (float64(sample) - *mean) / durationDivisor
 }
 
-// record records a measured time of a worker that is not slow.
-func (e *expectedTimes) record(work uint8, load int, took time.Duration, now time.Time) {
-	m := &e.byWork[work]
-	if m.samples == 0 {
-		m.value = logTime(took) - e.byLoad[loadClass(load)].value
-		e.medians[work].value = m.value
-	}
-	deviation, calibrated := e.deviation(work, load, took)
-	m.record(deviation, lowQuantile, workStep, now)
-	e.medians[work].record(deviation+m.value-e.medians[work].value, 0.5, workStep, now)
-	if calibrated {
-		m := &e.byLoad[loadClass(load)]
-		m.move(deviation, lowQuantile, min(loadStep, maxDrift*max(now.Sub(m.at), 0).Seconds()), now)
+// work estimates the work on a worker in requests of the mean size. Requests of this
+// router that the worker still has to read count by their tokens. A slow worker has more
+// work by as much as it is slower.
+func (p *pool) work(w *Worker, now time.Time) float64 {
+	load := p.estimatedLoad(w, now)
+	if w.unreadCount > 0 {
+		load += float64(w.unread)/p.meanUnread - float64(w.unreadCount)
 	}
+	return load * w.slowness(now)
 }
 
-func logTime(t time.Duration) float64 { return math.Log((max(t, 0) + timeOffset).Seconds()) }
+// hasMemory reports whether a worker probably has the memory for a request in addition to
+// its running ones. It is true where the memory or the request's tokens are not known.
+func (p *pool) hasMemory(w *Worker, r *Request, now time.Time) bool {
+	tokens := r.endTokens()
+	if p.config.KVCapacity == 0 || tokens == 0 {
+		return true
+	}
+	others := max(p.estimatedLoad(w, now)-float64(w.inFlight), 0)
+	return float64(w.tokens+tokens)+others*p.meanTokens <= float64(p.config.KVCapacity)
+}
--- a/routing/worker.go
+++ b/routing/worker.go
@@ -50,6 +50,10 @@
 	rateLimit    rateLimit
 	said         statements
 	speed        speed
+	tokens       int // that this router's requests hold at their end
+	// unread are the prompt tokens that it has to read for unreadCount requests of this
+	// router that have no first byte yet.
+	unread, unreadCount int
 }
 
 // isSameProcess reports whether an entry of the worker list is about this process.
