--- a/internal/bench/routes.go
+++ b/internal/bench/routes.go
@@ -115,9 +115,10 @@
 	movedTokens                  int   // shared tokens that workers fetched from each other
 	sent, overBound              []int // by 100 ms: requests sent, and requests sent to workers above the load bound
 	firstTokens                  []time.Duration
-	largest, largestOnTime       int // requests of the first kind from the start of scenario.thirdSlow to its end, and those whose first token came within largestTarget
-	sentInSlowTime, slowSent     int // requests of all kinds in that time, and those sent to slow workers
-	refused                      int // requests for which no worker was available
+	largest, largestOnTime       int           // requests of the first kind from the start of scenario.thirdSlow to its end, and those whose first token came within largestTarget
+	foundAfter                   time.Duration // from the start of scenario.thirdSlow, see routeSim.watchSlow
+	sentInSlowTime, slowSent     int           // requests of all kinds in that time, and those sent to slow workers
+	refused                      int           // requests for which no worker was available
 }
 
 // prefillAgainRatio returns the shared tokens prefilled again relative to those
--- a/internal/bench/slowthird.go
+++ b/internal/bench/slowthird.go
@@ -23,6 +23,9 @@
 	if r.scenario.thirdSlow[1] == 0 {
 		return
 	}
+	if r.strategy.learnsSpeed {
+		r.schedule(r.scenario.thirdSlow[0], r.watchSlow)
+	}
 	for i, factor := range []float64{thirdSlowFactor, 1} {
 		r.schedule(r.scenario.thirdSlow[i], func(time.Duration) {
 			for _, w := range r.workers[:len(r.workers)/3] {
@@ -32,6 +35,20 @@
 	}
 }
 
+// watchSlow records when the routers on the mean know of foundShare of the slow workers.
+// Workers that are wrongly taken for slow count too, some in a hundred.
+func (r *routeSim) watchSlow(now time.Duration) {
+	known := 0
+	for _, f := range r.fleets {
+		known += f.SlowWorkers()
+	}
+	if float64(known) >= foundShare*float64(len(r.fleets)*(len(r.workers)/3)) {
+		r.result.foundAfter = now - r.scenario.thirdSlow[0]
+		return
+	}
+	r.schedule(now+100*time.Millisecond, r.watchSlow)
+}
+
 func (r *routeSim) inSlowTime(at time.Duration) bool {
 	return at >= r.scenario.thirdSlow[0] && at < r.scenario.thirdSlow[1]
 }
@@ -96,6 +113,13 @@
 	}}}
 }
 
+// foundShare is the share of the slow workers that the routers are to know of within
+// maxFoundAfter seconds.
+const (
+	foundShare    = 0.9
+	maxFoundAfter = 2
+)
+
 // minLargestOnTime is the share of the largest requests on time that callers need while a
 // third of the engines is slow.
 const minLargestOnTime = 0.95
@@ -107,7 +131,7 @@
 	plain := learning
 	plain.name, plain.learnsSpeed = "speeds not learned", false
 	for _, scenario := range []routeScenario{
-		{name: "slow by turns", length: 40 * time.Second, bursts: true, thirdSlow: [2]time.Duration{40 * time.Second, 40 * time.Second}},
+		{name: "slow by turns", length: 40 * time.Second, bursts: true},
 		{name: "a third slow", length: 60 * time.Second, bursts: true, thirdSlow: [2]time.Duration{30 * time.Second, 60 * time.Second}},
 	} {
 		for _, strategy := range []routeStrategy{learning, plain} {
@@ -126,6 +150,7 @@
 			onTime := "largest on time, " + scenario.name
 			if strategy.learnsSpeed {
 				b.report.atLeast(size.name, onTime, float64(r.largestOnTime)/float64(r.largest), minLargestOnTime)
+				b.report.atMost(size.name, "seconds until slow workers are known, "+scenario.name, r.foundAfter.Seconds(), maxFoundAfter)
 			} else {
 				b.report.info(size.name, onTime, strategy.name, float64(r.largestOnTime)/float64(r.largest))
 			}
