--- a/objects/objects.go
+++ b/objects/objects.go
@@ -128,6 +128,9 @@
 	// only. 0 to 1 h and 0 to 1000000, default 0 for none.
 	ColdStart time.Duration `json:"cold_start,omitempty"`
 	ColdRate  float64       `json:"cold_rate,omitempty"`
+	// KVCapacity is the number of tokens that the memory of a worker holds. Default 0,
+	// not known.
+	KVCapacity int `json:"kv_capacity,omitempty"`
 	// OnceMethods are the HTTP methods whose requests need an Idempotency-Key
 	// and run at most once; services only.
 	OnceMethods []string `json:"once_methods,omitempty"`
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -10,8 +10,8 @@
 // track which workers are reachable, quarantine.go which requests crash them,
 // ratelimit.go how many requests they take, coldworkers.go which of them have just
 // started, pauses.go which of them other routers have to spare, evacuation.go in which
-// failure domains they may get none, room.go which upstreams are full. callerconns.go
-// tells a stop which connections are in use.
+// failure domains they may get none, room.go which upstreams are full, speeds.go
+// how fast workers are. callerconns.go tells a stop which connections are in use.
 package gateway
 
 import (
@@ -24,6 +24,7 @@
 
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/kernel"
+	"github.com/auburnlead/auburnlead/objects"
 	"github.com/auburnlead/auburnlead/routing"
 )
 
@@ -89,6 +90,9 @@
 	// LoadBound is the multiple of the mean load of an upstream's workers that no
 	// worker should exceed. Default 2.
 	LoadBound float64 `ini:"load_bound" default:"2" min:"1.05" max:"100"`
+	// LearnSpeed makes workers that take at least twice as long as the others of their
+	// upstream get fewer requests. Default true.
+	LearnSpeed bool `ini:"learn_speed" default:"true"`
 	// LeavingGrace is how long a worker that says in a response that it leaves still
 	// gets requests that no other worker takes. It has to be shorter than the time for
 	// which workers keep serving after that. Default 1s.
@@ -177,6 +181,7 @@
 	evacuatedDomains  tally.Gauge
 	room              *roomControl
 	cold              *coldWorkers
+	speeds            *speeds
 
 	isolation isolation
 	server    *server
@@ -206,6 +211,7 @@
 	g.pauses = newSharedPauses(g, p.Extensions)
 	g.room = newRoomControl(g, p.Extensions)
 	g.cold = newColdWorkers(g, p.Extensions)
+	g.speeds = newSpeeds(g, p.Extensions)
 	g.readiness.Require(componentConfig)
 	g.readiness.Require(componentWorkers)
 	g.readiness.Require(componentName)
@@ -233,16 +239,16 @@
 )
 
 func fleetConfig(domain string, s *Settings) routing.Config {
-	return routing.Config{Domain: domain, LoadBound: s.LoadBound, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, MinRouters: s.Routers, LeavingGrace: s.LeavingGrace, MaxPause: s.MaxPause, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, MaxRouters: s.MaxRouters}
+	return routing.Config{Domain: domain, LoadBound: s.LoadBound, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, MinRouters: s.Routers, LeavingGrace: s.LeavingGrace, MaxPause: s.MaxPause, LearnSpeed: s.LearnSpeed, ColdOver: s.ColdOver, ColdSlack: s.ColdSlack, MaxRouters: s.MaxRouters}
 }
 
 // reload applies the settings that can change without a restart: the load bound,
-// the leaving grace, the longest pause, the bound on cold workers and the settings of
-// the retry budget and of the log.
+// whether speeds are learned, the leaving grace, the longest pause, the bound on cold
+// workers and the settings of the retry budget and of the log.
 func (g *Gateway) reload(s *Settings) {
 	g.fleet.Configure(fleetConfig(g.identity.FailureDomain, s))
 	g.decisions.lines.SetMaxLines(s.LogLines)
-	g.decisions.logChange("settings in force", "retry_ratio", s.RetryRatio, "retry_slack", s.RetrySlack, "routers", s.Routers, "leaving_grace", s.LeavingGrace, "max_pause", s.MaxPause, "cold_over", s.ColdOver, "cold_slack", s.ColdSlack, "max_routers", s.MaxRouters, "log_lines", s.LogLines)
+	g.decisions.logChange("settings in force", "retry_ratio", s.RetryRatio, "retry_slack", s.RetrySlack, "routers", s.Routers, "leaving_grace", s.LeavingGrace, "max_pause", s.MaxPause, "cold_over", s.ColdOver, "cold_slack", s.ColdSlack, "max_routers", s.MaxRouters, "learn_speed", s.LearnSpeed, "log_lines", s.LogLines)
 }
 
 func (g *Gateway) applyConfig(revision *core.ConfigRevision) {
@@ -254,6 +260,15 @@
 	g.decisions.logChange("configuration in force", "revision", revision.Revision, "routes", len(revision.Set.Routes), "callers", len(revision.Set.Callers), "upstreams", len(revision.Set.Upstreams), "added", changes.added, "removed", changes.removed)
 }
 
+// upstreamConfigs returns the configuration of the upstreams that package routing needs.
+func upstreamConfigs(set *objects.Set) map[string]routing.UpstreamConfig {
+	configs := make(map[string]routing.UpstreamConfig, len(set.Upstreams))
+	for name, u := range set.Upstreams {
+		configs[name] = routing.UpstreamConfig{ColdStart: u.ColdStart, ColdRate: u.ColdRate, KVCapacity: u.KVCapacity}
+	}
+	return configs
+}
+
 func (g *Gateway) applyWorkers(list *routing.WorkerList) {
 	changes := g.fleet.Apply(list)
 	g.room.setUpstreams()
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -19,6 +19,13 @@
 	Upstream    string
 	SharedParts []PromptPart // prompt parts that other requests share, see function SharedParts
 	Tried       []*Worker    // workers that the request was already sent to
+	// PromptTokens and ExpectedOutput are the tokens of the whole prompt and of the
+	// response, 0 if not known.
+	PromptTokens, ExpectedOutput int
+	Whole                        bool // the response is not a stream: its first byte comes with its end
+	// Target is the time within which the first byte is useful, TimeLeft the time until
+	// the caller's deadline; 0 if not known.
+	Target, TimeLeft time.Duration
 }
 
 // Choice is the worker chosen for an attempt, with the values that decided it.
@@ -38,15 +45,25 @@
 	LoadAge         time.Duration // age of the worker's load report, negative for none
 	WorkPercent     int           // how long work took on the worker at that report, in percent of the usual time; 0 if unknown
 	RateLimit       float64       // requests per second that the worker takes from all routers, NoRateLimit for no limit
+	ExpectedWait    time.Duration // expected time to the first byte, 0 if not known
+	Slowness        float64       // how much longer work takes than on the median worker; 1 if it is not slow
 	ListVersion     int64         // version of the worker list
 	ListAge         time.Duration // time since the worker list was read
 
-	sentAt  time.Time
-	attempt *attempt
+	sentAt    time.Time
+	workClass uint8
+	whole     bool
+	attempt   *attempt
 }
 
 // attempt is the state of a request on a worker. It is guarded by Fleet.mu.
-type attempt struct{ gotFirstByte bool }
+type attempt struct {
+	gotFirstByte bool
+	// first is the time to the first byte of a stream until it has shown its pace.
+	first  time.Duration
+	tokens int // of Worker.tokens
+	unread int // of Worker.unread
+}
 
 // Values of Choice.Reason.
 const (
@@ -77,6 +94,10 @@
 	if !c.attempt.gotFirstByte {
 		c.attempt.gotFirstByte = true
 		c.Worker.unanswered--
+		if c.attempt.unread > 0 {
+			c.Worker.unread -= c.attempt.unread
+			c.Worker.unreadCount--
+		}
 	}
 }
 
@@ -108,8 +129,11 @@
 	if c.Worker.rateLimit.isSet() {
 		c.RateLimit = c.Worker.rateLimit.perSecond
 	}
+	c.workClass, c.whole, c.Slowness = r.workClass(), r.Whole, c.Worker.slowness(now)
+	c.ExpectedWait = p.expectedWait(c.Worker, c.workClass, now)
 	c.ListVersion, c.ListAge = f.listVersion, now.Sub(f.listReadAt)
 	c.Worker.recordSent(now)
+	p.recordTokens(&c, &r)
 	f.takePermit(c.Worker, now)
 	return c, true
 }
@@ -142,24 +166,28 @@
 			return c, true
 		}
 		if len(r.SharedParts) > 0 {
-			return f.pickByPrompt(r.SharedParts, candidates, hashes, hasPermit, now), true
+			return f.pickByPrompt(&r, candidates, hashes, hasPermit, now), true
+		}
+		hasRoom := func(w *Worker) bool { return hasPermit(w) && p.hasMemory(w, &r, now) }
+		if !slices.ContainsFunc(candidates, hasRoom) {
+			hasRoom = hasPermit
 		}
-		return f.pickLeastLoaded(candidates, hasPermit, now), true
+		return f.pickLeastLoaded(candidates, hasRoom, now), true
 	}
 	return f.pickLeaving(p, r.Tried, now)
 }
 
 // candidates returns the workers that the request has not been sent to and for
-// which accept returns true, with their hashes.
+// which accept returns true, with their hashes. The slices are valid until the next call.
 func (p *pool) candidates(tried []*Worker, accept func(*Worker) bool) ([]*Worker, []uint64) {
-	var workers []*Worker
-	var hashes []uint64
+	workers, hashes := p.candidateBuffer[:0], p.hashBuffer[:0]
 	for i, w := range p.workers {
 		if !slices.Contains(tried, w) && accept(w) {
 			workers = append(workers, w)
 			hashes = append(hashes, p.hashes[i])
 		}
 	}
+	p.candidateBuffer, p.hashBuffer = workers, hashes
 	return workers, hashes
 }
 
@@ -173,23 +201,30 @@
 }
 
 // pickByPrompt picks the first preference of the last shared part whose load is
-// within the limit. Workers without a permit are passed over; one candidate has one.
-func (f *Fleet) pickByPrompt(parts []PromptPart, candidates []*Worker, hashes []uint64, hasPermit func(*Worker) bool, now time.Time) Choice {
+// within the limit. Workers without a permit are passed over, one candidate has one, and
+// so are slow workers for a part of the prompts, and workers without memory for the request
+// as long as another one is within the limit.
+func (f *Fleet) pickByPrompt(r *Request, candidates []*Worker, hashes []uint64, hasPermit func(*Worker) bool, now time.Time) Choice {
+	parts := r.SharedParts
 	key := parts[len(parts)-1].ID
 	var indexes [widePreferenceCount]int
 	p := f.pool(candidates[0].Upstream)
 	limit := f.loadLimit(candidates, now)
 	spread := f.spreadSize(p, key, limit, now)
 	preferences := placement.Choose(indexes[:max(preferenceCount, min(spread, widePreferenceCount))], key, hashes)
+	work := r.workClass()
 	admit := func(w *Worker) bool {
-		return f.admit(w, key, now) && hasPermit(w)
+		return f.admit(w, key, now) && hasPermit(w) && p.hasMemory(w, r, now) && w.keeps(key, now) && p.meetsTarget(w, r, work, now)
 	}
 	best, withinLimit := f.pickWithinLimit(candidates, preferences, spread, limit, now, admit)
 	if !withinLimit {
 		if len(candidates) > len(preferences) {
 			preferences = placement.Choose(indexes[:], key, hashes)
 		}
-		best, _ = f.pickWithinLimit(candidates, preferences, spread, limit, now, hasPermit)
+		hasRoom := func(w *Worker) bool { return hasPermit(w) && p.hasMemory(w, r, now) }
+		if best, withinLimit = f.pickWithinLimit(candidates, preferences, spread, limit, now, hasRoom); !withinLimit {
+			best, _ = f.pickWithinLimit(candidates, preferences, spread, limit, now, hasPermit)
+		}
 	}
 	if best.Worker == nil { // all of widePreferenceCount workers are without a permit
 		best = f.pickLeastLoaded(candidates, hasPermit, now)
@@ -233,7 +268,7 @@
 	return best, false
 }
 
-// pickFromSpread picks the less loaded of two random workers among the first spread
+// pickFromSpread picks the one with less work of two random workers among the first spread
 // preferences within the limit, and takes twice as many preferences while none is. The
 // first one in order would be the same for all routers, which would send to it together
 // until they learn its load.
@@ -250,7 +285,7 @@
 			continue
 		}
 		one, other := within[f.cfg.Random(len(within))], within[f.cfg.Random(len(within))]
-		if p.estimatedLoad(candidates[preferences[other]], now) < p.estimatedLoad(candidates[preferences[one]], now) {
+		if p.work(candidates[preferences[other]], now) < p.work(candidates[preferences[one]], now) {
 			one = other
 		}
 		return choiceAt(candidates[preferences[one]], one), true
@@ -265,8 +300,7 @@
 	return Choice{Worker: w, Reason: ReasonLaterPreference, PreferenceIndex: preference}
 }
 
-// pickLeastLoaded picks the worker with a permit and the lowest load. A worker of another
-// failure domain wins only by a margin of otherDomainPenalty.
+// pickLeastLoaded picks the worker with a permit and the least load, see comparedLoad.
 func (f *Fleet) pickLeastLoaded(candidates []*Worker, hasPermit func(*Worker) bool, now time.Time) Choice {
 	var best *Worker
 	least := 0.0
@@ -276,10 +310,7 @@
 		if !hasPermit(w) {
 			continue
 		}
-		load := float64(w.currentLoad(now))
-		if w.FailureDomain != f.cfg.Domain {
-			load += otherDomainPenalty
-		}
+		load := f.comparedLoad(w, now)
 		if best == nil || load < least {
 			best, least = w, load
 		}
--- a/routing/coldstart.go
+++ b/routing/coldstart.go
@@ -46,13 +46,6 @@
 	maxColdLeft = time.Hour
 )
 
-// UpstreamConfig is the part of an upstream's configuration that the choice of workers
-// depends on.
-type UpstreamConfig struct {
-	ColdStart time.Duration // how long a worker is cold after its start during traffic
-	ColdRate  float64       // requests per second that a cold worker takes, 0 for no limit
-}
-
 // coldStart is the cold time of a worker. It is guarded by Fleet.mu.
 type coldStart struct {
 	startedAt time.Time // zero if the worker is not cold and needs no permits
@@ -62,14 +55,6 @@
 	announced bool      // ColdChanges has returned its begin
 }
 
-// ConfigureUpstreams replaces the configuration of the upstreams, by name.
-func (f *Fleet) ConfigureUpstreams(upstreams map[string]UpstreamConfig) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.upstreams = upstreams
-	f.updateColdRates()
-}
-
 func (f *Fleet) updateColdRates() {
 	for _, w := range f.coldWorkers {
 		w.cold.rate = f.coldRate(w.Upstream)
