Do not fetch parts from workers that were cold when their prompts came

Cause: while a worker is cold and its rate rises, most of its prompts are at their next preference. The search for the former owner took any worker that was there for 4 s for the owner, so routers fetched from the cold worker what it did not have, and the parts were read again. Ruled out: a faster rise of the rate, whose steps exceed the test's bound. Change: a worker counts as an owner 4 s after its rate has risen.

--- a/routing/coldstart.go
+++ b/routing/coldstart.go
@@ -52,6 +52,7 @@
 	rate      float64   // see Fleet.coldRate
 	until     time.Time // end of the cold time
 	riseFrom  time.Time // from then the permitted rate rises
+	warmAt    time.Time // end of the last rise, zero for none
 	announced bool      // ColdChanges has returned its begin
 }
 
@@ -141,7 +142,7 @@
 	}
 	if !now.Before(c.until) { // it was not cold
 		w.rateLimit.permits = permits{}
-		*c = coldStart{startedAt: now, rate: f.coldRate(w.Upstream)}
+		*c = coldStart{startedAt: now, rate: f.coldRate(w.Upstream), warmAt: c.warmAt}
 		if !slices.Contains(f.coldWorkers, w) {
 			f.coldWorkers = append(f.coldWorkers, w)
 		}
@@ -279,7 +280,11 @@
 		if c.announced && f.byID[w.ID] == w {
 			changes = append(changes, ColdChange{Worker: w.ID, Upstream: w.Upstream, Took: now.Sub(c.startedAt)})
 		}
-		w.cold = coldStart{until: c.until}
+		ended := coldStart{until: c.until, warmAt: c.warmAt}
+		if c.announced {
+			ended.warmAt = now
+		}
+		w.cold = ended
 		return true
 	})
 	return changes, cold, next
--- a/routing/evacuation.go
+++ b/routing/evacuation.go
@@ -130,13 +130,20 @@
 	return returned == 0 || f.cfg.Random(len(p.workers)) < returned
 }
 
-// servingSince returns the time from which the worker has got requests, zero if it did
-// before this router started.
+// servingSince returns the time from which the worker has got its part of the requests,
+// zero if it did before this router started. While a worker is cold, and for some time
+// after, most of its prompts are at their next preference.
 func (w *Worker) servingSince() time.Time {
-	if w.returnedAt.After(w.joinedAt) {
-		return w.returnedAt
+	since := w.joinedAt
+	for _, at := range []time.Time{w.returnedAt, w.cold.warmAt} {
+		if at.After(since) {
+			since = at
+		}
+	}
+	if w.cold.rate > 0 && w.cold.riseFrom.After(since) {
+		since = w.cold.riseFrom
 	}
-	return w.joinedAt
+	return since
 }
 
 // servedBeforeEvacuation reports whether an evacuated worker had got requests for
