Break off responses that end before the request's body was received

Cause: a response without a length counted as complete whenever its connection ended in an orderly way. A worker that answered an upload at once, sent a part and closed left the caller with a complete 200, since Linux returns the end of the stream also after the reset that follows it. Statuses outside 100 to 599 were read by net/http: 000 and 099 made the handler panic, 600 was forwarded, and a refusal header beside them counted as "not run".

Ruled out: the reader of the body reaching its end (the bytes may be in the send queue), the write hook of net/http (called before the last flush), a close of this side that asks for a reset (it ends the worker's connection before its late close shows unread bytes).

A status that is none is an attempt with unknown outcome, and its connection is closed.

--- a/internal/core/problem.go
+++ b/internal/core/problem.go
@@ -91,6 +91,10 @@
 	return false
 }
 
+// IsResponseStatus reports whether a status is one of HTTP (RFC 9110, section 15). net/http
+// also reads others.
+func IsResponseStatus(status int) bool { return status >= 100 && status <= 599 }
+
 // Title returns the fixed title of the problem's kind.
 func (p *Problem) Title() string { return kindInfos[p.Kind].title }
 
--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/internal/upload"
 	"github.com/auburnlead/auburnlead/routing"
 )
 
@@ -60,6 +60,7 @@
 	failConnect      = "connect"        // no connection could be opened
 	failNoResponse   = "no answer"      // connection reset, closed or unreadable before a response header
 	failWrongRequest = "foreign answer" // the response belongs to another request
+	failNoStatus     = "answer without a valid status"
 	failUnsealed     = "unsealed answer"
 	failRefused      = "worker refused"
 	failUnattributed = "refusal without a request ID on a used connection"
@@ -88,6 +89,13 @@
 		f.markStalled(stall)
 		return nil, f
 	}
+	if !core.IsResponseStatus(resp.StatusCode) {
+		conn.drop()
+		stall.stop()
+		cancel()
+		_ = resp.Body.Close() // not forwarded
+		return nil, &failure{outcome: core.OutcomeUnknown, sent: true, reason: failNoStatus, conn: conn, err: fmt.Errorf("status %03d", resp.StatusCode)}
+	}
 	h := g.wire.DecodeResponse(resp.StatusCode, resp.Header)
 	for _, in := range h.Unread {
 		g.decisions.unreadable.Report(c.Worker.ID, in)
@@ -201,8 +209,8 @@
 func isMisdirected(status int) bool { return status == http.StatusMisdirectedRequest }
 
 // newAttemptRequest builds the request to a worker: the caller's method, path,
-// query and body, with the header fields of an attempt.
-func (g *Gateway) newAttemptRequest(ctx context.Context, x *exchange, c routing.Choice, lastEvent uint64) *http.Request {
+// query and body, nil for none, with the header fields of an attempt.
+func (g *Gateway) newAttemptRequest(ctx context.Context, x *exchange, c routing.Choice, lastEvent uint64, body *upload.Body) *http.Request {
 	u := *x.r.URL
 	u.Scheme, u.Host = "http", c.Worker.Address
 	h := x.r.Header.Clone()
@@ -218,23 +226,18 @@
 	r := (&http.Request{Method: x.r.Method, URL: &u, Host: x.r.Host, Header: h, ContentLength: int64(len(x.body))}).WithContext(ctx)
 	// Without GetBody the transport does not resend the request on its own; only
 	// the route decides what may be retried.
-	r.Body = io.NopCloser(strings.NewReader(""))
-	if len(x.body) > 0 {
-		r.Body = io.NopCloser(&bodyReader{rest: x.body})
+	if r.Body = upload.NewBody(nil); body != nil {
+		r.Body = body
 	}
 	return r
 }
 
-// bodyReader reads a body that several attempts share.
-type bodyReader struct{ rest []byte }
-
-func (b *bodyReader) Read(p []byte) (int, error) {
-	if len(b.rest) == 0 {
-		return 0, io.EOF
+// newBody returns the body of an attempt, nil for none.
+func (x *exchange) newBody() *upload.Body {
+	if len(x.body) == 0 {
+		return nil
 	}
-	n := copy(p, b.rest)
-	b.rest = b.rest[n:]
-	return n, nil
+	return upload.NewBody(x.body)
 }
 
 // priority returns the caller's priority if it has one, otherwise the route's.
--- a/plugins/gateway/harness_test.go
+++ b/plugins/gateway/harness_test.go
@@ -296,7 +296,11 @@
 }
 
 func callGateway(ctx context.Context, g *Gateway, method, path string, header ...string) (response *httptest.ResponseRecorder, aborted bool) {
-	r := httptest.NewRequestWithContext(ctx, method, "http://desk.example"+path, strings.NewReader("body of the request"))
+	return callWithBody(ctx, g, method, path, "body of the request", header...)
+}
+
+func callWithBody(ctx context.Context, g *Gateway, method, path, body string, header ...string) (response *httptest.ResponseRecorder, aborted bool) {
+	r := httptest.NewRequestWithContext(ctx, method, "http://desk.example"+path, strings.NewReader(body))
 	r.Header.Set(testID, "id-1")
 	r.Header.Set(testKey, "secret")
 	for i := 0; i+1 < len(header); i += 2 {
--- a/plugins/gateway/upstream.go
+++ b/plugins/gateway/upstream.go
@@ -61,11 +61,12 @@
 	transport := g.transportFor(x, c.Worker)
 	for {
 		conn := connHistory{}
+		body := x.newBody()
 		trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 			conn.finish() // of a connection that the transport gave up
-			conn = admitRequest(info, x.header.ID)
+			conn = admitRequest(info, x.header.ID, body)
 		}}
-		resp, err := transport.RoundTrip(g.newAttemptRequest(httptrace.WithClientTrace(ctx, trace), x, c, lastEvent))
+		resp, err := transport.RoundTrip(g.newAttemptRequest(httptrace.WithClientTrace(ctx, trace), x, c, lastEvent, body))
 		conn.finish()
 		if !conn.withheld {
 			return resp, conn, err
--- a/plugins/gateway/workerconn.go
+++ b/plugins/gateway/workerconn.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/auburnlead/auburnlead/internal/upload"
 )
 
 // A worker may write a response more than once. The copy bears the ID of the request, so
@@ -25,6 +27,7 @@
 	// answered is closed once the round trip of the last request has returned, nil for no
 	// request. Like carried, it belongs to the request that has got the connection.
 	answered chan struct{}
+	upload   upload.Tracker // of the request on the connection
 }
 
 // maxCarried is the number of requests after which a connection is not used again. It
@@ -44,9 +47,12 @@
 		}
 		return 0, errBlocked
 	}
-	return c.Conn.Write(p)
+	return c.upload.Write(c.Conn, p)
 }
 
+// Read fails if the connection ends before the worker has received the request.
+func (c *workerConn) Read(p []byte) (int, error) { return c.upload.Read(c.Conn, p) }
+
 // connHistory is what a connection carried before an attempt.
 type connHistory struct {
 	conn      *workerConn // nil if there was no connection
@@ -58,18 +64,20 @@
 	withheld  bool // the connection was blocked, so that nothing of this request is sent on it
 }
 
-// admitRequest records a request on the connection and returns what it carried before.
+// admitRequest records a request and its body, nil for none, on the connection and
+// returns what it carried before.
 // If it may not carry the request, it is blocked.
-func admitRequest(info httptrace.GotConnInfo, id string) connHistory {
+func admitRequest(info httptrace.GotConnInfo, id string, body *upload.Body) connHistory {
 	c := info.Conn.(*workerConn)
 	hash := xxhash.Sum64String(id)
 	h := connHistory{conn: c, number: c.number, requests: len(c.carried), reused: info.Reused, carriedID: slices.Contains(c.carried, hash)}
-	h.withheld = h.carriedID || len(c.carried) >= maxCarried || c.retired.Load()
+	h.withheld = h.carriedID || len(c.carried) >= maxCarried || c.retired.Load() || c.upload.Failed()
 	if h.withheld {
 		c.blocked.Store(true)
 		return h
 	}
 	c.carried = append(c.carried, hash)
+	c.upload.Begin(body)
 	c.answered = make(chan struct{})
 	h.answered = c.answered
 	return h
@@ -78,6 +86,12 @@
 // retire lets the connection carry no further requests.
 func (h connHistory) retire() { h.conn.retired.Store(true) }
 
+// drop closes the connection of a response that is not HTTP.
+func (h connHistory) drop() {
+	h.retire()
+	_ = h.conn.Close() // nothing on it is used any more
+}
+
 // finish records that the round trip of the request has returned.
 func (h connHistory) finish() {
 	if h.answered != nil {
--- a/plugins/gateway/workerconn_test.go
+++ b/plugins/gateway/workerconn_test.go
@@ -281,7 +281,7 @@
 			defer ours.Close()
 			defer theirs.Close()
 			info := httptrace.GotConnInfo{Conn: &workerConn{Conn: ours}}
-			first, second := admitRequest(info, "id"), admitRequest(info, "id")
+			first, second := admitRequest(info, "id", nil), admitRequest(info, "id", nil)
 			So(first.withheld, ShouldBeFalse)
 			So(second.withheld, ShouldBeTrue)
 			errs := make(chan error, 1)
--- a/plugins/upstream/client.go
+++ b/plugins/upstream/client.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -16,6 +15,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/internal/upload"
 )
 
 // Header names of the upstream interface.
@@ -118,13 +118,13 @@
 	return (&http.Request{Method: method, URL: u, Host: u.Host, Header: http.Header{}}).WithContext(ctx)
 }
 
-// withBody returns a copy of a request with a body that the transport cannot rewind,
+// withBody returns a copy of a request with a body, nil for none, that the transport cannot rewind,
 // so that it never resends the body by itself.
-func withBody(ctx context.Context, r *http.Request, body []byte) *http.Request {
+func withBody(ctx context.Context, r *http.Request, body *upload.Body, length int) *http.Request {
 	r = r.WithContext(ctx)
-	if len(body) > 0 {
-		r.Body = io.NopCloser(bytes.NewReader(body))
-		r.ContentLength = int64(len(body))
+	if body != nil {
+		r.Body = body
+		r.ContentLength = int64(length)
 	}
 	return r
 }
@@ -153,6 +153,11 @@
 func (c *Client) send(r *http.Request, body []byte, tracker *sendTracker) (*http.Response, error) {
 	response, err := c.exchange(r, body, tracker)
 	if err == nil {
+		if !core.IsResponseStatus(response.StatusCode) {
+			tracker.dropConnection()
+			_ = response.Body.Close()
+			return nil, unknownOutcomeError(fmt.Errorf("worker responded with status %03d, which HTTP does not have", response.StatusCode))
+		}
 		if !isAttributed(r, response, tracker.usedConnection()) {
 			tracker.retireConnection()
 			_ = response.Body.Close()
@@ -182,7 +187,11 @@
 		if err := r.Context().Err(); err != nil {
 			return nil, err
 		}
-		response, err := c.transportFor(r).RoundTrip(withBody(tracker.trace(r.Context()), r, body))
+		var unsent *upload.Body
+		if len(body) > 0 {
+			unsent = upload.NewBody(body)
+		}
+		response, err := c.transportFor(r).RoundTrip(withBody(tracker.trace(r.Context(), unsent), r, unsent, len(body)))
 		if !tracker.isWithheld() {
 			return response, err
 		}
--- a/plugins/upstream/sent.go
+++ b/plugins/upstream/sent.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/auburnlead/auburnlead/internal/upload"
 )
 
 // errWritesStopped is the error of writes after stopWrites.
@@ -24,18 +26,22 @@
 	writing       bool
 	writesStopped bool
 
-	retired atomic.Bool // it carries no further requests
+	retired atomic.Bool    // it carries no further requests
+	upload  upload.Tracker // of the request on the connection
 }
 
 func (c *countedConn) Write(b []byte) (int, error) {
 	if !c.beginWrite() {
 		return 0, errWritesStopped
 	}
-	n, err := c.Conn.Write(b)
+	n, err := c.upload.Write(c.Conn, b)
 	c.endWrite(n)
 	return n, err
 }
 
+// Read fails if the connection ends before the worker has received the request.
+func (c *countedConn) Read(b []byte) (int, error) { return c.upload.Read(c.Conn, b) }
+
 // beginWrite marks a write as in progress. It returns false if writes are stopped.
 func (c *countedConn) beginWrite() bool {
 	c.mu.Lock()
@@ -73,6 +79,7 @@
 	// allowed is called immediately before the request is written. If it returns
 	// false, the request is not sent; nil allows every request.
 	allowed func() bool
+	body    *upload.Body // of the next round trip, nil for none
 
 	mu          sync.Mutex // lock level 60, acquired before the mutex of a connection
 	conn        *countedConn
@@ -104,10 +111,20 @@
 	t.conn.retired.Store(true)
 }
 
-// trace returns the context for the next round trip.
-func (t *sendTracker) trace(ctx context.Context) context.Context {
+// dropConnection closes the connection of a response that is not HTTP.
+func (t *sendTracker) dropConnection() {
+	t.retireConnection()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_ = t.conn.Close() // nothing on it is used any more
+}
+
+// trace returns the context for the next round trip, whose request has the body, nil for
+// none.
+func (t *sendTracker) trace(ctx context.Context, body *upload.Body) context.Context {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.body = body
 	t.withheld = false // no connection is offered if dialing fails
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
 }
@@ -124,7 +141,8 @@
 	t.conn = unwrapCountedConn(info.Conn)
 	t.baseline = t.conn.bytesWritten()
 	t.used = info.Reused
-	t.withheld = t.conn.retired.Load()
+	t.withheld = t.conn.retired.Load() || t.conn.upload.Failed()
+	t.conn.upload.Begin(t.body)
 	// net/http retries requests that it considers idempotent, among them every
 	// one with an Idempotency-Key. Retries are decided in plugins/dispatch, so
 	// writes are stopped on the connection of such a retry.
