Count the bytes of bodies and responses against a budget in the gateway

Ruled out: a least pace that always holds (closes slow callers with room left), refusing the newest request (the crowd keeps its bytes), a place in line (the crowd holds the places), reserving the announced length.

Change: internal/bytebudget counts chunks before they are allocated; if it is short, the unfinished body without progress for the longest time yields, of the caller with the most such bytes, or the request is refused with 503 as not run. Chunks are reused only after the attempts' bodies are stopped.

--- /dev/null
+++ b/internal/bytebudget/bytebudget_test.go
@@ -0,0 +1,153 @@
+package bytebudget
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// slowReader returns its bytes, then waits until it is interrupted.
+type slowReader struct {
+	rest        io.Reader
+	interrupted chan struct{}
+}
+
+var errInterrupted = errors.New("interrupted")
+
+func (r *slowReader) Read(p []byte) (int, error) {
+	if n, err := r.rest.Read(p); err == nil {
+		return n, nil
+	}
+	<-r.interrupted
+	return 0, errInterrupted
+}
+
+// hold starts a body that stops after size bytes and releases it when it yields.
+func hold(b *Budget, caller string, size int) (result chan error) {
+	r := &slowReader{bytes.NewReader(make([]byte, size)), make(chan struct{})}
+	body := b.NewBody(caller, func() { close(r.interrupted) })
+	result = make(chan error, 1)
+	go func() {
+		err := body.ReadRequest(context.Background(), r, time.Now)
+		body.Release()
+		result <- err
+	}()
+	synctest.Wait()
+	return result
+}
+
+func inBubble(t *testing.T, name string, body func()) {
+	synctest.Test(t, func(t *testing.T) { Convey(name, t, body) })
+}
+
+// Guards against an ordinary caller that is refused because the bodies of others never
+// end, and against bodies that are given up without need.
+func TestWhoYields(t *testing.T) {
+	const mb = 1 << 20
+	read := func(b *Budget, caller string, size int) error {
+		body := b.NewBody(caller, func() {})
+		defer body.Release()
+		return body.ReadRequest(context.Background(), strings.NewReader(strings.Repeat("x", size)), time.Now)
+	}
+	inBubble(t, "The oldest unfinished body of the largest caller yields to another caller", func() {
+		b := New(4 * mb)
+		small := hold(b, "small", mb/2)
+		<-time.After(time.Millisecond)
+		first := hold(b, "large", mb)
+		<-time.After(time.Millisecond)
+		second := hold(b, "large", mb)
+		<-time.After(time.Millisecond)
+		So(read(b, "clerk", 2*mb), ShouldBeNil)
+		So(<-first, ShouldEqual, ErrYielded)
+		So(second, ShouldBeEmpty)
+		So(small, ShouldBeEmpty)
+		So(read(b, "clerk", 3*mb), ShouldEqual, ErrShort) // above the share of one caller
+		b.mu.Lock()
+		for body := range b.reading {
+			body.interrupt()
+		}
+		b.mu.Unlock()
+		<-small
+		<-second
+		So(b.Used(), ShouldEqual, 0)
+	})
+	inBubble(t, "A body yields to another one of its caller only after a time without progress", func() {
+		b := New(4 * mb)
+		stalled := hold(b, "clerk", 5*mb/2)
+		So(read(b, "clerk", mb), ShouldEqual, ErrShort)
+		So(stalled, ShouldBeEmpty)
+		<-time.After(StallTime)
+		So(read(b, "clerk", mb), ShouldBeNil)
+		So(<-stalled, ShouldEqual, ErrYielded)
+	})
+	inBubble(t, "A body that has arrived whole does not yield", func() {
+		b := New(4 * mb)
+		whole := b.NewBody("large", func() { panic("interrupted") })
+		So(whole.ReadRequest(context.Background(), bytes.NewReader(make([]byte, 5*mb/2)), time.Now), ShouldBeNil)
+		So(read(b, "clerk", 2*mb), ShouldEqual, ErrShort)
+		whole.Release()
+		So(read(b, "clerk", 2*mb), ShouldBeNil)
+	})
+	inBubble(t, "Clients without a known key hold only a small part", func() {
+		b := New(4 * mb)
+		So(read(b, "", 5*mb/8), ShouldEqual, ErrShort)
+		So(read(b, "", mb/4), ShouldBeNil)
+		So(b.Used(), ShouldEqual, 0)
+	})
+}
+
+// Guards against bytes that are held and not counted, counted and not held, given back
+// twice, or given to two bodies.
+func TestCountsMatchTheBytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const limit = 1 << 18
+		b := New(limit)
+		var bodies []*Body
+		content := map[*Body]byte{}
+		for i := range rapid.IntRange(1, 20).Draw(t, "steps") {
+			if len(bodies) > 0 && rapid.Bool().Draw(t, "release") {
+				n := rapid.IntRange(0, len(bodies)-1).Draw(t, "which")
+				bodies[n].Release()
+				bodies[n].Release()
+				bodies = append(bodies[:n], bodies[n+1:]...)
+			} else {
+				size := rapid.IntRange(0, limit).Draw(t, "size")
+				body := b.NewBody(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "caller"), func() {})
+				err := body.ReadRequest(context.Background(), io.MultiReader(bytes.NewReader(bytes.Repeat([]byte{byte(i)}, size)), strings.NewReader("")), time.Now)
+				if err != nil && err != ErrShort || err == nil && body.Size() != int64(size) {
+					t.Fatalf("%v, %d of %d bytes", err, body.Size(), size)
+				}
+				if err != nil {
+					body.Release() // others wait for it
+					continue
+				}
+				bodies, content[body] = append(bodies, body), byte(i)
+			}
+			total, kept := int64(0), int64(len(b.free))*ChunkBytes
+			for _, body := range bodies {
+				held := int64(0)
+				for _, c := range body.Chunks() {
+					held += int64(cap(c))
+					if bytes.Count(c, []byte{content[body]}) != len(c) {
+						t.Fatalf("a body has the bytes of another one")
+					}
+				}
+				if held > body.counted {
+					t.Fatalf("%d bytes held, %d counted", held, body.counted)
+				}
+				total += body.counted
+			}
+			if total != b.Used() || total+kept > limit {
+				t.Fatalf("counted %d, used %d, kept %d, limit %d", total, b.Used(), kept, limit)
+			}
+		}
+	})
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	FailureDomain string
 	PeerAddress   string // IP:port of the gRPC server
 	Incarnation   uint64 // start time, ns since the epoch
+	MemoryMB      int    // memory of the VM, MB of 2^20 bytes; 0 if not stated
 }
 
 // ConfigRevision is an active revision of the configuration. It is not modified
--- a/internal/upload/upload.go
+++ b/internal/upload/upload.go
@@ -39,31 +39,55 @@
 
 // Body is the body of one attempt. It implements io.ReadCloser.
 type Body struct {
-	mu   sync.Mutex // lock level 90
-	rest []byte
+	mu      sync.Mutex // lock level 90
+	rest    [][]byte   // none is empty
+	stopped bool
 }
 
-// NewBody returns a body with the bytes of b, which it does not copy.
-func NewBody(b []byte) *Body { return &Body{rest: b} }
+// NewBody returns a body with the bytes of the chunks, which it does not copy.
+func NewBody(chunks ...[]byte) *Body {
+	b := &Body{rest: make([][]byte, 0, len(chunks))}
+	for _, c := range chunks {
+		if len(c) > 0 {
+			b.rest = append(b.rest, c)
+		}
+	}
+	return b
+}
+
+// errStopped is the error of a body whose request has ended.
+var errStopped = errors.New("upload: the request has ended before its body was sent")
 
 func (b *Body) Read(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.stopped {
+		return 0, errStopped
+	}
 	if len(b.rest) == 0 {
 		return 0, io.EOF
 	}
-	n := copy(p, b.rest)
-	b.rest = b.rest[n:]
+	n := copy(p, b.rest[0])
+	if b.rest[0] = b.rest[0][n:]; len(b.rest[0]) == 0 {
+		b.rest = b.rest[1:]
+	}
 	return n, nil
 }
 
+// Stop ends the body: the chunks are not used after it, also if the transport still reads.
+func (b *Body) Stop() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rest, b.stopped = nil, true
+}
+
 // Close does nothing.
 func (*Body) Close() error { return nil }
 
 func (b *Body) isRead() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.rest) == 0
+	return len(b.rest) == 0 && !b.stopped
 }
 
 // Tracker observes the reads and writes of one connection. The zero value is ready.
--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -223,10 +223,10 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = nil // keeps net/http from adding its own
 	}
-	r := (&http.Request{Method: x.r.Method, URL: &u, Host: x.r.Host, Header: h, ContentLength: int64(len(x.body))}).WithContext(ctx)
+	r := (&http.Request{Method: x.r.Method, URL: &u, Host: x.r.Host, Header: h, ContentLength: x.bodySize()}).WithContext(ctx)
 	// Without GetBody the transport does not resend the request on its own; only
 	// the route decides what may be retried.
-	if r.Body = upload.NewBody(nil); body != nil {
+	if r.Body = upload.NewBody(); body != nil {
 		r.Body = body
 	}
 	return r
@@ -234,10 +234,12 @@
 
 // newBody returns the body of an attempt, nil for none.
 func (x *exchange) newBody() *upload.Body {
-	if len(x.body) == 0 {
+	if x.bodySize() == 0 {
 		return nil
 	}
-	return upload.NewBody(x.body)
+	b := upload.NewBody(x.body.Chunks()...)
+	x.sent = append(x.sent, b)
+	return b
 }
 
 // priority returns the caller's priority if it has one, otherwise the route's.
--- a/plugins/gateway/buffered.go
+++ b/plugins/gateway/buffered.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/auburnlead/auburnlead/internal/bytebudget"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/routing"
 )
@@ -53,7 +54,7 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *bytebudget.Body
 	framed bool // see workerResponse.isFramed
 	unread *workerResponse
 }
@@ -71,19 +72,21 @@
 	if f != nil {
 		return nil, f
 	}
-	return g.readBuffered(c, resp)
+	return g.readBuffered(x, c, resp)
 }
 
-func (g *Gateway) readBuffered(c routing.Choice, resp *workerResponse) (*bufferedResponse, *failure) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(g.settings.AnswerBytes)))
+func (g *Gateway) readBuffered(x *exchange, c routing.Choice, resp *workerResponse) (*bufferedResponse, *failure) {
+	body := g.bytes.NewBody(x.callerName(), nil)
+	x.responses = append(x.responses, body)
+	err := body.ReadResponse(io.LimitReader(resp.Body, int64(g.settings.AnswerBytes)))
 	took := time.Since(resp.sentAt)
 	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body, framed: resp.isFramed()}
-	if err == nil && len(body) == g.settings.AnswerBytes {
+	if err == nil && body.Size() == int64(g.settings.AnswerBytes) {
 		resp.stallTimer.stop()
 		if resp.StatusCode >= http.StatusInternalServerError {
 			_ = resp.Body.Close() // the rest is not forwarded
 			resp.cancel()
-			return nil, &failure{outcome: core.OutcomeRan, sent: true, reason: failOversized, err: fmt.Errorf("status %d with more than %d bytes", resp.StatusCode, len(body))}
+			return nil, &failure{outcome: core.OutcomeRan, sent: true, reason: failOversized, err: fmt.Errorf("status %d with more than %d bytes", resp.StatusCode, body.Size())}
 		}
 		buffered.unread = resp
 		return buffered, nil
@@ -106,20 +109,23 @@
 	x.setOutcome(outcome, "", nil)
 	x.copyHeader(resp.header)
 	if resp.unread == nil && bodyAllowed(resp.status) && x.r.Method != http.MethodHead {
-		x.w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
+		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.body.Size(), 10))
 	}
 	x.w.WriteHeader(resp.status)
 	x.firstByte = sinceStart(x)
 	x.extendWriteDeadline(g.settings.WriteTimeout)
-	if _, err := x.w.Write(resp.body); err != nil {
-		x.setOutcome(outcomeDisconnected, "caller left", err)
+	for _, chunk := range resp.body.Chunks() {
+		if _, err := x.w.Write(chunk); err != nil {
+			x.setOutcome(outcomeDisconnected, "caller left", err)
+			break
+		}
 	}
 	if resp.unread == nil {
 		return
 	}
 	defer resp.unread.cancel()
 	defer resp.unread.Body.Close()
-	rest := &limitedBody{from: resp.unread.Body, left: g.settings.MaxAnswerBytes - int64(len(resp.body)), beforeRead: func() { x.extendWriteDeadline(g.settings.WriteTimeout) }}
+	rest := &limitedBody{from: resp.unread.Body, left: g.settings.MaxAnswerBytes - resp.body.Size(), beforeRead: func() { x.extendWriteDeadline(g.settings.WriteTimeout) }}
 	if _, err := io.Copy(x.w, rest); err != nil {
 		reason := failTruncated
 		if errors.Is(err, errOversized) {
--- a/plugins/gateway/decision.go
+++ b/plugins/gateway/decision.go
@@ -23,6 +23,7 @@
 	counters         *metrics.TaggedCounters
 	firstByte        map[bool]tally.Histogram // key: whether the route is a stream
 	unreadable       *unreadable.Reporter
+	held             tally.Gauge // bytes of bodies and buffered responses
 }
 
 // firstByteBuckets run from 1 ms to about 16 s; each bound is twice the
@@ -32,7 +33,7 @@
 func newDecisionLog(l *log.Logger, scope tally.Scope, maxLines int) *decisionLog {
 	s := scope.SubScope(componentName)
 	return &decisionLog{
-		lines: boundedlog.New(l, maxLines), counters: metrics.NewTaggedCounters(s), unreadable: unreadable.New(l, s),
+		lines: boundedlog.New(l, maxLines), counters: metrics.NewTaggedCounters(s), unreadable: unreadable.New(l, s), held: s.Gauge("held_bytes"),
 		firstByte: map[bool]tally.Histogram{
 			false: s.Tagged(map[string]string{"answer": "whole"}).Histogram("first_byte", firstByteBuckets),
 			true:  s.Tagged(map[string]string{"answer": "stream"}).Histogram("first_byte", firstByteBuckets),
--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -1,17 +1,15 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"time"
 
+	"github.com/auburnlead/auburnlead/internal/bytebudget"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/internal/framing"
+	"github.com/auburnlead/auburnlead/internal/upload"
 	"github.com/auburnlead/auburnlead/objects"
 	"github.com/auburnlead/auburnlead/routing"
 )
@@ -22,15 +20,17 @@
 	r   *http.Request
 	ctx context.Context // ends when the caller disconnects or the deadline passes
 
-	header   core.RequestHeader
-	route    *objects.Route
-	caller   *objects.Caller
-	upstream string // name of the upstream that was picked
-	revision uint64
-	body     []byte
-	start    time.Time
-	timeout  time.Duration // the caller's timeout or the route's, whichever is shorter
-	deadline time.Time
+	header    core.RequestHeader
+	route     *objects.Route
+	caller    *objects.Caller
+	upstream  string // name of the upstream that was picked
+	revision  uint64
+	body      *bytebudget.Body   // nil for none
+	sent      []*upload.Body     // bodies of the attempts
+	responses []*bytebudget.Body // buffered responses of the attempts
+	start     time.Time
+	timeout   time.Duration // the caller's timeout or the route's, whichever is shorter
+	deadline  time.Time
 
 	tried        []*routing.Worker // workers to which the request was sent, in order
 	possibleRuns int               // number of workers that ran the request or may have
@@ -134,6 +134,7 @@
 	}
 	g.closeIfIsolated(w.Header())
 	defer g.closeOnPanic(x)
+	defer x.releaseBytes()
 	g.serve(x)
 	g.decisions.recordEnd(x)
 	if x.abort {
@@ -216,41 +217,3 @@
 	x.waitFor(g.workersListed)
 	return g.readBody(x)
 }
-
-func (g *Gateway) readBody(x *exchange) bool {
-	if x.r.ContentLength > g.settings.BodyBytes {
-		g.deny(x, http.StatusRequestEntityTooLarge, "body too large", nil)
-		return false
-	}
-	var b bytes.Buffer
-	if x.r.ContentLength > 0 {
-		b.Grow(int(x.r.ContentLength) + bytes.MinRead)
-	}
-	if x.r.ContentLength != 0 {
-		// The deadline stays after a failure, so that the server does not wait for
-		// the rest of the body before it closes the connection.
-		_ = x.conn.SetReadDeadline(x.deadline) // not supported by recorders in tests
-		defer context.AfterFunc(g.server.ending, func() { _ = x.conn.SetReadDeadline(time.Now()) })()
-	}
-	_, err := io.Copy(&b, http.MaxBytesReader(x.w, x.r.Body, g.settings.BodyBytes))
-	x.body = b.Bytes()
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		if x.r.ContentLength != 0 {
-			_ = x.conn.SetReadDeadline(time.Time{}) // its end would look like a caller that disconnects
-		}
-		return true
-	case errors.Is(err, os.ErrDeadlineExceeded) && g.server.ending.Err() != nil:
-		x.err = err
-		g.refuseStopping(x)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		g.deny(x, http.StatusRequestTimeout, "body too slow", err)
-	case errors.As(err, &tooLarge):
-		g.deny(x, http.StatusRequestEntityTooLarge, "body too large", err)
-	default:
-		x.setOutcome(outcomeDisconnected, "body not read", err)
-		x.abort = true
-	}
-	return false
-}
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -3,7 +3,7 @@
 // route's upstream and forwards the response.
 //
 // A request passes through the files in this order: server.go (listeners,
-// shutdown), handler.go (route, API key, body), choose.go (worker, with package
+// shutdown), handler.go (route, API key), body.go (body, memory), choose.go (worker, with package
 // routing), attempt.go and stall.go (one attempt on a worker), buffered.go for
 // buffered responses or stream.go for streams, refuse.go (responses of the
 // router itself), decision.go (log and metrics). reachability.go and isolation.go
@@ -20,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 
+	"github.com/auburnlead/auburnlead/internal/bytebudget"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/kernel"
 	"github.com/auburnlead/auburnlead/routing"
@@ -156,6 +157,7 @@
 	workersListedOnce sync.Once
 	fleet             *routing.Fleet
 	conns             *workerConns
+	bytes             *bytebudget.Budget // bytes held for callers
 	reachability      *reachability
 	crashes           *crashDetector
 	limits            *rateLimits
@@ -180,6 +182,7 @@
 		workersListed: make(chan struct{}),
 		fleet:         routing.New(fleetConfig(p.Identity.FailureDomain, p.Settings)),
 		conns:         newWorkerConns(p.Settings),
+		bytes:         bytebudget.New(bytebudget.Limit(p.Identity.MemoryMB)),
 	}
 	g.decisions = newDecisionLog(g.log, p.Scope, p.Settings.LogLines)
 	g.crashes = newCrashDetector(g, p.Extensions)
--- a/plugins/gateway/stream.go
+++ b/plugins/gateway/stream.go
@@ -91,7 +91,7 @@
 		return nil, f
 	}
 	if !isSuccess(resp.StatusCode) {
-		return g.readBuffered(c, resp)
+		return g.readBuffered(x, c, resp)
 	}
 	defer resp.cancel()
 	defer resp.Body.Close()
--- a/plugins/node/setup.go
+++ b/plugins/node/setup.go
@@ -16,6 +16,7 @@
 	"go.uber.org/fx"
 
 	"github.com/auburnlead/auburnlead/internal/boundedlog"
+	"github.com/auburnlead/auburnlead/internal/bytebudget"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/kernel"
 )
@@ -33,6 +34,10 @@
 	// GCPercent is the heap growth in percent that triggers a garbage collection.
 	// A lower value saves memory and costs CPU time. Default 100.
 	GCPercent int `ini:"gc_percent" default:"100" min:"5" max:"1000"`
+	// MemoryMB is the memory of the VM in MB of 2^20 bytes. Three quarters less 32 MB may
+	// be used for bodies of requests and responses; further requests are refused. The
+	// runtime collects garbage more often above 0.9 of it. Default 1024.
+	MemoryMB float64 `ini:"memory_mb" default:"1024" min:"48" max:"1048576"`
 }
 
 func init() {
@@ -51,7 +56,10 @@
 				fx.Supply(s.(*Settings)),
 				logger,
 				fx.Provide(NewIdentity, core.NewAddresses, core.NewReadiness, core.NewBackgroundPool),
-				fx.Invoke(func(s *Settings) { debug.SetGCPercent(s.GCPercent) }),
+				fx.Invoke(func(s *Settings) {
+					debug.SetGCPercent(s.GCPercent)
+					debug.SetMemoryLimit(bytebudget.RuntimeLimit(int(s.MemoryMB)))
+				}),
 			)
 		},
 	})
@@ -60,7 +68,7 @@
 // NewIdentity returns the identity of this process. PeerAddress is empty: the
 // peer plug-in sets it in its own copy once its address is known.
 func NewIdentity(s *Settings) core.Identity {
-	return core.Identity{Router: s.ID, FailureDomain: s.FailureDomain, Incarnation: uint64(time.Now().UnixNano())}
+	return core.Identity{Router: s.ID, FailureDomain: s.FailureDomain, Incarnation: uint64(time.Now().UnixNano()), MemoryMB: int(s.MemoryMB)}
 }
 
 // newStdoutLogger returns a logger that writes to standard output and never
