Count the bodies of requests against the byte budget in the role router

Cause: the caller API read each body into a buffer that doubled, without a bound on the sum, as the gateway did.

Change: bodies are read in counted chunks and joined to one slice of their exact size, which counts twice until the end of the request, since the body for the engine is a copy. A refusal for want of memory is 429 as the other refusals for want of capacity; the connection is closed. The read deadline stays after a failed read: without it the server waited for the rest of the body of a caller that sends nothing.

Not done: buffered responses of the role are not counted.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -160,6 +160,25 @@
 	return h.readAll(r, time.Now, func(n int64) error { h.count(n); return nil })
 }
 
+// Join returns the bytes as one slice, which stays valid after Release. Until then they
+// are counted twice, for the slice and one copy that the caller may make of it. It may be
+// called once, and no chunk may be used after it. Errors: ErrShort, ErrYielded.
+func (h *Body) Join(ctx context.Context, now func() time.Time) ([]byte, error) {
+	if err := h.reserve(ctx, h.size, now); err != nil {
+		return nil, err
+	}
+	joined := make([]byte, 0, h.size)
+	for _, c := range h.chunks {
+		joined = append(joined, c...)
+	}
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.keep(h.chunks)
+	h.chunks = nil
+	return joined, nil
+}
+
 func (h *Body) readAll(r io.Reader, now func() time.Time, take func(int64) error) error {
 	size := firstChunkBytes
 	var last []byte
@@ -335,13 +354,17 @@
 	if b.held[h.caller] -= h.counted; b.held[h.caller] == 0 {
 		delete(b.held, h.caller)
 	}
-	for _, c := range h.chunks {
-		// Chunks that are kept and those in use stay within the limit together.
+	b.keep(h.chunks)
+	h.chunks = nil
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// keep keeps chunks for reuse, as many as stay within the limit with the bytes in use.
+func (b *Budget) keep(chunks [][]byte) {
+	for _, c := range chunks {
 		if cap(c) == ChunkBytes && b.used+int64(len(b.free)+1)*ChunkBytes <= b.limit {
 			b.free = append(b.free, c[:0])
 		}
 	}
-	h.chunks = nil
-	close(b.changed)
-	b.changed = make(chan struct{})
 }
--- /dev/null
+++ b/plugins/caller/memory_test.go
@@ -0,0 +1,48 @@
+package caller
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/auburnlead/auburnlead/internal/bytebudget"
+	"github.com/auburnlead/auburnlead/internal/core"
+)
+
+// Guards against bodies that are not counted, unfinished bodies that keep the memory from
+// other callers, and bytes that stay counted.
+func TestMemoryForBodies(t *testing.T) {
+	inBubble(t, "Unfinished bodies yield to those of another caller, which are served", func(h *harness) {
+		h.settings.BodyBytes = 1 << 20
+		h.bytes = bytebudget.New(1 << 20)
+		h.dispatcher.service = func(r *core.ServiceRequest) (*core.ServiceResponse, error) {
+			return &core.ServiceResponse{Status: http.StatusOK, Header: http.Header{}, Body: fmt.Append(nil, len(r.Body))}, nil
+		}
+		text := strings.Repeat("x", 300<<10)
+		for range 6 {
+			conn := h.dial()
+			defer conn.Close()
+			head := requestText("POST", "/v1/chat/completions", text, "Authorization", "Bearer juror-key")
+			go func() { _, _ = io.WriteString(conn, head[:len(head)-64]) }() // the rest never comes
+		}
+		synctest.Wait()
+		So(h.bytes.Used(), ShouldBeBetween, 500<<10, 1<<20)
+		for range 3 {
+			status, _, got := h.send("POST", "/v1/services/desk/x", text)
+			So(fmt.Sprint(status, " ", got), ShouldEqual, fmt.Sprint("200 ", len(text)))
+		}
+		status, header, got := h.send("POST", "/v1/services/desk/x", strings.Repeat("x", 900<<10))
+		So(status, ShouldEqual, http.StatusTooManyRequests)
+		So(header.Get("Retry-After"), ShouldNotBeEmpty)
+		So(got, ShouldContainSubstring, "no memory for the body")
+		synctest.Wait()
+		So(h.bytes.Used(), ShouldBeLessThan, 700<<10)
+		<-time.After(time.Second) // the server waits before it closes a connection whose body it has not read
+	})
+}
--- a/plugins/caller/routes.go
+++ b/plugins/caller/routes.go
@@ -1,11 +1,9 @@
 package caller
 
 import (
-	"bytes"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
@@ -15,6 +13,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/auburnlead/auburnlead/internal/bytebudget"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/internal/framing"
 	"github.com/auburnlead/auburnlead/objects"
@@ -39,6 +38,7 @@
 	caller *objects.Caller // nil before authentication
 	set    *objects.Set    // the active configuration when the request started
 	w      *response
+	body   *bytebudget.Body // nil before the body is read
 }
 
 // handler handles a request or returns the problem to respond with.
@@ -66,6 +66,7 @@
 		r := &apiRequest{Request: hr, id: newRequestID(), w: newResponse(w, s.settings.WriteTimeout)}
 		r.w.Header().Set(headerRequestID, r.id)
 		defer s.logPanic(r)
+		defer r.release()
 		problem := s.admit(r, h)
 		if problem != nil && !r.w.started() {
 			if problem.Kind == core.KindUnauthorized {
@@ -154,32 +155,47 @@
 	}
 	controller := http.NewResponseController(r.w)
 	_ = controller.SetReadDeadline(time.Now().Add(s.settings.BodyTimeout))
-	// If the read deadline stayed on the connection, it would later look as if
-	// the caller had disconnected.
-	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
-	body, err := readAll(http.MaxBytesReader(r.w, r.Body, limit), r.ContentLength)
+	r.body = s.bytes.NewBody(r.caller.Name, func() { _ = controller.SetReadDeadline(time.Now()) })
+	var body []byte
+	err := r.body.ReadRequest(r.Context(), http.MaxBytesReader(r.w, r.Body, limit), time.Now)
+	if err == nil {
+		body, err = r.body.Join(r.Context(), time.Now)
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, bytebudget.ErrShort), errors.Is(err, bytebudget.ErrYielded):
+		s.metrics.memoryRefusals.Inc(1)
+		s.log.Warn("connection yields", "request", r.id, "caller", r.caller.Name, "remote", r.RemoteAddr, "body_bytes", r.body.Size(), "held_bytes", s.bytes.Used(), "error", err)
+		r.release() // others wait for it
+		_ = controller.SetReadDeadline(time.Now())
+		r.w.Header().Set("Connection", "close")
+		p := core.NewProblem(core.KindOverloaded, "the router has no memory for the body")
+		p.RetryAfter, p.Err = memoryRetryAfter, err
+		return nil, p
 	case errors.As(err, &tooLarge):
 		return nil, core.NewProblem(core.KindBodyTooLarge, "the body has more than %d bytes", limit)
 	case err != nil:
 		r.w.Header().Set("Connection", "close")
+		// The read deadline stays, so that the server does not wait for the rest.
 		p := core.NewProblem(core.KindInvalidRequest, "the body did not arrive whole within %s", s.settings.BodyTimeout)
 		p.Err = err
 		return nil, p
 	}
+	// If the read deadline stayed on the connection, it would later look as if the
+	// caller had disconnected.
+	_ = controller.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
-// maxBodyPrealloc is the maximum memory allocated for a body before it is received.
-const maxBodyPrealloc = 64 << 10
+// memoryRetryAfter is the time in which the bodies of usual requests arrive and are
+// served.
+const memoryRetryAfter = time.Second
 
-// readAll reads a body. length is its length in bytes, -1 if unknown.
-func readAll(body io.Reader, length int64) ([]byte, error) {
-	// ReadFrom grows the buffer unless MinRead bytes are free when it reads EOF.
-	b := bytes.NewBuffer(make([]byte, 0, min(max(length, 0)+bytes.MinRead, maxBodyPrealloc)))
-	_, err := b.ReadFrom(body)
-	return b.Bytes(), err
+// release gives back the memory of the body.
+func (r *apiRequest) release() {
+	if r.body != nil {
+		r.body.Release()
+	}
 }
 
 // maxDeadline is the longest deadline that a caller can set.
--- a/plugins/caller/setup.go
+++ b/plugins/caller/setup.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 
+	"github.com/auburnlead/auburnlead/internal/bytebudget"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/internal/framing"
 	"github.com/auburnlead/auburnlead/kernel"
@@ -75,6 +76,7 @@
 	Addresses  *core.Addresses
 	Logger     *log.Logger
 	Scope      tally.Scope `optional:"true"`
+	Identity   core.Identity
 }
 
 // Server serves the caller API.
@@ -88,6 +90,7 @@
 	metrics    *metrics
 	keys       keyring
 	requests   *requestTracker
+	bytes      *bytebudget.Budget // bytes held for callers
 	http       *http.Server
 }
 
@@ -105,6 +108,7 @@
 		log:        p.Logger.WithPrefix("caller"),
 		metrics:    newMetrics(p.Scope.SubScope("caller")),
 		requests:   newRequestTracker(),
+		bytes:      bytebudget.New(bytebudget.Limit(p.Identity.MemoryMB)),
 	}
 	s.readiness.Require(componentName)
 	s.config.Subscribe(s.keys.update)
