Keep half of the descriptors of a process for workers and peers

Cause: nothing held back accepting of connections in the gateway. With 128 descriptors and 400 connections of callers, no connection to a worker could be opened, and requests of accepted connections were refused.

Ruled out: a fixed number (the limit differs by VM), closing idle connections of callers to make room (a request may be on its way).

Change: internal/connlimit replaces the listener of plugins/caller and is used by both roles; the limit is half of the soft limit of the process, read for each connection.

Tests: the test of the connection limit in plugins/caller calls connlimit.Listen in place of limitConnections; its checks are unchanged.

--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -5,6 +5,7 @@
 package crowd
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -20,6 +21,7 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -124,13 +126,60 @@
 	return fmt.Appendf(nil, "%x\r\n%s\r\n", n, strings.Repeat("x", n))
 }
 
-// Guards against clients that fill the memory of a router with bodies: 1,245, 506 and 613
-// MB with 120 connections before bodies were counted.
-func TestCrowdOfBodies(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "auburnlead")
+// Guards against connections without end that leave a router no descriptor for its workers.
+func TestCrowdOfConnections(t *testing.T) {
+	const descriptors, crowd = 128, 400
+	binary := build(t)
+	Convey("A router that meets more connections than it has descriptors serves others afterwards", t, func() {
+		p := startRouter(binary, t.TempDir())
+		So(unix.Prlimit(p.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: descriptors, Max: descriptors}, nil), ShouldBeNil)
+		var conns []net.Conn
+		for i := range crowd {
+			c, err := net.Dial("tcp", p.address)
+			So(err, ShouldBeNil)
+			_, err = io.WriteString(c, head(fmt.Sprint("crowd-", i), "crowd-key", "Content-Length: 10"))
+			So(err, ShouldBeNil)
+			conns = append(conns, c)
+		}
+		// Waits until the router accepts no more: it holds the connections, or is at its limit.
+		open := 0
+		for last := -1; open != last; {
+			last = open
+			<-time.After(500 * time.Millisecond)
+			list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.Process.Pid))
+			So(err, ShouldBeNil)
+			open = len(list)
+		}
+		// One of the connections that the router has accepted is served by a worker.
+		_, err := io.WriteString(conns[0], "0123456789")
+		So(err, ShouldBeNil)
+		So(conns[0].SetReadDeadline(time.Now().Add(30*time.Second)), ShouldBeNil)
+		resp, err := http.ReadResponse(bufio.NewReader(conns[0]), nil)
+		So(err, ShouldBeNil)
+		status := resp.StatusCode
+		t.Logf("%d descriptors of %d, request of an accepted connection %d", open, descriptors, status)
+		for _, c := range conns {
+			_ = c.Close()
+		}
+		after, _ := p.call("ordinary", 1000)
+		So(after, ShouldEqual, http.StatusOK)
+		So(status, ShouldEqual, http.StatusOK)
+		So(open, ShouldBeLessThanOrEqualTo, descriptors*3/4)
+	})
+}
+
+func build(t *testing.T) (binary string) {
+	binary = filepath.Join(t.TempDir(), "auburnlead")
 	if out, err := exec.Command("go", "build", "-o", binary, "github.com/auburnlead/auburnlead/cmd/auburnlead").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
+	return binary
+}
+
+// Guards against clients that fill the memory of a router with bodies: 1,245, 506 and 613
+// MB with 120 connections before bodies were counted.
+func TestCrowdOfBodies(t *testing.T) {
+	binary := build(t)
 	chunked := func(size, total int) func(net.Conn) {
 		return func(c net.Conn) {
 			block := chunk(size)
--- a/plugins/caller/gate.go
+++ b/plugins/caller/gate.go
@@ -1,9 +1,6 @@
 package caller
 
-import (
-	"net"
-	"sync"
-)
+import "sync"
 
 // requestTracker counts the requests in flight and rejects new ones once closed.
 type requestTracker struct {
@@ -47,46 +44,3 @@
 	}
 	return t.drained
 }
-
-// limitConnections returns a listener that accepts at most limit connections at a
-// time.
-func limitConnections(l net.Listener, limit int) net.Listener {
-	return &limitedListener{Listener: l, slots: make(chan struct{}, limit), done: make(chan struct{})}
-}
-
-type limitedListener struct {
-	net.Listener
-	slots chan struct{}
-	once  sync.Once
-	done  chan struct{}
-}
-
-func (l *limitedListener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		<-l.slots
-		return nil, err
-	}
-	return &limitedConn{Conn: conn, release: func() { <-l.slots }}, nil
-}
-
-func (l *limitedListener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return l.Listener.Close()
-}
-
-type limitedConn struct {
-	net.Conn
-	once    sync.Once
-	release func()
-}
-
-func (c *limitedConn) Close() error {
-	defer c.once.Do(c.release)
-	return c.Conn.Close()
-}
--- a/plugins/caller/server_test.go
+++ b/plugins/caller/server_test.go
@@ -19,6 +19,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"google.golang.org/grpc/test/bufconn"
 
+	"github.com/auburnlead/auburnlead/internal/connlimit"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/objects"
 	"github.com/auburnlead/auburnlead/settings"
@@ -399,7 +400,7 @@
 			for range 3 {
 				go func() { _, _ = inner.Dial() }()
 			}
-			l := limitConnections(inner, 1)
+			l := connlimit.Listen(inner, func() int { return 1 })
 			first, err := l.Accept()
 			So(err, ShouldBeNil)
 			var accepted atomic.Bool
--- a/plugins/caller/setup.go
+++ b/plugins/caller/setup.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx"
 
 	"github.com/auburnlead/auburnlead/internal/bytebudget"
+	"github.com/auburnlead/auburnlead/internal/connlimit"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/internal/framing"
 	"github.com/auburnlead/auburnlead/kernel"
@@ -27,7 +28,8 @@
 	// Listen is the address of the caller API. Default 127.0.0.1:8080.
 	Listen string `ini:"listen" default:"127.0.0.1:8080" check:"hostport" required:"true"`
 	// MaxConnections limits the number of open connections. Further ones wait in
-	// the listen backlog of the operating system. Default 8192.
+	// the listen backlog of the operating system, as do those above half of the
+	// descriptors of the process. Default 8192.
 	MaxConnections int `ini:"max_connections" default:"8192" min:"1" max:"1000000"`
 	// BodyBytes limits the body of a request. Default 4194304 bytes.
 	BodyBytes int64 `ini:"body_bytes" default:"4194304" min:"1024" max:"268435456"`
@@ -132,12 +134,18 @@
 		return fmt.Errorf("caller: %w; set caller.listen to a free address of this VM", err)
 	}
 	s.addresses.Set(componentName, l.Addr().String())
-	go s.serve(limitConnections(l, s.settings.MaxConnections))
+	go s.serve(connlimit.Listen(l, s.maxConnections))
 	s.readiness.SetReady(componentName, true, "")
 	s.log.Info("listening", "address", l.Addr().String())
 	return nil
 }
 
+// maxConnections returns the limit of open connections, which leaves descriptors for
+// workers and peers.
+func (s *Server) maxConnections() int {
+	return min(s.settings.MaxConnections, connlimit.ForProcess())
+}
+
 func (s *Server) serve(l net.Listener) {
 	if err := framing.Serve(s.http, l); err != http.ErrServerClosed {
 		s.log.Error("listener failed", "error", err)
--- a/plugins/gateway/server.go
+++ b/plugins/gateway/server.go
@@ -13,6 +13,7 @@
 	"github.com/gorilla/mux"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/auburnlead/auburnlead/internal/connlimit"
 	"github.com/auburnlead/auburnlead/internal/framing"
 	"github.com/auburnlead/auburnlead/internal/metrics"
 )
@@ -103,6 +104,7 @@
 
 // serveCallers serves a listener until the server is closed.
 func (s *server) serveCallers(l net.Listener) error {
+	l = connlimit.Listen(l, connlimit.ForProcess)
 	s.conns.setListener(l)
 	err := framing.Serve(s.callers, l)
 	if s.stopping.Load() {
