Hold one leaf lock at a time in upload; check joined bodies

Cause: Tracker.Write asked the body, whose lock is a leaf too, under its own lock, and dropConnection closed a connection under the lock of the send state. internal/core/lockorder.go allows neither.

Change: both are done outside of the lock. TestCountsMatchTheBytes also joins bodies, which have to be counted twice.

Measured: go test -race of internal/upload (20 runs), internal/bytebudget (3) and plugins/upstream (1), and the tests of early responses, statuses and memory in plugins/gateway, passed.

--- a/internal/bytebudget/bytebudget_test.go
+++ b/internal/bytebudget/bytebudget_test.go
@@ -129,6 +129,12 @@
 					body.Release() // others wait for it
 					continue
 				}
+				if rapid.Bool().Draw(t, "join") {
+					joined, err := body.Join(context.Background(), time.Now)
+					if err == nil && (len(joined) != size || bytes.Count(joined, []byte{byte(i)}) != size || body.counted < 2*int64(size)) {
+						t.Fatalf("joined %d of %d bytes, counted %d", len(joined), size, body.counted)
+					}
+				}
 				bodies, content[body] = append(bodies, body), byte(i)
 			}
 			total, kept := int64(0), int64(len(b.free))*ChunkBytes
--- a/internal/upload/upload.go
+++ b/internal/upload/upload.go
@@ -123,14 +123,16 @@
 func (t *Tracker) Write(c net.Conn, p []byte) (int, error) {
 	t.mu.Lock()
 	body, failed := t.body, t.err != nil
+	t.mu.Unlock()
+	if failed {
+		return len(p), nil
+	}
 	// net/http reads the body in the goroutine that writes it, and after the read that
 	// returns its last bytes writes once more.
 	last := body != nil && body.isRead()
+	t.mu.Lock()
 	t.ending = last
 	t.mu.Unlock()
-	if failed {
-		return len(p), nil
-	}
 	n, err := c.Write(p)
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/plugins/upstream/sent.go
+++ b/plugins/upstream/sent.go
@@ -115,8 +115,9 @@
 func (t *sendTracker) dropConnection() {
 	t.retireConnection()
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	_ = t.conn.Close() // nothing on it is used any more
+	conn := t.conn
+	t.mu.Unlock()
+	_ = conn.Close() // nothing on it is used any more
 }
 
 // trace returns the context for the next round trip, whose request has the body, nil for
