Do not take varied or failed responses for a slow worker

Cause: with responses of a half to twice the median time, 0.05 of the worker states were slow although all workers were alike (TestSpeedOfVariedResponses, failed before). Fast error responses lowered the usual time of the upstream. The medians of the expected wait were updated with a value that had changed in between.

Ruled out: a higher threshold for all, since it finds workers of plain services later.

Change: the samples of a class of work are reduced where its times differ much between requests, and error responses are no samples.

Measured: under 0.01 in the test.

--- a/plugins/gateway/buffered.go
+++ b/plugins/gateway/buffered.go
@@ -96,7 +96,11 @@
 		return nil, f
 	}
 	resp.stallTimer.stop()
-	g.speeds.recordFirstByte(c, took)
+	if isSuccess(resp.StatusCode) {
+		g.speeds.recordFirstByte(c, took)
+	} else {
+		g.fleet.RecordErrorResponse(c, took)
+	}
 	return buffered, nil
 }
 
--- a/routing/expected.go
+++ b/routing/expected.go
@@ -24,6 +24,12 @@
 	// cached, a queue and a machine that is busy for some 100 ms make single requests take
 	// longer; on a slow worker the fastest requests take longer too.
 	lowQuantile = 0.3
+	// wideQuantile and lowQuantile tell how much the times of a class of work differ
+	// between requests. Short spells in which machines are busy lie beyond it.
+	wideQuantile = 0.8
+	// wideFactor times that difference is what the fastest of some requests of a usual
+	// worker rarely exceed.
+	wideFactor = 1.2
 	// workStep is the step of a quantile for a sample, as a logarithm, and maxDrift the
 	// sum of the steps in a second. At some requests per second the usual times follow the
 	// upstream within half a minute, and at any rate a worker is found to be slow before
@@ -73,6 +79,7 @@
 	byWork  [workClasses]logQuantile // lowQuantile
 	byLoad  [loadClasses]logQuantile // lowQuantile
 	medians [workClasses]logQuantile
+	wide    [workClasses]logQuantile // wideQuantile
 }
 
 // workClass returns the class of a request's work: the prompt tokens that the worker has
@@ -98,25 +105,30 @@
 }
 
 // deviation returns the logarithm of a measured time over the expected one, and false
-// while there are too few samples of the class of work.
+// while there are too few samples of the class of work. Where the times of the class differ
+// much between requests, it is reduced so that usual ones do not count as slow.
 func (e *expectedTimes) deviation(work uint8, load int, took time.Duration) (float64, bool) {
-	m := &e.byWork[work]
-	return logTime(took) - m.value - e.byLoad[loadClass(load)].value, m.samples >= calibratedAt
+	low := e.byWork[work]
+	deviation := logTime(took) - low.value - e.byLoad[loadClass(load)].value
+	if width, limit := wideFactor*(e.wide[work].value-low.value), math.Log(slowFrom); width > limit {
+		deviation *= limit / width
+	}
+	return deviation, low.samples >= calibratedAt
 }
 
 // record records a measured time of a worker that is not slow.
 func (e *expectedTimes) record(work uint8, load int, took time.Duration, now time.Time) {
-	m := &e.byWork[work]
-	if m.samples == 0 {
-		m.value = logTime(took) - e.byLoad[loadClass(load)].value
-		e.medians[work].value = m.value
+	low, median, wide, byLoad := &e.byWork[work], &e.medians[work], &e.wide[work], &e.byLoad[loadClass(load)]
+	figure := logTime(took) - byLoad.value
+	if low.samples == 0 {
+		low.value, median.value, wide.value = figure, figure, figure
 	}
-	deviation, calibrated := e.deviation(work, load, took)
-	m.record(deviation, lowQuantile, workStep, now)
-	e.medians[work].record(deviation+m.value-e.medians[work].value, 0.5, workStep, now)
-	if calibrated {
-		m := &e.byLoad[loadClass(load)]
-		m.move(deviation, lowQuantile, min(loadStep, maxDrift*max(now.Sub(m.at), 0).Seconds()), now)
+	deviation := figure - low.value
+	low.record(deviation, lowQuantile, workStep, now)
+	median.record(figure-median.value, 0.5, workStep, now)
+	wide.record(figure-wide.value, wideQuantile, workStep, now)
+	if low.samples >= calibratedAt {
+		byLoad.move(deviation, lowQuantile, min(loadStep, maxDrift*max(now.Sub(byLoad.at), 0).Seconds()), now)
 	}
 }
 
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -267,6 +267,15 @@
 	c.markFirstByte()
 }
 
+// RecordErrorResponse records the time of a response that is no success. It says nothing
+// about the worker's speed.
+func (f *Fleet) RecordErrorResponse(c Choice, elapsed time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pool(c.Worker.Upstream).firstByte.record(elapsed)
+	c.markFirstByte()
+}
+
 // FirstByteTimeout returns the time without a first byte after which a request
 // on the worker counts as stalled.
 func (f *Fleet) FirstByteTimeout(w *Worker) time.Duration {
--- a/routing/speed_test.go
+++ b/routing/speed_test.go
@@ -194,6 +194,36 @@
 	})
 }
 
+// Guards against workers that count as slow because responses differ much in length.
+func TestSpeedOfVariedResponses(t *testing.T) {
+	Convey("Where most responses take a half to twice the median, hardly any worker counts as slow", t, func() {
+		s := newSpeedSim(20, 10, true)
+		s.took = func(*Worker, time.Duration) time.Duration {
+			return time.Duration(float64(usualTook) * math.Exp(0.8*s.random.NormFloat64()))
+		}
+		s.run(30*time.Second, 60, nil)
+		slow, checks := 0, 0
+		for range 60 {
+			s.run(500*time.Millisecond, 60, nil)
+			for _, f := range s.fleets {
+				slow += f.SlowWorkers()
+				checks += 10
+			}
+		}
+		So(float64(slow)/float64(checks), ShouldBeLessThan, 0.01)
+	})
+	Convey("The time of an error response is no sample", t, func() {
+		s := newSpeedSim(1, 2, true)
+		f := s.fleets[0]
+		for range 2 * calibratedAt {
+			c, _ := f.Choose(Request{Upstream: testUpstream, Whole: true}, s.now)
+			f.RecordErrorResponse(c, time.Millisecond)
+			f.RecordEnd(c, true, s.now)
+		}
+		So(f.pools[testUpstream].expected.byWork[wholeClass].samples, ShouldEqual, 0)
+	})
+}
+
 // Guards against routers that disagree because messages arrive in another order or twice,
 // and against implausible samples.
 func TestSharedSpeeds(t *testing.T) {
