--- a/plugins/gateway/buffered.go
+++ b/plugins/gateway/buffered.go
@@ -99,7 +99,11 @@
 		return nil, f
 	}
 	resp.stallTimer.stop()
-	g.speeds.recordFirstByte(c, took)
+	if isSuccess(resp.StatusCode) {
+		g.speeds.recordFirstByte(c, took)
+	} else {
+		g.fleet.RecordErrorResponse(c, took)
+	}
 	return buffered, nil
 }
 
