Let prompts return to a cold worker one by one instead of by permits

Cause: with a permit every 37 s at each router, lapsing after 250 ms, the prompts of a cold worker alternated between it and their next preference for 8.6 s after each start, and their parts were read again. Ruled out: more permits, which leave less margin where half of the routers are unknown. Change: prompts leave a cold worker to the next preference; after the cold time its part of the requests rises within 3 s, at each router by a hash of its own. The bound in the cold time is kept by permits as before.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -145,15 +145,21 @@
 		return reachable(w) && !p.ejector.Ejected(now, w.ID) && p.isWithinShare(w, now) && (admitsReturned || !w.hasJustReturned(now))
 	}
 	preferred := func(w *Worker) bool { return healthy(w) && !w.said.isPausedElsewhere(now) }
-	limited := p.hasRateLimit()
+	limited, key := p.hasRateLimit(), r.placementKey()
 	for _, try := range []struct {
 		accept func(*Worker) bool
 		early  time.Duration
 	}{{preferred, 0}, {preferred, earlyPermit}, {healthy, earlyPermit}, {reachable, earlyPermit}} {
 		candidates, hashes := p.candidates(r.Tried, try.accept)
-		sparesCold := f.sparesCold(candidates, now)
-		hasPermit := func(w *Worker) bool {
-			return f.hasPermit(w, now, try.early) && !(limited && p.isFull(w, now)) && !(sparesCold && f.isCold(w, now))
+		mayGet := func(w *Worker) bool {
+			return f.hasPermit(w, now, try.early) && !(limited && p.isFull(w, now))
+		}
+		hasPermit := mayGet
+		if len(f.coldWorkers) > 0 {
+			notLeft := func(w *Worker) bool { return mayGet(w) && !f.leavesToOthers(w, key, now) }
+			if slices.ContainsFunc(candidates, notLeft) {
+				hasPermit = notLeft
+			}
 		}
 		if !slices.ContainsFunc(candidates, hasPermit) {
 			continue
@@ -200,13 +206,21 @@
 	return prompt
 }
 
+// placementKey returns the ID of the last shared part of the prompt, 0 for none.
+func (r *Request) placementKey() uint64 {
+	if len(r.SharedParts) == 0 {
+		return 0
+	}
+	return r.SharedParts[len(r.SharedParts)-1].ID
+}
+
 // pickByPrompt picks the first preference of the last shared part whose load is
 // within the limit. Workers without a permit are passed over, one candidate has one, and
 // so are slow workers for a part of the prompts, and workers without memory for the request
 // as long as another one is within the limit.
 func (f *Fleet) pickByPrompt(r *Request, candidates []*Worker, hashes []uint64, hasPermit func(*Worker) bool, now time.Time) Choice {
 	parts := r.SharedParts
-	key := parts[len(parts)-1].ID
+	key := r.placementKey()
 	var indexes [widePreferenceCount]int
 	p := f.pool(candidates[0].Upstream)
 	limit := f.loadLimit(candidates, now)
--- a/routing/coldstart.go
+++ b/routing/coldstart.go
@@ -2,8 +2,11 @@
 
 import (
 	"math"
+	"math/bits"
 	"slices"
 	"time"
+
+	"github.com/auburnlead/auburnlead/placement"
 )
 
 // A worker that has just started during traffic serves few requests at first and crashes
@@ -25,15 +28,13 @@
 	// coldPermitTTL is the time after which an unused permit for a cold worker lapses. A
 	// router of a large fleet gets a request every 100 to 200 ms.
 	coldPermitTTL = 250 * time.Millisecond
-	// coldDoubling is the time in which the permitted rate doubles after the cold time,
-	// and minColdDoublings the least number of doublings: a rate 32 times that of a cold
-	// worker is several times that of a usual worker.
-	coldDoubling     = time.Second
-	minColdDoublings = 5
-	// coldSetback is how much later the rate rises after a failed or slow response.
+	// coldRise is the time in which a worker's part of the requests rises after the cold
+	// time. Load reports reach all routers within it (loadTTL).
+	coldRise = 3 * time.Second
+	// coldSetback is how much later the part rises after a failed or slow response.
 	coldSetback = time.Second
-	// maxColdRise limits the time after the cold time in which a worker needs permits,
-	// so that callers that leave cannot keep a worker from its share.
+	// maxColdRise limits the time after the cold time in which the part rises, so that
+	// callers that leave cannot keep a worker from its requests.
 	maxColdRise = 30 * time.Second
 	// minColdNews is how much later than known the end of a cold time has to be to count.
 	// Routers tell each other the time left, which is too high by the time in transit.
@@ -48,10 +49,10 @@
 
 // coldStart is the cold time of a worker. It is guarded by Fleet.mu.
 type coldStart struct {
-	startedAt time.Time // zero if the worker is not cold and needs no permits
+	startedAt time.Time // zero if the worker is neither cold nor rising
 	rate      float64   // see Fleet.coldRate
 	until     time.Time // end of the cold time
-	riseFrom  time.Time // from then the permitted rate rises
+	riseFrom  time.Time // from then the part of the requests rises
 	warmAt    time.Time // end of the last rise, zero for none
 	announced bool      // ColdChanges has returned its begin
 }
@@ -79,55 +80,48 @@
 // needs none.
 func (f *Fleet) coldPace(w *Worker, now time.Time) (pace, bool) {
 	c := &w.cold
-	if c.startedAt.IsZero() {
-		return pace{}, false
-	}
-	rate := c.rate
-	if rate <= 0 {
-		return pace{}, false
-	}
-	routers := f.coldRouters(now)
-	rise := now.Sub(c.riseFrom)
-	if rise <= 0 {
-		return pace{period: permitPeriod(rate, routers), ttl: coldPermitTTL}, true
-	}
-	if rise >= coldRise(rate, routers) || now.Sub(c.until) >= maxColdRise {
+	if c.startedAt.IsZero() || c.rate <= 0 || !now.Before(c.riseFrom) {
 		return pace{}, false
 	}
-	growth := math.Exp2(rise.Seconds() / coldDoubling.Seconds())
-	ttl := time.Duration(min(growth*float64(coldPermitTTL), float64(permitTTL)))
-	return pace{period: permitPeriod(rate*growth, routers), ttl: ttl, gradual: true}, true
-}
-
-// coldRise returns the time in which the permitted rate rises. In its last doubling each
-// router has a permit at any time, so its end is no step.
-func coldRise(rate, routers float64) time.Duration {
-	doublings := max(minColdDoublings, 1+math.Log2(max(routers, 1)/rate/permitTTL.Seconds()))
-	return time.Duration(doublings * float64(coldDoubling))
+	return pace{period: permitPeriod(c.rate, f.coldRouters(now)), ttl: coldPermitTTL}, true
 }
 
-// coldWait returns the time until a permit of a cold worker that is a wait away at the
-// present rate, with regard to the rise of the rate after the cold time.
-func (f *Fleet) coldWait(w *Worker, wait time.Duration, now time.Time) time.Duration {
-	left := max(w.cold.riseFrom.Sub(now), 0)
-	if wait <= left {
-		return wait
+// risenPart returns the part of its requests that a worker gets after its cold time, from 0
+// to 1.
+func (w *Worker) risenPart(now time.Time) float64 {
+	c := &w.cold
+	if c.startedAt.IsZero() || c.rate <= 0 || now.Sub(c.until) >= maxColdRise {
+		return 1
 	}
-	later := coldDoubling.Seconds() * math.Log2(1+(wait-left).Seconds()*math.Ln2/coldDoubling.Seconds())
-	return left + min(time.Duration(later*float64(time.Second)), coldRise(w.cold.rate, f.coldRouters(now)))
+	return min(max(now.Sub(c.riseFrom).Seconds()/coldRise.Seconds(), 0), 1)
 }
 
-// isCold reports whether a worker gets requests only with permits because it is cold or
-// was so shortly before.
-func (f *Fleet) isCold(w *Worker, now time.Time) bool {
-	_, cold := f.coldPace(w, now)
-	return cold
-}
+// isCold reports whether a worker gets few requests because it is cold or was so shortly
+// before.
+func (f *Fleet) isCold(w *Worker, now time.Time) bool { return w.risenPart(now) < 1 }
 
-// sparesCold reports whether cold workers are left to other routers: this one does not
-// know the number of routers yet, and one of the candidates is not cold.
-func (f *Fleet) sparesCold(candidates []*Worker, now time.Time) bool {
-	return len(f.coldWorkers) > 0 && !f.size.isKnown(now) && slices.ContainsFunc(candidates, func(w *Worker) bool { return !f.isCold(w, now) })
+// leavesToOthers reports whether a request should go to another worker, if there is one,
+// because this one is cold or its part of the requests has not risen to it. key is that of
+// the prompt, 0 for a request without one, which cold workers get with permits once the
+// number of routers is known.
+func (f *Fleet) leavesToOthers(w *Worker, key uint64, now time.Time) bool {
+	part := w.risenPart(now)
+	if part >= 1 {
+		return false
+	}
+	if part == 0 && key == 0 {
+		return !f.size.isKnown(now)
+	}
+	if key == 0 {
+		// It looks like the least loaded worker to all requests that it may get, so the
+		// part of them rises from that of one of all workers.
+		key = uint64(now.UnixNano())
+		part *= math.Pow(float64(max(len(f.pool(w.Upstream).workers), 1)), part-1)
+	}
+	if f.salt == 0 {
+		f.salt = 1 + uint64(f.cfg.Random(math.MaxInt))
+	}
+	return float64(placement.Score(key^f.salt, bits.RotateLeft64(w.hash, 16))) >= part*math.MaxUint64
 }
 
 // setCold records that a worker is cold until a time, and reports whether this is news. A
@@ -187,7 +181,7 @@
 	return f.setCold(w, until, now)
 }
 
-// setBackCold delays the rise of a worker's rate after a response that failed or was slow.
+// setBackCold delays the rise of a worker's part after a response that failed or was slow.
 func (f *Fleet) setBackCold(w *Worker, now time.Time) {
 	c := &w.cold
 	if now.After(c.riseFrom) && f.isCold(w, now) {
@@ -231,8 +225,8 @@
 	return news
 }
 
-// ColdCount returns the number of reachable workers of an upstream that get requests only
-// with permits because they are cold.
+// ColdCount returns the number of reachable workers of an upstream that get few requests
+// because they are cold or were so shortly before.
 func (f *Fleet) ColdCount(upstream string, now time.Time) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -255,9 +249,9 @@
 	Took             time.Duration // since its begin, where the rise ends
 }
 
-// ColdState returns the changes since the last call, the number of workers that get
-// requests only with permits because they are cold, and the time until the next one may
-// need none, 0 if there is no such worker.
+// ColdState returns the changes since the last call, the number of workers that are cold or
+// whose part of the requests rises, and the time until the next one may get all of them, 0
+// if there is no such worker.
 func (f *Fleet) ColdState(now time.Time) (changes []ColdChange, cold int, next time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -269,7 +263,7 @@
 				changes = append(changes, ColdChange{Worker: w.ID, Upstream: w.Upstream, Cold: true, Left: c.until.Sub(now)})
 			}
 			cold++
-			if end := max(c.riseFrom.Add(coldRise(c.rate, f.coldRouters(now))).Sub(now), time.Millisecond); cold == 1 || end < next {
+			if end := max(c.riseFrom.Add(coldRise).Sub(now), time.Millisecond); cold == 1 || end < next {
 				next = end
 			}
 			return f.byID[w.ID] != w
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -63,6 +63,7 @@
 	upstreams      map[string]UpstreamConfig
 	coldWorkers    []*Worker // workers that are cold or were so at the last call of ColdState
 	size           fleetSize
+	salt           uint64 // differs between routers, 0 until it is needed
 
 	evacuated          map[string]time.Time // evacuated failure domains, with the time at which this router learned of it
 	evacuationsInForce map[string]bool      // those of which a worker was listed
--- a/routing/ratelimit.go
+++ b/routing/ratelimit.go
@@ -9,10 +9,11 @@
 )
 
 // A worker may name the requests per second that it takes from all routers together, and
-// a cold one takes few (coldstart.go). The lower rate counts. Each router uses an equal part of it, without messages for each request: it gets
-// permits at regular times, and a permit that no request has used for some time lapses.
-// The routers' permits begin at random times, so all of them together arrive evenly,
-// also where a router gets one only every few seconds.
+// a cold one takes few (coldstart.go). The lower rate counts. Each router uses an equal
+// part of it, without messages for each request: it gets permits at regular times, and a
+// permit that no request has used for some time lapses. The routers' permits begin at
+// random times, so all of them together arrive evenly, also where a router gets one only
+// every few seconds.
 
 const (
 	// permitTTL is the time after which an unused permit lapses. The requests that all
@@ -61,15 +62,13 @@
 type permits struct {
 	nextPermit time.Time     // when the oldest unused permit begins
 	period     time.Duration // time between two permits that nextPermit is based on, 0 before the first use
-	countedAt  time.Time     // when nextPermit was last computed
 }
 
 // pace says how often a router gets a permit and how long it may use it.
 type pace struct {
-	period  time.Duration // time between two permits
-	ttl     time.Duration // time after which an unused permit lapses
-	early   time.Duration // how early a permit may be used when there is none for any worker
-	gradual bool          // the rate has changed steadily since the last use
+	period time.Duration // time between two permits
+	ttl    time.Duration // time after which an unused permit lapses
+	early  time.Duration // how early a permit may be used when there is none for any worker
 }
 
 // pace returns the pace of a worker's permits, and false if it needs none.
@@ -91,17 +90,13 @@
 func (f *Fleet) permitAt(w *Worker, pc pace, now time.Time) time.Time {
 	l := &w.rateLimit.permits
 	if l.period == 0 {
-		l.nextPermit, l.period, l.countedAt = now.Add(time.Duration(f.cfg.Random(int(pc.period)))), pc.period, now
+		l.nextPermit, l.period = now.Add(time.Duration(f.cfg.Random(int(pc.period)))), pc.period
 	}
-	if remaining := l.nextPermit.Sub(l.countedAt); pc.gradual && l.period != pc.period {
-		meanRate := (1/l.period.Seconds() + 1/pc.period.Seconds()) / 2
-		permits := remaining.Seconds()/l.period.Seconds() - now.Sub(l.countedAt).Seconds()*meanRate
-		l.nextPermit = now.Add(time.Duration(permits * float64(pc.period)))
-	} else if remaining := l.nextPermit.Sub(now); l.period != pc.period && remaining > 0 {
+	if remaining := l.nextPermit.Sub(now); l.period != pc.period && remaining > 0 {
 		scaled := float64(remaining) * float64(pc.period) / float64(l.period)
 		l.nextPermit = now.Add(time.Duration(min(scaled, float64(pc.period+pc.early))))
 	}
-	l.period, l.countedAt = pc.period, now
+	l.period = pc.period
 	if lapsed := now.Sub(l.nextPermit) - pc.ttl; lapsed > 0 {
 		l.nextPermit = l.nextPermit.Add(time.Duration(math.Ceil(float64(lapsed)/float64(pc.period))) * pc.period)
 	}
@@ -275,8 +270,8 @@
 		}
 		limited++
 		d := max(f.permitAt(w, pc, now).Sub(now)-pc.early, 0)
-		if !w.rateLimit.isSet() {
-			d = f.coldWait(w, d, now)
+		if !w.rateLimit.isSet() { // it needs no permit after its cold time
+			d = min(d, w.cold.riseFrom.Sub(now))
 		}
 		if limited == 1 || d < wait {
 			wait = d
