Admission: count no places of stalled attempts, try other workers while there is room

Cause: requests to workers that do not respond, as beyond a partition or after a crash, stayed in flight to their deadline and counted as places taken, so an upstream with free workers seemed full. A request that one worker rejected was not tried at the others even when the whole demand was admitted. Change: an attempt frees its place when its first-byte timeout ends; a repeat is refused only while a part of the demand is; only rejections for lack of room make a request a repeat.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -43,7 +43,7 @@
 	Weight   float64
 	Target   time.Duration // latency target, 0 for none
 	TimeLeft time.Duration
-	Repeated bool // the request has already been sent to a worker
+	Repeated bool // a worker has already rejected the request for lack of room
 }
 
 // Decision says what to do with a request.
@@ -201,9 +201,10 @@
 func (u *room) decide(now time.Time, r RoutedRequest, f *routeFlow) Decision {
 	p := &u.plan
 	switch {
-	case r.Repeated && (p.full || p.short):
+	case r.Repeated && p.short:
 		// The first attempt was admitted and rejected, so there was no room for it.
-		// Its place in the admitted fraction has been used.
+		// Its place in the admitted fraction has been used. While the demand is
+		// admitted, one worker may be full beside others that have room.
 		return u.refuse(now, r, nil)
 	case !p.short:
 		return Decision{}
--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -44,6 +44,8 @@
 	nextOpening    time.Duration      // time until one of them takes requests again
 	evacuated      bool               // all workers that could run it are in evacuated failure domains
 	room           admission.Decision // last decision on the upstream's room
+	place          *heldPlace         // of the last attempt
+	rejected       bool               // a worker has rejected it for lack of room
 	tooLate        bool               // the router stops before the request's deadline
 	quarantined    time.Duration      // remaining quarantine of one of its prompt parts, 0 for none
 	status         int
--- a/plugins/gateway/room.go
+++ b/plugins/gateway/room.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/auburnlead/auburnlead/admission"
@@ -73,7 +74,7 @@
 		return false
 	}
 	now := time.Now()
-	r := admission.RoutedRequest{Upstream: gossip.WorkerHash(x.upstream), Rank: x.priority(), Target: x.route.Target, TimeLeft: x.deadline.Sub(now), Repeated: len(x.tried) > 0}
+	r := admission.RoutedRequest{Upstream: gossip.WorkerHash(x.upstream), Rank: x.priority(), Target: x.route.Target, TimeLeft: x.deadline.Sub(now), Repeated: x.rejected}
 	if x.caller != nil {
 		r.Caller, r.Weight = gossip.WorkerHash(x.caller.Name), x.caller.Weight
 	}
@@ -94,22 +95,35 @@
 	return true
 }
 
+// heldPlace is the place of an attempt among the requests in flight.
+type heldPlace struct{ freed atomic.Bool }
+
 // recordSent counts an attempt.
 func (c *roomControl) recordSent(x *exchange) {
+	x.place = &heldPlace{}
 	c.g.decisions.count("admission_decisions", "decision", "send")
 	c.gate.RecordSent(time.Now(), gossip.WorkerHash(x.upstream))
 }
 
+// free counts the end of an attempt, once. An attempt that stalls ends before its request
+// does: a worker that does not respond, as beyond a partition, takes no place of those
+// that do.
+func (c *roomControl) free(upstream string, p *heldPlace, finished bool) {
+	if p.freed.CompareAndSwap(false, true) {
+		c.gate.RecordEnd(time.Now(), gossip.WorkerHash(upstream), finished)
+	}
+}
+
 // recordEnd records the end of an attempt with the fleet and the gate. ok says that
 // the worker served it.
 func (g *Gateway) recordEnd(x *exchange, c routing.Choice, ok bool) {
-	now := time.Now()
-	g.fleet.RecordEnd(c, ok, now)
-	g.room.gate.RecordEnd(now, gossip.WorkerHash(x.upstream), ok)
+	g.fleet.RecordEnd(c, ok, time.Now())
+	g.room.free(x.upstream, x.place, ok)
 }
 
 // recordRejected counts an attempt that a worker rejected for lack of room.
 func (c *roomControl) recordRejected(x *exchange) {
+	x.rejected = true
 	c.recordRouters()
 	urgent := c.gate.RecordRejected(time.Now(), gossip.WorkerHash(x.upstream))
 	c.logChanges()
--- a/plugins/gateway/stall.go
+++ b/plugins/gateway/stall.go
@@ -28,10 +28,11 @@
 // cancel if the request may be retried by then.
 func (g *Gateway) startStallTimer(x *exchange, c routing.Choice, cancel func()) *stallTimer {
 	stall := &stallTimer{}
-	mayRetry := x.mayRetryRunning() // the timer runs beside the handler of the request
+	mayRetry, place := x.mayRetryRunning(), x.place // the timer runs beside the handler of the request
 	timeout := max(g.fleet.FirstByteTimeout(c.Worker), targetFactor*x.route.Target)
 	stall.timer = time.AfterFunc(timeout, func() {
 		g.decisions.count("stalls", "upstream", c.Worker.Upstream)
+		g.room.free(c.Worker.Upstream, place, false)
 		// Reserve the retry in the budget first: if it is refused, the attempt goes
 		// on and its response may still arrive.
 		if mayRetry && g.fleet.AllowRetry(x.upstream, time.Now()) {
