--- a/gossip/extension.go
+++ b/gossip/extension.go
@@ -19,6 +19,7 @@
 	ExtensionPauses     byte = 3 // pauses that workers ask for
 	ExtensionFleetSize  byte = 4 // largest number of routers seen, and cold workers
 	ExtensionDemand     byte = 5 // recent requests and rejections, package admission
+	ExtensionSpeeds     byte = 6 // samples of the speed of workers
 )
 
 // ExtensionLimit returns the largest payload of an extension, in bytes.
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -21,14 +21,16 @@
 var explainEndpoint = endpoint{"--gateway", "a gateway's metrics listener (setting [gateway] metrics)"}
 
 type explainCmd struct {
-	Gateway    string        `help:"Base URL of a gateway's metrics listener." env:"AUBURNLEAD_GATEWAY" required:"" placeholder:"URL"`
-	Host       string        `help:"Host name of the request." required:""`
-	Path       string        `help:"Path of the request." required:""`
-	Method     string        `help:"Method of the request; routes do not depend on it." default:"GET"`
-	Caller     string        `help:"Name of the caller, not its key." placeholder:"NAME"`
-	Prompt     string        `help:"Parts of the prompt as in the header of a request." placeholder:"ID:TOKENS,..."`
-	Timeout    time.Duration `help:"Timeout that the caller names; the route's if it is shorter or none is given." default:"0s"`
-	Candidates int           `help:"Largest number of workers to list for each upstream." default:"10"`
+	Gateway         string        `help:"Base URL of a gateway's metrics listener." env:"AUBURNLEAD_GATEWAY" required:"" placeholder:"URL"`
+	Host            string        `help:"Host name of the request." required:""`
+	Path            string        `help:"Path of the request." required:""`
+	Method          string        `help:"Method of the request; routes do not depend on it." default:"GET"`
+	Caller          string        `help:"Name of the caller, not its key." placeholder:"NAME"`
+	Prompt          string        `help:"Parts of the prompt as in the header of a request." placeholder:"ID:TOKENS,..."`
+	PromptTokens    int           `help:"Tokens of the whole prompt; the expected wait depends on them." default:"0"`
+	MaxOutputTokens int           `help:"Limit of the tokens of the response." default:"0"`
+	Timeout         time.Duration `help:"Timeout that the caller names; the route's if it is shorter or none is given." default:"0s"`
+	Candidates      int           `help:"Largest number of workers to list for each upstream." default:"10"`
 }
 
 // Help returns the text shown below the usage of the command.
@@ -67,6 +69,12 @@
 	set(explainapi.ParamMethod, c.Method)
 	set(explainapi.ParamCaller, c.Caller)
 	set(explainapi.ParamPrompt, c.Prompt)
+	if c.PromptTokens != 0 {
+		set(explainapi.ParamPromptTokens, strconv.Itoa(c.PromptTokens))
+	}
+	if c.MaxOutputTokens != 0 {
+		set(explainapi.ParamOutputTokens, strconv.Itoa(c.MaxOutputTokens))
+	}
 	if c.Timeout != 0 {
 		set(explainapi.ParamTimeout, strconv.FormatInt(c.Timeout.Milliseconds(), 10))
 	}
@@ -116,6 +124,12 @@
 		if c.SharedTokens > 0 {
 			fmt.Fprintf(w, ", %d tokens shared, preference %d of the prompt, load limit %d", c.SharedTokens, c.Preference, c.Limit)
 		}
+		if c.ExpectedWaitMs > 0 {
+			fmt.Fprintf(w, ", first byte expected in %s", msText(c.ExpectedWaitMs))
+		}
+		if c.Slowness > 1 {
+			fmt.Fprintf(w, ", slow, %.1f times", c.Slowness)
+		}
 		if c.FetchFrom != "" {
 			fmt.Fprintf(w, ", parts from %s", strings.TrimSpace(c.FetchWorker+" "+c.FetchFrom))
 		}
@@ -128,20 +142,23 @@
 		return
 	}
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(t, "  \tWORKER\tFAILURE DOMAIN\tLOAD\tLIMIT\tSLOTS\tUNANSWERED\tLOAD AGE\tSTATE")
+	fmt.Fprintln(t, "  \tWORKER\tFAILURE DOMAIN\tLOAD\tLIMIT\tSLOTS\tUNANSWERED\tLOAD AGE\tWAIT\tSTATE")
 	for _, c := range u.Candidates {
 		mark := ""
 		if c.Chosen {
 			mark = "*"
 		}
-		limit, age := "-", "-"
+		limit, age, wait := "-", "-", "-"
 		if c.Limit > 0 {
 			limit = strconv.Itoa(c.Limit)
 		}
 		if c.LoadAgeMs >= 0 {
 			age = msText(c.LoadAgeMs)
 		}
-		fmt.Fprintf(t, "  %s\t%s\t%s\t%d\t%s\t%d\t%d\t%s\t%s\n", mark, c.Worker, c.FailureDomain, c.Busy, limit, c.Slots, c.Waiting, age, stateText(c))
+		if c.ExpectedWaitMs > 0 {
+			wait = msText(c.ExpectedWaitMs)
+		}
+		fmt.Fprintf(t, "  %s\t%s\t%s\t%d\t%s\t%d\t%d\t%s\t%s\t%s\n", mark, c.Worker, c.FailureDomain, c.Busy, limit, c.Slots, c.Waiting, age, wait, stateText(c))
 	}
 	_ = t.Flush() // the output may be closed
 	if more := u.Workers - len(u.Candidates); more > 0 {
@@ -183,7 +200,9 @@
 	add(c.PausedMs > 0, "paused for "+msText(c.PausedMs))
 	add(c.PausedElsewhereMs > 0, "paused at another router for "+msText(c.PausedElsewhereMs))
 	add(c.Cold && c.ColdLeftMs > 0, "cold for "+msText(c.ColdLeftMs))
-	add(c.Cold && c.ColdLeftMs <= 0, "warming up")
+	add(c.Cold && c.ColdLeftMs <= 0 && !c.Rising, "warming up")
+	add(c.Rising, fmt.Sprintf("gets %.0f%% after its cold time, rising", c.RisenPart*100))
+	add(c.Slowness > 1, fmt.Sprintf("slow, %.1f times", c.Slowness))
 	add(c.RateLimit >= 0, fmt.Sprintf("limit %g requests/s", c.RateLimit))
 	if c.NextPermitMs != nil {
 		add(*c.NextPermitMs > 0, "next permit in "+msText(*c.NextPermitMs))
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -25,9 +25,10 @@
 				Name: "engine", Weight: 3, Share: 0.75, Workers: 12,
 				Admission: explainapi.Admission{Enabled: true, On: true, Room: &room, Fraction: 0.4, Heard: 5, Routers: 9},
 				Answer:    &explainapi.Answer{Status: 503, Reason: "no room", RetryAfterMs: 300, RetryAfterMaxMs: 500},
-				Choice:    &explainapi.Choice{Worker: "e2", Reason: "next", SharedTokens: 900, Preference: 1, Limit: 14, FetchFrom: "10.0.0.1:1", FetchWorker: "e1"},
+				Choice:    &explainapi.Choice{Worker: "e2", Reason: "next", SharedTokens: 900, Preference: 1, Limit: 14, FetchFrom: "10.0.0.1:1", FetchWorker: "e1", ExpectedWaitMs: 150, Slowness: 2.4},
 				Candidates: []explainapi.Candidate{
 					{Worker: "e1", FailureDomain: "b", Cold: true, ColdLeftMs: 1500, RateLimit: -1, NextPermitMs: &next, LoadAgeMs: -1},
+					{Worker: "e3", Cold: true, Rising: true, RisenPart: 0.25, Slowness: 2.4, ExpectedWaitMs: 1200, RateLimit: -1},
 					{Worker: "e2", FailureDomain: "a", Chosen: true, Busy: 3, RateLimit: 4, LoadAgeMs: 80},
 				},
 			}},
@@ -46,17 +47,17 @@
 			_ = json.NewEncoder(w).Encode(response) // the client may have closed the connection
 		}))
 		defer server.Close()
-		arguments := []string{"explain", "--gateway", server.URL, "--host", "desk.example", "--path", "/chat/a b", "--prompt", "3fa1:800,77:1", "--timeout", "2s"}
+		arguments := []string{"explain", "--gateway", server.URL, "--host", "desk.example", "--path", "/chat/a b", "--prompt", "3fa1:800,77:1", "--timeout", "2s", "--prompt-tokens", "950"}
 		code, out := runCommand(append(arguments, "--caller", "clerks")...)
 		So(code, ShouldEqual, ExitDone)
 		for _, part := range []string{
 			"revision 7 in force for 1m30s", "route chat (stream): desk.example/chat/", "rank 1, of the caller; caller clerks", "upstream engine: weight 3 (75%), 12 workers",
 			"on for 0s: room 31.5 requests/s, admitted 40% of this rank and caller", "5 of 9 routers heard", "answered 503: no room; not run, Retry-After 300ms to 500ms",
-			`if it were not refused: worker e2, reason "next", 900 tokens shared`, "parts from e1 10.0.0.1:1", "cold for 1.5s, next permit in 120ms", "limit 4 requests/s", "and 10 more",
+			`if it were not refused: worker e2, reason "next", 900 tokens shared`, "first byte expected in 150ms, slow, 2.4 times, parts from e1 10.0.0.1:1", "cold for 1.5s, next permit in 120ms", "limit 4 requests/s", "1.2s  gets 25% after its cold time, rising, slow, 2.4 times", "and 9 more",
 		} {
 			So(out, ShouldContainSubstring, part)
 		}
-		So(query, ShouldResemble, map[string][]string{"host": {"desk.example"}, "path": {"/chat/a b"}, "method": {"GET"}, "caller": {"clerks"}, "prompt": {"3fa1:800,77:1"}, "timeout_ms": {"2000"}, "candidates": {"10"}})
+		So(query, ShouldResemble, map[string][]string{"host": {"desk.example"}, "path": {"/chat/a b"}, "method": {"GET"}, "caller": {"clerks"}, "prompt": {"3fa1:800,77:1"}, "timeout_ms": {"2000"}, "prompt_tokens": {"950"}, "candidates": {"10"}})
 		code, out = runCommand(append(arguments, "--output", "json")...)
 		So(code, ShouldEqual, ExitDone)
 		var decoded explainapi.Response
--- a/internal/explainapi/explainapi.go
+++ b/internal/explainapi/explainapi.go
@@ -10,13 +10,17 @@
 
 // Names of the query parameters.
 const (
-	ParamHost       = "host"
-	ParamPath       = "path"
-	ParamMethod     = "method"
-	ParamCaller     = "caller"     // name of a caller, not a key
-	ParamPrompt     = "prompt"     // parts as in the header of a request: "ID:TOKENS,..."
-	ParamTimeout    = "timeout_ms" // the caller's timeout, default the route's
-	ParamCandidates = "candidates" // largest number of candidates for each upstream
+	ParamHost    = "host"
+	ParamPath    = "path"
+	ParamMethod  = "method"
+	ParamCaller  = "caller"     // name of a caller, not a key
+	ParamPrompt  = "prompt"     // parts as in the header of a request: "ID:TOKENS,..."
+	ParamTimeout = "timeout_ms" // the caller's timeout, default the route's
+	// The tokens of the whole prompt and the caller's limit of the response, default not
+	// known. The expected wait depends on them.
+	ParamPromptTokens = "prompt_tokens"
+	ParamOutputTokens = "max_output_tokens"
+	ParamCandidates   = "candidates" // largest number of candidates for each upstream
 )
 
 // Limits of a request.
@@ -128,6 +132,9 @@
 	LoadAgeMs    int64   `json:"load_age_ms"`  // negative for none
 	WorkPercent  int     `json:"work_percent"`
 	RateLimit    float64 `json:"rate_limit"` // negative for none
+	// ExpectedWaitMs is the expected time to the first byte, 0 if not known.
+	ExpectedWaitMs int64   `json:"expected_wait_ms"`
+	Slowness       float64 `json:"slowness"` // how much longer work takes than on the median worker, 1 if it is not slow
 }
 
 // Candidate is a listed worker, in the order of preference; workers that take no new
@@ -153,7 +160,11 @@
 	PausedElsewhereMs int64   `json:"paused_elsewhere_ms"`
 	Cold              bool    `json:"cold"`
 	ColdLeftMs        int64   `json:"cold_left_ms"`
-	RateLimit         float64 `json:"rate_limit"` // requests per second, negative for none
+	Rising            bool    `json:"rising"`           // its cold time is over, and its part of the requests still rises
+	RisenPart         float64 `json:"risen_part"`       // that part, 0 while it is cold, 1 if it gets all
+	ExpectedWaitMs    int64   `json:"expected_wait_ms"` // as in Choice, for this request
+	Slowness          float64 `json:"slowness"`         // as in Choice
+	RateLimit         float64 `json:"rate_limit"`       // requests per second, negative for none
 	// NextPermitMs is the time until this router's next permit; 0 or less if one is in
 	// force. Null if the worker needs none or the first one has not been drawn.
 	NextPermitMs *int64 `json:"next_permit_ms"`
--- a/internal/unreadable/unreadable.go
+++ b/internal/unreadable/unreadable.go
@@ -27,6 +27,7 @@
 	ColdTime      Kind = "cold time"      // header of a worker's response, field of a row that it writes
 	PromptParts   Kind = "prompt parts"   // header of a caller's request
 	TokenCounts   Kind = "token counts"   // header of a caller's request
+	LengthHint    Kind = "length hint"    // header of a caller's request
 	Registration  Kind = "registration"   // row that a worker writes
 	DesiredState  Kind = "desired state"  // row that the operator writes
 	Evacuation    Kind = "evacuation"     // row that the operator writes
--- a/objects/fields.go
+++ b/objects/fields.go
@@ -245,6 +245,7 @@
 	intField("max_in_flight", "16", 1, 4096, func(u *Upstream) *int { return &u.MaxInFlight }),
 	withoutZero(durationField("cold_start", "", 0, time.Hour, func(u *Upstream) *time.Duration { return &u.ColdStart }), "0s"),
 	withoutZero(floatField("cold_rate", "", 0, 1e6, func(u *Upstream) *float64 { return &u.ColdRate }), "0"),
+	intField("kv_capacity", "0", 0, 1<<30, func(u *Upstream) *int { return &u.KVCapacity }),
 	listField("once_methods", "POST, PUT, PATCH, DELETE", false, validMethod, func(u *Upstream) *[]string { return &u.OnceMethods }),
 	{
 		key: "worker", required: true, repeated: true,
--- a/plugins/gateway/choose.go
+++ b/plugins/gateway/choose.go
@@ -7,6 +7,7 @@
 
 	"github.com/auburnlead/auburnlead/gossip"
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/objects"
 	"github.com/auburnlead/auburnlead/routing"
 )
 
@@ -17,7 +18,8 @@
 	if g.isBarred(x, g.checkQuarantine, g.room.refuses) {
 		return routing.Choice{}, false
 	}
-	c, ok := g.fleet.Choose(x.routingRequest(), time.Now())
+	now := time.Now()
+	c, ok := g.fleet.Choose(x.routingRequest(now), now)
 	if !ok {
 		x.nextPermit, x.limitedWorkers = g.fleet.NextPermit(x.upstream, time.Now())
 		x.coldWorkers = g.fleet.ColdCount(x.upstream, time.Now())
@@ -29,7 +31,7 @@
 	x.tried = append(x.tried, c.Worker)
 	g.room.recordSent(x)
 	g.decisions.count("choices", "reason", c.Reason)
-	g.decisions.logRequest("worker chosen", "request", x.header.ID, "upstream", x.upstream, "worker", c.Worker.ID, "reason", c.Reason, "key", strconv.FormatUint(c.PlacementKey, 16), "shared_tokens", c.SharedTokens, "rank", c.PreferenceIndex, "busy", c.EstimatedLoad, "waiting", c.Unanswered, "limit", c.LoadLimit, "spread", c.SpreadSize, "key_rate", round10(c.KeyRate), "mean", round10(c.MeanLoad), "fetch_from", c.FetchFrom, "load_age_ms", loadAgeMs(c.LoadAge), "work_percent", c.WorkPercent, "rate_limit", c.RateLimit, "list", c.ListVersion, "list_age_ms", c.ListAge.Milliseconds(), "attempt", len(x.tried))
+	g.decisions.logRequest("worker chosen", "request", x.header.ID, "upstream", x.upstream, "worker", c.Worker.ID, "reason", c.Reason, "key", strconv.FormatUint(c.PlacementKey, 16), "shared_tokens", c.SharedTokens, "rank", c.PreferenceIndex, "busy", c.EstimatedLoad, "waiting", c.Unanswered, "limit", c.LoadLimit, "spread", c.SpreadSize, "key_rate", round10(c.KeyRate), "mean", round10(c.MeanLoad), "fetch_from", c.FetchFrom, "load_age_ms", loadAgeMs(c.LoadAge), "work_percent", c.WorkPercent, "rate_limit", c.RateLimit, "expected_wait_ms", c.ExpectedWait.Milliseconds(), "slowness", round100(c.Slowness), "list", c.ListVersion, "list_age_ms", c.ListAge.Milliseconds(), "attempt", len(x.tried))
 	return c, true
 }
 
@@ -47,8 +49,11 @@
 }
 
 // routingRequest returns the request as package routing sees it.
-func (x *exchange) routingRequest() routing.Request {
-	r := routing.Request{Upstream: x.upstream, Tried: x.tried}
+func (x *exchange) routingRequest(now time.Time) routing.Request {
+	r := routing.Request{
+		Upstream: x.upstream, Tried: x.tried, PromptTokens: x.header.PromptTokens, ExpectedOutput: x.header.ExpectedOutput(),
+		Whole: x.route.Kind != objects.RouteStream, Target: x.route.Target, TimeLeft: x.deadline.Sub(now),
+	}
 	if x.route.Sticky {
 		r.SharedParts = routing.SharedParts(x.header.Prompt)
 	}
@@ -67,6 +72,9 @@
 // round10 rounds to tenths.
 func round10(v float64) float64 { return math.Round(v*10) / 10 }
 
+// round100 rounds to hundredths.
+func round100(v float64) float64 { return math.Round(v*100) / 100 }
+
 // recordLoad records the load that a worker reported and shares it with other
 // routers, at once if they would send to the worker without knowing it.
 func (g *Gateway) recordLoad(w *routing.Worker, l core.WorkerLoad) {
--- a/plugins/gateway/coldworkers.go
+++ b/plugins/gateway/coldworkers.go
@@ -11,7 +11,6 @@
 
 	"github.com/auburnlead/auburnlead/gossip"
 	"github.com/auburnlead/auburnlead/internal/core"
-	"github.com/auburnlead/auburnlead/objects"
 	"github.com/auburnlead/auburnlead/routing"
 )
 
@@ -46,15 +45,6 @@
 	return c
 }
 
-// upstreamConfigs returns the configuration of the upstreams that package routing needs.
-func upstreamConfigs(set *objects.Set) map[string]routing.UpstreamConfig {
-	configs := make(map[string]routing.UpstreamConfig, len(set.Upstreams))
-	for name, u := range set.Upstreams {
-		configs[name] = routing.UpstreamConfig{ColdStart: u.ColdStart, ColdRate: u.ColdRate}
-	}
-	return configs
-}
-
 // record records that a worker says in a response that it is cold, and tells other routers
 // at once, since they send to it until they know.
 func (c *coldWorkers) record(w *routing.Worker, h core.ResponseHeader) {
--- a/plugins/gateway/explain.go
+++ b/plugins/gateway/explain.go
@@ -31,6 +31,7 @@
 	host, path, method, caller string
 	prompt                     []routing.PromptPart
 	timeout                    time.Duration // 0 for the route's
+	promptTokens, outputTokens int           // 0 if not known
 	candidates                 int
 }
 
@@ -88,13 +89,17 @@
 			}
 		case explainapi.ParamTimeout:
 			p.timeout, err = parseTimeoutMs(v)
+		case explainapi.ParamPromptTokens:
+			p.promptTokens, err = parseTokens(v)
+		case explainapi.ParamOutputTokens:
+			p.outputTokens, err = parseTokens(v)
 		case explainapi.ParamCandidates:
 			p.candidates, err = strconv.Atoi(v)
 			if err != nil || p.candidates < 0 || p.candidates > explainapi.MaxCandidates {
 				err = fmt.Errorf("not a whole number from 0 to %d", explainapi.MaxCandidates)
 			}
 		default:
-			return p, errors.New("unknown parameter; known are host, path, method, caller (a name, not a key), prompt, timeout_ms and candidates")
+			return p, errors.New("unknown parameter; known are host, path, method, caller (a name, not a key), prompt, prompt_tokens, max_output_tokens, timeout_ms and candidates")
 		}
 		if err != nil {
 			return p, fmt.Errorf("parameter %s: %w", name, err)
@@ -126,11 +131,22 @@
 	return time.Duration(ms) * time.Millisecond, nil
 }
 
+// maxExplainTokens limits the tokens that may be given.
+const maxExplainTokens = 1 << 24
+
+func parseTokens(v string) (int, error) {
+	n, err := strconv.Atoi(v)
+	if err != nil || n < 0 || n > maxExplainTokens {
+		return 0, fmt.Errorf("not a whole number from 0 to %d", maxExplainTokens)
+	}
+	return n, nil
+}
+
 // explain returns what would be done with a request now. It follows prepare and
 // chooseWorker without their effects.
 func (g *Gateway) explain(p explainParams, now time.Time) (*explainapi.Response, *core.Problem) {
 	res := &explainapi.Response{Router: g.identity.Router, FailureDomain: g.identity.FailureDomain, At: now, Host: p.host, Path: p.path, Method: p.method}
-	x := &exchange{start: now, header: core.RequestHeader{Timeout: p.timeout, Prompt: p.prompt}}
+	x := &exchange{start: now, header: core.RequestHeader{Timeout: p.timeout, Prompt: p.prompt, PromptTokens: p.promptTokens, MaxOutputTokens: p.outputTokens}}
 	table := g.routes.table.Load()
 	if table == nil {
 		res.Answer = newAnswer(newRefusal(reasonNoConfig, g.retryAfterWithoutConfig(x)))
@@ -175,7 +191,7 @@
 func (g *Gateway) explainUpstream(x exchange, d objects.Destination, candidates int, now time.Time) explainapi.Upstream {
 	x.upstream = d.Upstream
 	a := g.room.gate.Explain(now, x.routedRequest(now))
-	e := g.fleet.Explain(x.routingRequest(), now)
+	e := g.fleet.Explain(x.routingRequest(now), now)
 	u := explainapi.Upstream{Name: d.Upstream, Weight: d.Weight, Admission: newAdmission(a), ByChance: e.ByChance, Routers: e.Routers, ListVersion: e.ListVersion, ListAgeMs: e.ListAge.Milliseconds(), Workers: len(e.Candidates)}
 	if e.ListVersion == 0 {
 		u.ListAgeMs = 0 // no list yet
@@ -231,7 +247,7 @@
 	out := &explainapi.Choice{
 		Worker: c.Worker.ID, Address: c.Worker.Address, Reason: c.Reason, Key: strconv.FormatUint(c.PlacementKey, 16), SharedTokens: c.SharedTokens, Preference: c.PreferenceIndex,
 		Busy: c.EstimatedLoad, Waiting: c.Unanswered, Limit: c.LoadLimit, Spread: c.SpreadSize, KeyRate: round10(c.KeyRate), Mean: round10(c.MeanLoad), FetchFrom: c.FetchFrom,
-		LoadAgeMs: loadAgeMs(c.LoadAge), WorkPercent: c.WorkPercent, RateLimit: c.RateLimit,
+		LoadAgeMs: loadAgeMs(c.LoadAge), WorkPercent: c.WorkPercent, RateLimit: c.RateLimit, ExpectedWaitMs: c.ExpectedWait.Milliseconds(), Slowness: round100(c.Slowness),
 	}
 	if i := slices.IndexFunc(e.Candidates, func(o routing.Candidate) bool { return o.Worker.Address == c.FetchFrom }); i >= 0 {
 		out.FetchWorker = e.Candidates[i].Worker.ID
@@ -244,7 +260,8 @@
 		Worker: c.Worker.ID, FailureDomain: c.Worker.FailureDomain, Chosen: c.Chosen, Busy: c.EstimatedLoad, Limit: limit, Slots: c.Slots, Waiting: c.Unanswered,
 		LoadAgeMs: loadAgeMs(c.LoadAge), WorkPercent: c.WorkPercent, Unreachable: c.Unreachable, Ejected: c.Ejected, Draining: c.Draining, Leaving: c.Leaving, Evacuated: c.Evacuated,
 		Returned: c.JustReturned, AboveShare: c.AboveShare, PausedMs: c.PausedFor.Milliseconds(), PausedElsewhereMs: c.PausedElsewhere.Milliseconds(),
-		Cold: c.Cold, ColdLeftMs: c.ColdFor.Milliseconds(), RateLimit: c.RateLimit,
+		Cold: c.Cold, ColdLeftMs: c.ColdFor.Milliseconds(), Rising: c.Rising, RisenPart: round100(c.RisenPart), RateLimit: c.RateLimit,
+		ExpectedWaitMs: c.ExpectedWait.Milliseconds(), Slowness: round100(c.Slowness),
 	}
 	if c.PermitDrawn {
 		ms := c.NextPermit.Milliseconds()
--- a/plugins/gateway/explain_test.go
+++ b/plugins/gateway/explain_test.go
@@ -191,7 +191,7 @@
 func TestExplainInput(t *testing.T) {
 	inBubble(t, "Parameters that are wrong are refused without their value", engines(2), func(h *harness) {
 		for _, wrong := range [][]string{
-			{"caller", "top-secret"}, {"key", "top-secret"}, {"top-secret", "x"}, {"timeout_ms", "top-secret"}, {"timeout_ms", "-1"}, {"prompt", "top-secret"},
+			{"caller", "top-secret"}, {"key", "top-secret"}, {"top-secret", "x"}, {"timeout_ms", "top-secret"}, {"timeout_ms", "-1"}, {"prompt_tokens", "top-secret"}, {"max_output_tokens", "-1"}, {"prompt", "top-secret"},
 			{"candidates", "top-secret"}, {"candidates", "9999999"}, {"path", "top-secret"}, {"host", ""}, {"prompt", strings.Repeat("1 ", 10000)},
 		} {
 			code, _, text := h.askExplain("/chat/x", wrong...)
@@ -208,3 +208,24 @@
 		So(res.Upstreams[0].Workers, ShouldEqual, 2)
 	})
 }
+
+// Guards against an expected wait of a request of another size or kind than that asked for.
+func TestExplainExpectedWait(t *testing.T) {
+	inBubble(t, "The expected wait is that of requests with as many tokens", engines(2), func(h *harness) {
+		h.fleet.Configure(routing.Config{LoadBound: 2, LearnSpeed: true})
+		for range 40 {
+			c, ok := h.fleet.Choose(routing.Request{Upstream: engines(2)[0].Upstream, PromptTokens: 950}, time.Now())
+			So(ok, ShouldBeTrue)
+			sleep(200 * time.Millisecond)
+			h.fleet.RecordFirstByte(c, 200*time.Millisecond)
+			h.fleet.RecordEnd(c, true, time.Now())
+		}
+		_, res, _ := h.askExplain("/chat/x", "prompt_tokens", "950")
+		u := res.Upstreams[0]
+		So(u.Choice.ExpectedWaitMs, ShouldBeBetween, 150, 250)
+		So(u.Choice.Slowness, ShouldEqual, 1)
+		So(u.Candidates[1].ExpectedWaitMs, ShouldBeBetween, 150, 250)
+		_, res, _ = h.askExplain("/chat/x", "prompt_tokens", "9500")
+		So(res.Upstreams[0].Choice.ExpectedWaitMs, ShouldEqual, 0)
+	})
+}
--- a/routing/explain.go
+++ b/routing/explain.go
@@ -20,8 +20,8 @@
 	NoChoice // state of the upstream that says why there is no worker
 	// Candidates are the upstream's listed workers: those that accept requests in the
 	// order of preference of the request, then those that leave, that drain and that are
-	// evacuated. The order is that of the prompt; without a prompt it is by load, and
-	// equal loads take turns.
+	// evacuated. The order is that of the prompt; without a prompt it is by the compared load:
+	// equal loads take turns, and that of a slow worker is drawn for each choice.
 	Candidates  []Candidate
 	Routers     int           // number of routers that is assumed to send to the upstream
 	ListVersion int64         // version of the worker list
@@ -58,7 +58,11 @@
 	PausedFor       time.Duration // time left of a pause that it asked this router for
 	PausedElsewhere time.Duration // time left of a pause that it asked another router for
 	ColdFor         time.Duration // time left of its cold time
-	Cold            bool          // it gets requests only with permits since it is or was cold
+	Cold            bool          // it gets few requests since it is cold or was so shortly before
+	Rising          bool          // its cold time is over, and its part of the requests is still below 1
+	RisenPart       float64       // part of its requests that it gets after its cold time, 0 while it is cold, 1 if it gets all
+	ExpectedWait    time.Duration // as in Choice, for this request
+	Slowness        float64       // as in Choice
 	RateLimit       float64       // requests per second that it takes from all routers, NoRateLimit for no limit
 	Limited         bool          // it gets requests only with permits
 	// NextPermit is the time until this router's next permit for it begins, negative if
@@ -76,11 +80,12 @@
 	workers []*Worker
 	limits  []rateLimit
 	random  func(n int) int
+	salt    uint64
 }
 
 // saveChoiceState saves the choiceState of the listed workers of an upstream.
 func (f *Fleet) saveChoiceState(upstream string) choiceState {
-	s := choiceState{random: f.cfg.Random, workers: make([]*Worker, 0, len(f.byID)), limits: make([]rateLimit, 0, len(f.byID))}
+	s := choiceState{random: f.cfg.Random, salt: f.salt, workers: make([]*Worker, 0, len(f.byID)), limits: make([]rateLimit, 0, len(f.byID))}
 	for _, w := range f.byID {
 		if w.Upstream == upstream {
 			s.workers, s.limits = append(s.workers, w), append(s.limits, w.rateLimit)
@@ -90,7 +95,7 @@
 }
 
 func (f *Fleet) restoreChoiceState(s choiceState) {
-	f.cfg.Random = s.random
+	f.cfg.Random, f.salt = s.random, s.salt
 	for i, w := range s.workers {
 		w.rateLimit = s.limits[i]
 	}
@@ -133,9 +138,12 @@
 	e.NextOpening, e.PausedWorkers = p.nextOpening(now)
 	e.AllEvacuated = p.isEvacuated()
 	e.Candidates = make([]Candidate, 0, len(before.workers))
+	work := r.workClass()
 	for i, w := range before.workers {
-		c := f.candidate(p, w, now)
+		c := f.candidate(p, w, work, now)
 		c.Chosen, c.PermitDrawn = w == e.Choice.Worker, c.Limited && before.limits[i].period != 0
+		// The part of a rising worker is drawn from the time for requests without a prompt.
+		byChance = byChance || c.Rising && len(r.SharedParts) == 0
 		c.order = f.comparedLoad(w, now)
 		if parts := r.SharedParts; len(parts) > 0 {
 			c.order, c.score = 0, placement.Score(parts[len(parts)-1].ID, w.hash)
@@ -146,14 +154,16 @@
 	return e
 }
 
-func (f *Fleet) candidate(p *pool, w *Worker, now time.Time) Candidate {
+func (f *Fleet) candidate(p *pool, w *Worker, work uint8, now time.Time) Candidate {
 	c := Candidate{
 		Worker: w, Slots: w.Slots, EstimatedLoad: int(p.estimatedLoad(w, now)), Unanswered: w.unanswered, LoadAge: -1, WorkPercent: w.workPercent,
 		Unreachable: w.unreachable, Ejected: p.ejector.Ejected(now, w.ID), Draining: w.Draining, Leaving: w.said.isLeaving(), Evacuated: f.isEvacuated(w.FailureDomain),
 		JustReturned: w.hasJustReturned(now), AboveShare: !p.isWithinShare(w, now),
 		PausedFor: max(w.said.pausedUntil.Sub(now), 0), PausedElsewhere: max(w.said.shared.Until.Sub(now), 0),
-		ColdFor: max(w.cold.until.Sub(now), 0), Cold: f.isCold(w, now), RateLimit: NoRateLimit,
+		ColdFor: max(w.cold.until.Sub(now), 0), Cold: f.isCold(w, now), RisenPart: w.risenPart(now), RateLimit: NoRateLimit,
+		ExpectedWait: p.expectedWait(w, work, now), Slowness: w.slowness(now),
 	}
+	c.Rising = c.Cold && !now.Before(w.cold.riseFrom)
 	if !w.reportedAt.IsZero() {
 		c.LoadAge = now.Sub(w.reportedAt)
 	}
--- a/routing/fleet.go
+++ b/routing/fleet.go
@@ -37,6 +37,8 @@
 	// MaxRouters is the number of routers that is assumed for cold workers while the
 	// number is not known.
 	MaxRouters int
+	// LearnSpeed makes workers that take longer than the others get fewer requests.
+	LearnSpeed bool
 	// Random returns a number in [0, n); nil for math/rand/v2.
 	Random func(n int) int
 }
@@ -55,11 +57,13 @@
 	listReadAt     time.Time // when the worker list was read
 	placements     placements
 	maxRoutersSeen int                // largest number of live routers seen at one time
+	speedChanges   []SpeedChange      // since the last call of SpeedChanges
 	byHash         map[uint32]*Worker // by gossip.WorkerHash of the ID, see Load
 	firstListAt    time.Time          // when the first worker list was read
 	upstreams      map[string]UpstreamConfig
 	coldWorkers    []*Worker // workers that are cold or were so at the last call of ColdState
 	size           fleetSize
+	salt           uint64 // differs between routers, 0 until it is needed
 
 	evacuated          map[string]time.Time // evacuated failure domains, with the time at which this router learned of it
 	evacuationsInForce map[string]bool      // those of which a worker was listed
@@ -67,16 +71,25 @@
 
 // pool holds the workers and the retry state of one upstream.
 type pool struct {
-	workers      []*Worker // workers that accept new requests, sorted by ID
-	hashes       []uint64  // hashes of the workers' IDs, in the same order
-	leaving      []*Worker // listed workers that say that they leave, sorted by ID
-	evacuated    []*Worker // listed workers of evacuated failure domains
-	returnEnds   time.Time // until then it may have workers that have just returned, see returnPeriod
-	ejector      *retry.Ejector
-	budget       *retry.Budget
-	firstByte    firstByteTimes
-	routers      int           // estimated number of routers, this one included; each is assumed to send to the upstream
-	meanDuration time.Duration // mean time of a request on a worker, 0 if not known
+	workers         []*Worker // workers that accept new requests, sorted by ID
+	hashes          []uint64  // hashes of the workers' IDs, in the same order
+	leaving         []*Worker // listed workers that say that they leave, sorted by ID
+	evacuated       []*Worker // listed workers of evacuated failure domains
+	returnEnds      time.Time // until then it may have workers that have just returned, see returnPeriod
+	ejector         *retry.Ejector
+	budget          *retry.Budget
+	firstByte       firstByteTimes
+	routers         int           // estimated number of routers, this one included; each is assumed to send to the upstream
+	meanDuration    time.Duration // mean time of a request on a worker, 0 if not known
+	expected        expectedTimes
+	speeds          []float64 // buffer of updateMedian
+	candidateBuffer []*Worker // buffers of candidates
+	hashBuffer      []uint64
+	medianSpeed     float64 // median of the workers' speed.estimate, as of medianAt
+	medianAt        time.Time
+	config          UpstreamConfig
+	meanTokens      float64 // mean of Request.endTokens, 0 if not known
+	meanUnread      float64 // mean of Request.unreadTokens, 0 if not known
 }
 
 // Times after which recorded state is no longer used, and the window of the retry
@@ -223,6 +236,7 @@
 	if p == nil {
 		p = &pool{
 			routers: 1,
+			config:  f.upstreams[upstream],
 			budget:  retry.NewBudget(f.cfg.RetryRatio, f.slackShare()),
 			ejector: retry.NewEjector(retry.EjectorConfig{MaxEjectedShare: maxEjectedShare, Threshold: ejectThreshold, BasePeriod: ejectBasePeriod, MaxPeriod: ejectMaxPeriod, ForgetAfter: ejectForgetAfter}),
 		}
@@ -246,6 +260,9 @@
 	defer f.mu.Unlock()
 	cfg.Random = f.cfg.Random
 	f.cfg = cfg
+	if !cfg.LearnSpeed {
+		f.forgetSpeeds()
+	}
 	f.updateBudgets()
 	f.updateColdRates()
 }
@@ -284,6 +301,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c.Worker.inFlight--
+	c.Worker.tokens -= c.attempt.tokens
 	c.markFirstByte()
 	if !ok {
 		f.setBackCold(c.Worker, now)
@@ -291,6 +309,7 @@
 	if ok {
 		p := f.pool(c.Worker.Upstream)
 		p.recordDuration(now.Sub(c.sentAt))
+		f.recordUnpaced(p, c, now)
 		p.ejector.Success(now, c.Worker.ID)
 	}
 }
@@ -299,11 +318,22 @@
 func (f *Fleet) RecordFirstByte(c Choice, elapsed time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	times := &f.pool(c.Worker.Upstream).firstByte
+	p := f.pool(c.Worker.Upstream)
+	times := &p.firstByte
 	if times.isSlow(elapsed) {
 		f.setBackCold(c.Worker, c.sentAt.Add(elapsed))
 	}
 	times.record(elapsed)
+	f.recordFirst(p, c, elapsed)
+	c.markFirstByte()
+}
+
+// RecordErrorResponse records the time of a response that is no success. It says nothing
+// about the worker's speed.
+func (f *Fleet) RecordErrorResponse(c Choice, elapsed time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pool(c.Worker.Upstream).firstByte.record(elapsed)
 	c.markFirstByte()
 }
 
