--- a/plugins/gateway/body.go
+++ b/plugins/gateway/body.go
@@ -37,7 +37,7 @@
 		g.refuseMemory(x, err)
 	case errors.Is(err, os.ErrDeadlineExceeded) && g.server.ending.Err() != nil:
 		x.err = err
-		g.refuseStopping(x)
+		g.refuse(x, stoppingRefusal)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		g.deny(x, http.StatusRequestTimeout, "body too slow", err)
 	case errors.As(err, &tooLarge):
@@ -62,7 +62,7 @@
 	x.body.Release() // others wait for it
 	_ = x.conn.SetReadDeadline(time.Now())
 	x.w.Header().Set("Connection", "close")
-	g.refuse(x, reason, retryAfterOverloaded)
+	g.refuse(x, newRefusal(reason, retryAfterOverloaded))
 }
 
 func (x *exchange) bodySize() int64 {
--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -200,26 +200,31 @@
 	x.waitFor(g.routes.loaded)
 	table := g.routes.table.Load()
 	if table == nil {
-		g.refuse(x, "no configuration yet", g.retryAfterWithoutConfig(x))
+		g.refuse(x, newRefusal(reasonNoConfig, g.retryAfterWithoutConfig(x)))
 		return false
 	}
 	x.revision = table.revision
 	if x.route = table.match(x.r.Host, x.r.URL.EscapedPath()); x.route == nil {
-		g.deny(x, http.StatusNotFound, "no route", nil)
+		g.deny(x, http.StatusNotFound, reasonNoRoute, nil)
 		return false
 	}
 	if !x.route.Public {
 		if x.caller = table.caller(x.header.Key); x.caller == nil {
-			g.deny(x, http.StatusUnauthorized, "unknown key", nil)
+			g.deny(x, http.StatusUnauthorized, reasonUnknownKey, nil)
 			return false
 		}
 	}
+	x.setDeadline()
+	x.upstream = pickUpstream(x.route, rand.Float64())
+	x.waitFor(g.workersListed)
+	return g.readBody(x)
+}
+
+// setDeadline sets the timeout and the deadline from those of the route and the caller.
+func (x *exchange) setDeadline() {
 	x.timeout = x.route.Timeout
 	if x.header.Timeout > 0 && x.header.Timeout < x.timeout {
 		x.timeout = x.header.Timeout
 	}
 	x.deadline = x.start.Add(x.timeout)
-	x.upstream = pickUpstream(x.route, rand.Float64())
-	x.waitFor(g.workersListed)
-	return g.readBody(x)
 }
--- a/plugins/gateway/room.go
+++ b/plugins/gateway/room.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -74,10 +73,7 @@
 		return false
 	}
 	now := time.Now()
-	r := admission.RoutedRequest{Upstream: gossip.WorkerHash(x.upstream), Rank: x.priority(), Target: x.route.Target, TimeLeft: x.deadline.Sub(now), Repeated: x.rejected}
-	if x.caller != nil {
-		r.Caller, r.Weight = gossip.WorkerHash(x.caller.Name), x.caller.Weight
-	}
+	r := x.routedRequest(now)
 	d := c.gate.Decide(now, r)
 	if d.Changed {
 		c.logChanges()
@@ -98,6 +94,15 @@
 // heldPlace is the place of an attempt among the requests in flight.
 type heldPlace struct{ freed atomic.Bool }
 
+// routedRequest returns the request as package admission sees it.
+func (x *exchange) routedRequest(now time.Time) admission.RoutedRequest {
+	r := admission.RoutedRequest{Upstream: gossip.WorkerHash(x.upstream), Rank: x.priority(), Target: x.route.Target, TimeLeft: x.deadline.Sub(now), Repeated: x.rejected}
+	if x.caller != nil {
+		r.Caller, r.Weight = gossip.WorkerHash(x.caller.Name), x.caller.Weight
+	}
+	return r
+}
+
 // recordSent counts an attempt.
 func (c *roomControl) recordSent(x *exchange) {
 	x.place = &heldPlace{}
@@ -198,10 +203,10 @@
 // reasonNoRoom is the reason of requests that are refused since the upstream is full.
 const reasonNoRoom = "no room"
 
-// refuseNoRoom refuses a request since the upstream is full. The wait is spread, so
-// that callers that were refused together do not return together.
-func (g *Gateway) refuseNoRoom(x *exchange) {
-	g.refuseFor(x, reasonNoRoom, x.room.RetryAfter*3/4+rand.N(x.room.RetryAfter/2))
+// roomRefusal is that of a request whose upstream is full. The wait is spread, so that
+// callers that were refused together do not return together.
+func roomRefusal(x *exchange) routerRefusal {
+	return routerRefusal{reason: reasonNoRoom, least: x.room.RetryAfter * 3 / 4, spread: x.room.RetryAfter / 2}
 }
 
 var _ core.GossipExtension = (*roomControl)(nil)
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -12,6 +12,7 @@
 // started, pauses.go which of them other routers have to spare, evacuation.go in which
 // failure domains they may get none, room.go which upstreams are full, speeds.go
 // how fast workers are. callerconns.go tells a stop which connections are in use.
+// explain.go tells operators what would be decided.
 package gateway
 
 import (
@@ -44,7 +45,7 @@
 	Readiness string `ini:"readiness" required:"true" check:"hostport"`
 	// ReadinessPath is the path of the readiness check. Default /readyz.
 	ReadinessPath string `ini:"readiness_path" default:"/readyz"`
-	// Metrics is the address that serves /metrics. Default none.
+	// Metrics is the address that serves /metrics and /explain. Default none.
 	Metrics string `ini:"metrics" check:"hostport"`
 	// HeaderBytes limits the header of a request. Default 65536 bytes.
 	HeaderBytes int `ini:"header_bytes" default:"65536" min:"4096" max:"1048576"`
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -50,6 +50,7 @@
 	ListVersion     int64         // version of the worker list
 	ListAge         time.Duration // time since the worker list was read
 
+	byPrompt  bool // the prompt's parts will be cached on the worker
 	sentAt    time.Time
 	workClass uint8
 	whole     bool
@@ -113,11 +114,29 @@
 	if len(r.Tried) == 0 {
 		p.budget.Success(now) // this budget is a fraction of the requests, not of the successes
 	}
-	c, ok := f.pickWorker(p, r, now)
+	c, ok := f.decide(p, r, now)
 	if !ok {
 		return Choice{}, false
 	}
 	c.sentAt, c.attempt = now, &attempt{}
+	if c.byPrompt {
+		for _, part := range r.SharedParts {
+			f.placements.put(part.ID, c.Worker, now)
+		}
+	}
+	c.Worker.recordSent(now)
+	p.recordTokens(&c, &r)
+	f.takePermit(c.Worker, now)
+	return c, true
+}
+
+// decide picks a worker and returns it with the values that decided it. Nothing is
+// counted; what it changes is saved by saveChoiceState.
+func (f *Fleet) decide(p *pool, r Request, now time.Time) (Choice, bool) {
+	c, ok := f.pickWorker(p, r, now)
+	if !ok {
+		return Choice{}, false
+	}
 	c.EstimatedLoad = int(p.estimatedLoad(c.Worker, now))
 	c.Unanswered = c.Worker.unanswered
 	c.MeanLoad = p.meanLoad(now)
@@ -132,9 +151,6 @@
 	c.workClass, c.whole, c.Slowness = r.workClass(), r.Whole, c.Worker.slowness(now)
 	c.ExpectedWait = p.expectedWait(c.Worker, c.workClass, now)
 	c.ListVersion, c.ListAge = f.listVersion, now.Sub(f.listReadAt)
-	c.Worker.recordSent(now)
-	p.recordTokens(&c, &r)
-	f.takePermit(c.Worker, now)
 	return c, true
 }
 
@@ -249,8 +265,8 @@
 	best.FetchFrom = f.fetchSource(parts, best, now)
 	for _, part := range parts {
 		best.SharedTokens += part.Tokens
-		f.placements.put(part.ID, best.Worker, now)
 	}
+	best.byPrompt = true
 	return best
 }
 
