--- a/routing/coldstart.go
+++ b/routing/coldstart.go
@@ -13,8 +13,10 @@
 // above a rate that the configuration states. It is empty, so it looks like the least
 // loaded worker to all routers at once. Each router therefore sends it requests only with
 // permits (ratelimit.go), and the permits of all routers together stay below the bound in
-// every second. After the cold time the rate doubles at regular times until the permits
-// no longer limit the worker.
+// every second. With so few permits a prompt would alternate between the worker and its
+// next preference, so prompts go to the latter meanwhile. After the cold time the worker's
+// part of the requests rises to all of them: each router lets each prompt return at a
+// moment of its own.
 
 const (
 	// coldDeviations is the number of standard deviations that are kept between the mean
@@ -54,7 +56,7 @@
 	until     time.Time // end of the cold time
 	riseFrom  time.Time // from then the part of the requests rises
 	warmAt    time.Time // end of the last rise, zero for none
-	announced bool      // ColdChanges has returned its begin
+	announced bool      // ColdState has returned its begin
 }
 
 func (f *Fleet) updateColdRates() {
