Allow the earliest end itself in the test of paused workers

Cause: TestWorkerPauses failed once in a run of the whole suite: a Retry-After of 4.000 where more than 4 was asked. The wait is the earliest end and a random time from 0 on, and the header has three decimals, so one of some 3,200 waits is 4.000; callers that return at the end itself are allowed. 2 of 400 runs failed, alone. Ruled out: a wait below the end, which rounding cannot give. Change: the check includes 4, and its upper bound is that of the spread, 5.6 instead of 6. 400 runs pass.

--- a/plugins/gateway/statements_test.go
+++ b/plugins/gateway/statements_test.go
@@ -135,7 +135,7 @@
 			So(time.Since(start), ShouldEqual, 0)
 			wait, err := strconv.ParseFloat(resp.Header().Get("Retry-After"), 64)
 			So(err, ShouldBeNil)
-			So(wait, ShouldBeBetween, 4, 6)
+			So(wait, ShouldBeBetweenOrEqual, 4, 5.6) // the earliest end, a quarter of it and retryAfterOverloaded
 			times[resp.Header().Get("Retry-After")] = true
 		}
 		So(len(times), ShouldBeGreaterThan, 10)
