Move the tests with a crowd of clients into platform/

Cause: they start the real binary with a stand-in of the store and workers, so they speak the names of the platform, which only platform/ may know. Ruled out: names by the adapter's constants, which a process test cannot use from another package. Change: the package is platform/crowd; its tests, bounds and build tag are the same.

--- a/Makefile
+++ b/Makefile
@@ -12,10 +12,10 @@
 	if [ -n "$$unformatted" ]; then echo "gofmt is needed for: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
-	$(GO) vet -tags crowd ./internal/crowd
-	$(GO) tool staticcheck -tags crowd ./internal/crowd
+	$(GO) vet -tags crowd ./platform/crowd
+	$(GO) tool staticcheck -tags crowd ./platform/crowd
 
-# The tests of internal/crowd measure a process, so they run apart from others.
+# The tests of platform/crowd measure a process, so they run apart from others.
 # Tests on a line "go test: NAME" of KNOWN-RED.txt are not run.
 KNOWN_RED_TESTS = $(shell sed -n 's/^go test: //p' KNOWN-RED.txt | paste -sd '|')
 
@@ -24,7 +24,7 @@
 	$(GO) test -count=1 -run TestFleetStart ./plugins/config
 	$(GO) test -count=1 -run 'TestHotPrompts' ./internal/bench
 	$(GO) test -count=1 -run TestLateRequestsInPlannedStop ./plugins/gateway
-	$(GO) test -count=1 -tags crowd ./internal/crowd
+	$(GO) test -count=1 -tags crowd ./platform/crowd
 	@echo "Known failures that do not fail this target (KNOWN-RED.txt):"; grep -E '^(bench short|go test):' KNOWN-RED.txt || true
 
 # Runs a small fleet as separate processes on loopback and checks it from end to
