review/kit-2: an own time limit, signals, and more requesters for review/6

Cause: on an idle machine few workers were full, so that only 2 to 4 bookings ran twice in a run; a script that was stopped by a signal left no verdict. Change: 22 requesters instead of 16; the scripts end after 110 s or at a signal with 2, and end their processes.

--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -8,8 +8,10 @@
 	"bufio"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -88,6 +90,9 @@
 	finish(0)
 }
 
+// limit is the longest time of a case.
+const limit = 110 * time.Second
+
 var scenarios = map[string]func(){}
 
 func main() {
@@ -108,5 +113,15 @@
 		cannotRun("%v", err)
 	}
 	gossipPort = fmt.Sprint(freePort("127.0.0.1"))
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-signals:
+			cannotRun("stopped by a signal")
+		case <-time.After(limit):
+			cannotRun("it takes longer than %v", limit)
+		}
+	}()
 	scenarios[os.Args[1]]()
 }
--- a/review/kit-2/torncopy.go
+++ b/review/kit-2/torncopy.go
@@ -69,7 +69,7 @@
 	var results []outcome
 	var clients sync.WaitGroup
 	end := time.Now().Add(45 * time.Second)
-	for n := range 16 {
+	for n := range 22 {
 		clients.Go(func() {
 			c := &requester{address: gateways[n%2].front}
 			defer c.close()
