--- a/review/kit-2/torncopy.go
+++ b/review/kit-2/torncopy.go
@@ -10,20 +10,20 @@
 
 func init() { scenarios["torn-copy"] = tornCopy }
 
-// tornCopy: three of five workers spoil 5 in 100 of their answers: an additional response
+// tornCopy: three of five workers spoil 3 in 100 of their answers: an additional response
 // follows a complete one, breaks off within its first field and arrives late, where the
-// next response is expected. That lasts 6.5 s and comes back every 9 s.
+// next response is expected. That lasts 5 s and comes back every 7 s.
 func tornCopy() {
 	s := newStore()
 	var mu sync.Mutex
 	random := rand.New(rand.NewPCG(1, 1))
 	spoils := func() bool {
-		if time.Since(started)%(9*time.Second) >= 6500*time.Millisecond {
+		if time.Since(started)%(7*time.Second) >= 5*time.Second {
 			return false
 		}
 		mu.Lock()
 		defer mu.Unlock()
-		return random.Float64() < 0.05
+		return random.Float64() < 0.03
 	}
 	work := func() time.Duration {
 		mu.Lock()
@@ -68,7 +68,7 @@
 	}
 	var results []outcome
 	var clients sync.WaitGroup
-	end := time.Now().Add(45 * time.Second)
+	end := time.Now().Add(40 * time.Second)
 	for n := range 22 {
 		clients.Go(func() {
 			c := &requester{address: gateways[n%2].front}
