Connections and heads count against the byte budget, and yield to new ones

What callers saw: with 2,000 heads of small fields held open a process took 386 to 1,499 MB, so that a VM of 136 MB ends it; and while connections were held (idle, or with a body that stays away) no other caller got an answer, for ever if the key or the route was unknown. Cause: a parsed field costs many times its bytes, and neither heads nor connections were counted. At its limit of connections a process accepted no more until one ended. net/http waits without a deadline for the body of a request that is answered without it. Ruled out: a smaller limit of a head, since clients within the documented 16 KiB took 386 MB; a fixed number of connections by memory, which ordinary idle connections would meet. Change: each connection takes 16 KiB of the byte budget, a head 2 bytes for each of its bytes and 256 for each line, as they arrive (package framing tells where heads are). Connections and heads take at most half of the budget. If there is no room, the connection that has waited longest for a request to be admitted is closed; then the slowest body that has been arriving for 5 s. An admitted request never loses its connection to a new one: its head counts for its caller from then on (connlimit.Admit). An unread body is awaited for 1 s. Waiters for memory are woken in order in place of all at once. The part of the memory that is held falls from three quarters to six tenths less 32 MB, as resident memory above live memory was more than the rest. One mechanism for both roles; the node provides it. Replaced test: "Connections above the limit wait until another one is closed" was of the package caller and is now in connlimit, with the same checks for connections with an admitted request; idle ones yield, which has tests of its own.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -1,22 +1,27 @@
 // Package bytebudget bounds the bytes that a process holds for its clients over all
-// connections. Load pattern: clients that send many bodies at once, most of which stop
-// before their end and stay open.
+// connections. Load patterns: clients that send many bodies at once, most of which stop
+// before their end and stay open; heads of many small fields; responses that nobody reads.
 //
-// Contract: the bytes held never exceed the limit, apart from responses (see
-// Body.ReadResponse). Memory is taken in chunks as bytes arrive, never by an announced
-// length. Each chunk is counted before it is allocated.
+// Contract: the bytes held never exceed the limit, apart from the first chunk of each
+// response (see Body.ReadResponse). Memory is taken in chunks as bytes arrive, never by an
+// announced length. Each chunk is counted before it is allocated.
 //
-// Who yields: if the budget is short, the body that is still being read and has made no
-// progress for the longest time, of the caller with the most bytes in such bodies. Bodies
-// of the requester's own caller yield only after StallTime without progress. If none
-// yields, the requester is refused. Bodies that have arrived whole never yield, because
-// their requests may run.
+// Who yields: if the budget is short, the request body that is still being read and has
+// made no progress for the longest time, of the caller with the most bytes in such bodies.
+// Bodies of the requester's own caller yield only after StallTime without progress. If no
+// body yields, the response whose client has read nothing for StallTime and longest does.
+// If none yields, the requester is refused. Bodies that have arrived whole never yield,
+// because their requests may run.
+//
+// Connections, and heads whose request is not admitted yet, take at most half of the
+// budget. Which of them yield is decided by package connlimit.
 package bytebudget
 
 import (
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"time"
 )
@@ -26,9 +31,9 @@
 	ChunkBytes = 32 << 10
 	// firstChunkBytes is the size of the first chunk; most bodies fit in it.
 	firstChunkBytes = 4 << 10
-	// requestBytes is counted for the header and buffers of a request with a body: the
-	// read and write buffers of net/http on both connections and a usual header.
-	requestBytes = 16 << 10
+	// requestBytes is counted for each admitted request: the stacks and buffers of its
+	// handler and of the connection to its worker.
+	requestBytes = 40 << 10
 	// StallTime is the time without a byte after which a body yields to others of its
 	// caller. It allows for two lost packets in a row, whose retransmissions start at 200 ms.
 	StallTime = time.Second
@@ -37,66 +42,70 @@
 // Shares of the budget. A single caller leaves a quarter to the others; clients without a
 // known key hold only a small part.
 const (
-	callerShare  = 0.75
-	unknownShare = 0.125
+	callerShare     = 0.75
+	unknownShare    = 0.125
+	connectionShare = 0.5
 )
 
-// Errors of Body.ReadRequest.
+// Errors of Body.
 var (
 	// ErrShort means that the budget is short and no other body yields.
 	ErrShort = errors.New("bytebudget: no memory for the body; retry later, or raise memory_mb if the machine has more")
-	// ErrYielded means that the body was given up in favour of another one.
+	// ErrYielded means that the body was given up in favour of another one, or of a
+	// connection.
 	ErrYielded = errors.New("bytebudget: the body was given up for another one; send it faster, or in fewer requests at once")
 )
 
-// DefaultMemoryMB is the memory in MB of 2^20 bytes that is assumed if none is set. It is
-// more than a router without a budget used in any measured burst within the documented
-// limits.
-const DefaultMemoryMB = 1024
-
 // Parts of the memory of a machine.
 const (
 	// ownBytes is what a router needs for itself: its code, the state of a large fleet
 	// and the connections of its workers.
 	ownBytes = 32 << 20
-	// heldShare leaves a quarter to the garbage collector and to network buffers.
-	heldShare = 0.75
-	// runtimeShare is the soft limit of the runtime, above which it collects garbage
-	// more often. The rest is for memory that the runtime does not count.
+	// heldShare leaves the rest to the garbage collector: freed memory that is not yet
+	// reused, and gaps between blocks in use.
+	heldShare = 0.6
+	// runtimeShare, less programBytes, is the soft limit of the runtime, above which it
+	// collects garbage more often. The rest is for memory that the runtime does not count:
+	// the pages of the program and of threads.
 	runtimeShare = 0.9
+	programBytes = 16 << 20
 	minimumBytes = 4 << 20
 )
 
-// Limit returns the bytes that a router may hold for others in a memory, 0 for the default.
+// Limit returns the bytes that a router may hold for others in a memory in MB of 2^20
+// bytes.
 func Limit(memoryMB int) int64 {
-	if memoryMB == 0 {
-		memoryMB = DefaultMemoryMB
-	}
 	return max(int64(float64(memoryMB<<20)*heldShare)-ownBytes, minimumBytes)
 }
 
-// RuntimeLimit returns the memory limit of the Go runtime for a memory, 0 for the default.
+// RuntimeLimit returns the memory limit of the Go runtime for a memory in MB of 2^20 bytes.
 func RuntimeLimit(memoryMB int) int64 {
-	if memoryMB == 0 {
-		memoryMB = DefaultMemoryMB
-	}
-	return int64(float64(memoryMB<<20) * runtimeShare)
+	return max(int64(float64(memoryMB<<20)*runtimeShare)-programBytes, minimumBytes)
 }
 
 // Budget is safe for concurrent use.
 type Budget struct {
-	mu      sync.Mutex // lock level 90
-	limit   int64
-	used    int64
-	held    map[string]int64 // by caller
-	reading map[*Body]bool
-	free    [][]byte      // chunks of ChunkBytes
-	changed chan struct{} // closed when bytes are released
+	mu          sync.Mutex // lock level 90
+	limit       int64
+	used        int64
+	connections int64            // part of used
+	held        map[string]int64 // by caller, without connections
+	reading     map[*Body]bool   // requests whose body is being read
+	writing     map[*Body]bool   // responses that are being written to their callers
+	free        [][]byte         // chunks of ChunkBytes
+	waiters     []*waiter        // in the order of their arrival
+}
+
+// waiter waits for bytes that others release.
+type waiter struct {
+	body *Body
+	n    int64
+	wake chan struct{} // closed to let it try again
 }
 
 // New returns a budget of a number of bytes.
 func New(limit int64) *Budget {
-	return &Budget{limit: limit, held: map[string]int64{}, reading: map[*Body]bool{}, changed: make(chan struct{})}
+	return &Budget{limit: limit, held: map[string]int64{}, reading: map[*Body]bool{}, writing: map[*Body]bool{}}
 }
 
 // Used returns the bytes that are held.
@@ -118,6 +127,8 @@
 
 	// The budget's lock protects the fields below.
 	counted  int64
+	received int64     // bytes of a request body
+	began    time.Time // when the reading of a request body began
 	progress time.Time // of the last byte
 	yielded  bool
 	released bool
@@ -135,13 +146,16 @@
 // Size returns the number of bytes.
 func (h *Body) Size() int64 { return h.size }
 
-// ReadRequest reads to the end of r. now returns the time. ctx ends the wait for bodies
-// that yield. Errors: those of r, ErrShort, ErrYielded.
+// Admit counts a request, with headBytes for its head in addition to what each request
+// takes. ctx ends the wait for bodies that yield. Errors: ErrShort.
+func (h *Body) Admit(ctx context.Context, headBytes int64, now func() time.Time) error {
+	return h.reserve(ctx, requestBytes+headBytes, now)
+}
+
+// ReadRequest reads the body of an admitted request to the end of r. now returns the time.
+// ctx ends the wait for bodies that yield. Errors: those of r, ErrShort, ErrYielded.
 func (h *Body) ReadRequest(ctx context.Context, r io.Reader, now func() time.Time) error {
-	if err := h.reserve(ctx, requestBytes, now); err != nil {
-		return err
-	}
-	h.startReading()
+	h.startReading(now())
 	err := h.readAll(r, now, func(n int64) error { return h.reserve(ctx, n, now) })
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
@@ -160,6 +174,84 @@
 	return h.readAll(r, time.Now, func(n int64) error { h.count(n); return nil })
 }
 
+// Reserve counts n bytes that the owner keeps elsewhere. ctx ends the wait for bodies that
+// yield. Errors: ErrShort, ErrYielded.
+func (h *Body) Reserve(ctx context.Context, n int64, now func() time.Time) error {
+	return h.reserve(ctx, n, now)
+}
+
+// StartWriting records that a part of a response is being written to its caller. Until
+// EndWriting it yields if the caller reads nothing. interrupt ends the write; it must not
+// block.
+func (h *Body) StartWriting(interrupt func(), now time.Time) {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.interrupt, h.progress = interrupt, now
+	if !h.released {
+		h.budget.writing[h] = true
+	}
+}
+
+// EndWriting records that the caller has read that part.
+func (h *Body) EndWriting() {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	delete(h.budget.writing, h)
+}
+
+// TryAddConnection counts n bytes of a connection, or of a head on it. It returns false if
+// connections have their share, or if the budget is short and no body yields.
+func (b *Budget) TryAddConnection(n int64, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if float64(b.connections+n) > connectionShare*float64(b.limit) {
+		return false
+	}
+	if b.used+n > b.limit && !b.yield(nil, n, b.largestReader(), now) && !b.yieldResponse(nil, n, now) {
+		return false
+	}
+	b.connections += n
+	b.used += n
+	b.trimFree(0)
+	return true
+}
+
+// ReleaseConnection gives bytes back that TryAddConnection has counted.
+func (b *Budget) ReleaseConnection(n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.connections -= n
+	b.used -= n
+	b.signal()
+}
+
+// YieldSlow lets one body yield whose connection others wait for: the request body with
+// the lowest rate since it began, or the response whose caller has read nothing for
+// longest, if it is at least minAge old. It returns false if there is none.
+func (b *Budget) YieldSlow(minAge time.Duration, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var victim *Body
+	lowest := 0.0
+	for h := range b.reading {
+		age := now.Sub(h.began)
+		if h.yielded || age < minAge {
+			continue
+		}
+		if rate := float64(h.received) / age.Seconds(); victim == nil || rate < lowest {
+			victim, lowest = h, rate
+		}
+	}
+	if victim == nil {
+		victim = b.stalledResponse(func(*Body) bool { return true }, minAge, now)
+	}
+	if victim == nil {
+		return false
+	}
+	victim.giveUp()
+	return true
+}
+
 // Join returns the bytes as one slice, which stays valid after Release. Until then they
 // are counted twice, for the slice and one copy that the caller may make of it. It may be
 // called once, and no chunk may be used after it. Errors: ErrShort, ErrYielded.
@@ -196,7 +288,7 @@
 		h.chunks[len(h.chunks)-1] = last
 		h.size += int64(n)
 		if n > 0 {
-			h.recordProgress(now())
+			h.recordProgress(int64(n), now())
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
@@ -207,15 +299,17 @@
 	}
 }
 
-func (h *Body) recordProgress(now time.Time) {
+func (h *Body) recordProgress(n int64, now time.Time) {
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
+	h.received += n
 	h.progress = now
 }
 
-func (h *Body) startReading() {
+func (h *Body) startReading(now time.Time) {
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
+	h.began = now
 	h.budget.reading[h] = true
 }
 
@@ -229,11 +323,19 @@
 	h.counted += n
 	b.used += n
 	b.held[h.caller] += n
-	keep := max(b.limit-b.used, 0) / ChunkBytes
 	if n == ChunkBytes {
-		keep++ // h takes one of them
+		b.trimFree(1) // h takes one of them
+		return
 	}
-	b.free = b.free[:min(keep, int64(len(b.free)))]
+	b.trimFree(0)
+}
+
+// trimFree drops free chunks that are above the limit with the bytes in use, apart from
+// more of them.
+func (b *Budget) trimFree(more int64) {
+	keep := min(max(b.limit-b.used, 0)/ChunkBytes+more, int64(len(b.free)))
+	clear(b.free[keep:])
+	b.free = b.free[:keep]
 }
 
 // yieldWait limits the wait for the memory of bodies that yield. Their owners only have
@@ -245,21 +347,22 @@
 	ctx, cancel := context.WithTimeout(ctx, yieldWait)
 	defer cancel()
 	for {
-		changed, err := h.tryReserve(n, now())
-		if changed == nil {
+		w, err := h.tryReserve(n, now())
+		if w == nil {
 			return err
 		}
 		select {
-		case <-changed:
+		case <-w.wake:
 		case <-ctx.Done():
+			h.budget.stopWaiting(w)
 			return ErrShort
 		}
 	}
 }
 
-// tryReserve counts n bytes. If other bodies yield for them, it returns a channel that is
-// closed when some bytes have been released.
-func (h *Body) tryReserve(n int64, now time.Time) (<-chan struct{}, error) {
+// tryReserve counts n bytes. If other bodies yield for them, it returns a waiter that is
+// woken when they may be free.
+func (h *Body) tryReserve(n int64, now time.Time) (*waiter, error) {
 	b := h.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -276,10 +379,22 @@
 	if !over {
 		caller = b.largestReader()
 	}
-	if !b.yield(h, n, caller, now) {
+	if !b.yield(h, n, caller, now) && !b.yieldResponse(h, n, now) {
 		return nil, ErrShort
 	}
-	return b.changed, nil
+	w := &waiter{h, n, make(chan struct{})}
+	b.waiters = append(b.waiters, w)
+	return w, nil
+}
+
+func (b *Budget) stopWaiting(w *waiter) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if i := slices.Index(b.waiters, w); i >= 0 {
+		b.waiters = slices.Delete(b.waiters, i, i+1)
+		return
+	}
+	b.signal() // it was woken for bytes that another one may take
 }
 
 // isOverShare reports whether n more bytes exceed the share of the caller.
@@ -304,8 +419,8 @@
 	return caller
 }
 
-// yield lets bodies of a caller yield until n bytes will be released. It returns false if
-// none does.
+// yield lets bodies of a caller yield until n bytes will be released for h, which is nil
+// for a connection. It returns false if none does.
 func (b *Budget) yield(h *Body, n int64, caller string, now time.Time) bool {
 	var victim *Body
 	for o := range b.reading {
@@ -315,7 +430,7 @@
 				return true // it has not released its bytes yet
 			}
 		case o == h || o.caller != caller || o.yielded:
-		case caller == h.caller && now.Sub(o.progress) < StallTime:
+		case h != nil && caller == h.caller && now.Sub(o.progress) < StallTime:
 		case victim == nil || o.progress.Before(victim.progress):
 			victim = o
 		}
@@ -323,11 +438,51 @@
 	if victim == nil {
 		return false
 	}
-	victim.yielded = true
-	victim.interrupt()
+	victim.giveUp()
+	return true
+}
+
+// yieldResponse lets responses yield that their callers do not read, until n bytes will be
+// released for h, which is nil for a connection. A requester above its caller's share
+// gains only from responses of that caller. It returns false if none yields.
+func (b *Budget) yieldResponse(h *Body, n int64, now time.Time) bool {
+	over := h != nil && b.isOverShare(h, n)
+	helps := func(o *Body) bool { return o.counted >= ChunkBytes && (!over || o.caller == h.caller) }
+	for o := range b.writing {
+		if o.yielded && helps(o) {
+			if n -= o.counted; n <= 0 {
+				return true // it has not released its bytes yet
+			}
+		}
+	}
+	victim := b.stalledResponse(helps, StallTime, now)
+	if victim == nil {
+		return false
+	}
+	victim.giveUp()
 	return true
 }
 
+// stalledResponse returns the response whose caller has read nothing for longest, and at
+// least for a time, of those that match.
+func (b *Budget) stalledResponse(matches func(*Body) bool, least time.Duration, now time.Time) (stalled *Body) {
+	for o := range b.writing {
+		if o.yielded || !matches(o) || now.Sub(o.progress) < least {
+			continue
+		}
+		if stalled == nil || o.progress.Before(stalled.progress) {
+			stalled = o
+		}
+	}
+	return stalled
+}
+
+func (h *Body) giveUp() {
+	h.yielded = true
+	h.interrupt()
+	h.budget.wake(h)
+}
+
 // chunk returns an empty chunk with a capacity.
 func (b *Budget) chunk(size int) []byte {
 	b.mu.Lock()
@@ -350,14 +505,66 @@
 	}
 	h.released = true
 	delete(b.reading, h)
+	delete(b.writing, h)
+	b.giveBack(h)
+}
+
+// Shrink gives back what is counted above n bytes.
+func (h *Body) Shrink(n int64) {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if surplus := h.counted - n; surplus > 0 {
+		h.counted = n
+		b.used -= surplus
+		b.held[h.caller] -= surplus
+		b.signal()
+	}
+}
+
+// Reset gives the bytes back. The body is empty then and may be used again.
+func (h *Body) Reset() {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h.size = 0
+	b.giveBack(h)
+}
+
+func (b *Budget) giveBack(h *Body) {
 	b.used -= h.counted
 	if b.held[h.caller] -= h.counted; b.held[h.caller] == 0 {
 		delete(b.held, h.caller)
 	}
+	h.counted = 0
 	b.keep(h.chunks)
 	h.chunks = nil
-	close(b.changed)
-	b.changed = make(chan struct{})
+	b.signal()
+}
+
+// signal wakes the waiters whose bytes are free, in order, and the first one whose bytes
+// are not, since it may let another body yield.
+func (b *Budget) signal() {
+	left, woken := b.limit-b.used, 0
+	for _, w := range b.waiters {
+		close(w.wake)
+		woken++
+		if left -= w.n; left < 0 {
+			break
+		}
+	}
+	b.waiters = slices.Delete(b.waiters, 0, woken)
+}
+
+// wake wakes the waiter of a body.
+func (b *Budget) wake(h *Body) {
+	for i, w := range b.waiters {
+		if w.body == h {
+			close(w.wake)
+			b.waiters = slices.Delete(b.waiters, i, i+1)
+			return
+		}
+	}
 }
 
 // keep keeps chunks for reuse, as many as stay within the limit with the bytes in use.
--- a/internal/bytebudget/bytebudget_test.go
+++ b/internal/bytebudget/bytebudget_test.go
@@ -157,3 +157,36 @@
 		}
 	})
 }
+
+// Guards against connections that take the memory of bodies, or find none beside them.
+func TestConnectionsBesideBodies(t *testing.T) {
+	const mb = 1 << 20
+	inBubble(t, "Connections take half, and unfinished bodies yield to them", func() {
+		b := New(4 * mb)
+		first := hold(b, "crowd", 2*mb)
+		second := hold(b, "clerk", mb/2)
+		So(b.TryAddConnection(mb, time.Now()), ShouldBeTrue)
+		So(first, ShouldBeEmpty)
+		So(b.TryAddConnection(mb, time.Now()), ShouldBeTrue)
+		So(<-first, ShouldEqual, ErrYielded)
+		So(second, ShouldBeEmpty)
+		So(b.TryAddConnection(1, time.Now()), ShouldBeFalse)
+		b.ReleaseConnection(2 * mb)
+		So(b.YieldSlow(0, time.Now()), ShouldBeTrue)
+		So(<-second, ShouldEqual, ErrYielded)
+		So(b.Used(), ShouldEqual, 0)
+	})
+	inBubble(t, "The slowest body yields its connection", func() {
+		b := New(4 * mb)
+		slow := hold(b, "crowd", 10)
+		fast := hold(b, "clerk", mb)
+		<-time.After(time.Second)
+		So(b.YieldSlow(2*time.Second, time.Now()), ShouldBeFalse)
+		<-time.After(time.Second)
+		So(b.YieldSlow(2*time.Second, time.Now()), ShouldBeTrue)
+		So(<-slow, ShouldEqual, ErrYielded)
+		So(fast, ShouldBeEmpty)
+		So(b.YieldSlow(0, time.Now()), ShouldBeTrue)
+		<-fast
+	})
+}
--- /dev/null
+++ b/internal/connlimit/connlimit_test.go
@@ -0,0 +1,186 @@
+package connlimit
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/grpc/test/bufconn"
+
+	"github.com/auburnlead/auburnlead/internal/bytebudget"
+	"github.com/auburnlead/auburnlead/internal/framing"
+)
+
+func inBubble(t *testing.T, name string, body func()) {
+	synctest.Test(t, func(t *testing.T) { Convey(name, t, body) })
+}
+
+func isClosed(c net.Conn) bool {
+	_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := c.Read(make([]byte, 1))
+	return err == io.EOF || err == io.ErrClosedPipe
+}
+
+// Guards against more connections than a process has descriptors for, against connections
+// that are held and keep others out, and against an admitted request that loses its
+// connection to a new one.
+func TestWhoYields(t *testing.T) {
+	listen := func(limit int) (*bufconn.Listener, net.Listener, *Pool) {
+		inner := bufconn.Listen(1)
+		pool := NewPool(bytebudget.New(1 << 20))
+		return inner, Listen(inner, Config{Limit: func() int { return limit }, Pool: pool}), pool
+	}
+	dial := func(inner *bufconn.Listener) net.Conn {
+		c, _ := inner.Dial() // called in other goroutines
+		return c
+	}
+	accept := func(l net.Listener) *conn {
+		c, err := l.Accept()
+		So(err, ShouldBeNil)
+		return c.(*conn)
+	}
+	inBubble(t, "Connections above the limit wait until one with an admitted request is closed", func() {
+		inner, l, pool := listen(1)
+		for range 3 {
+			go func() { _, _ = inner.Dial() }()
+		}
+		first := accept(l)
+		_, err := first.admit()
+		So(err, ShouldBeNil)
+		var accepted atomic.Bool
+		second := make(chan *conn, 1)
+		go func() { c, err := l.Accept(); accepted.Store(err == nil); second <- c.(*conn) }()
+		<-time.After(time.Minute)
+		So(accepted.Load(), ShouldBeFalse)
+		_ = first.Close()
+		_ = first.Close() // a second Close has no effect
+		synctest.Wait()
+		So(accepted.Load(), ShouldBeTrue)
+		_, err = (<-second).admit()
+		So(err, ShouldBeNil)
+		ended := make(chan error, 1)
+		go func() { _, err := l.Accept(); ended <- err }()
+		synctest.Wait()
+		_ = l.Close()
+		So(<-ended, ShouldEqual, net.ErrClosed)
+		So(pool.budget.Used(), ShouldEqual, connBytes)
+	})
+	inBubble(t, "The connection that has waited longest for a request is closed for a new one", func() {
+		inner, l, pool := listen(2)
+		var clients []net.Conn
+		var conns []*conn
+		for range 2 {
+			go func() { clients = append(clients, dial(inner)) }()
+			synctest.Wait()
+			conns = append(conns, accept(l))
+			synctest.Wait()
+		}
+		conns[0].wait(true) // it has just answered a request
+		go func() { clients = append(clients, dial(inner)) }()
+		synctest.Wait()
+		third := accept(l)
+		synctest.Wait()
+		So(isClosed(clients[1]), ShouldBeTrue)
+		So(isClosed(clients[0]), ShouldBeFalse)
+		_, err := conns[1].admit()
+		So(err, ShouldEqual, ErrNoRoom) // its request is not sent to a worker
+		_ = third.Close()
+		_ = conns[0].Close()
+		_ = conns[1].Close()
+		So(pool.budget.Used(), ShouldEqual, 0)
+		So(pool.waiting.Len(), ShouldEqual, 0)
+	})
+	inBubble(t, "A head that finds no memory closes the connection that has waited longest", func() {
+		inner, l, pool := listen(100)
+		var clients []net.Conn
+		var conns []*conn
+		for range 3 {
+			go func() { clients = append(clients, dial(inner)) }()
+			synctest.Wait()
+			conns = append(conns, accept(l))
+			synctest.Wait()
+		}
+		So(conns[1].AddHead(4000, 1000), ShouldBeNil)
+		So(conns[2].AddHead(4000, 1000), ShouldBeNil)
+		So(isClosed(clients[0]), ShouldBeTrue)
+		So(isClosed(clients[1]), ShouldBeTrue)
+		So(isClosed(clients[2]), ShouldBeFalse)
+		So(conns[1].AddHead(10, 1), ShouldEqual, ErrNoRoom)
+		So(conns[2].AddHead(4000, 1000), ShouldEqual, ErrNoRoom) // it takes more than all have
+		So(pool.budget.Used(), ShouldEqual, 0)
+	})
+	inBubble(t, "A body that has been arriving for long yields to a new connection", func() {
+		inner, l, pool := listen(1)
+		go func() { dial(inner) }()
+		first := accept(l)
+		_, err := first.admit()
+		So(err, ShouldBeNil)
+		yielded := make(chan struct{})
+		body := pool.budget.NewBody("crowd", func() { close(yielded) })
+		go func() {
+			_ = body.ReadRequest(context.Background(), readerFunc(func([]byte) (int, error) { <-yielded; return 0, io.ErrUnexpectedEOF }), time.Now)
+			body.Release()
+			_ = first.Close()
+		}()
+		go func() { dial(inner) }()
+		start := time.Now()
+		accept(l)
+		So(time.Since(start), ShouldBeBetweenOrEqual, SlowAge, SlowAge+2*retryInterval)
+	})
+}
+
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// Guards against heads that are not counted until their end, or counted for ever: a parsed
+// field takes many times its bytes.
+func TestHeadsOfRequests(t *testing.T) {
+	inBubble(t, "The memory of a head is counted until the end of its request", func() {
+		inner := bufconn.Listen(64 << 10)
+		budget := bytebudget.New(1 << 20)
+		var counted, admitted int64
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_ = framing.Check(r)
+			counted = budget.Used()
+			if r.URL.Path == "/admitted" {
+				admitted, _ = Admit(r.Context())
+			}
+		})}
+		go func() {
+			_ = Serve(server, inner, Config{Limit: func() int { return 2 }, Pool: NewPool(budget)})
+		}()
+		client, err := inner.Dial()
+		So(err, ShouldBeNil)
+		answers := bufio.NewReader(client)
+		const lines = 100
+		fields := strings.Repeat("A: b\r\n", lines)
+		for _, path := range []string{"/", "/admitted"} {
+			_, err = fmt.Fprintf(client, "GET %s HTTP/1.1\r\nHost: x\r\n%s", path, fields)
+			So(err, ShouldBeNil)
+			synctest.Wait()
+			So(budget.Used(), ShouldBeGreaterThan, connBytes+lines*headLineBytes)
+			_, err = io.WriteString(client, "\r\n")
+			So(err, ShouldBeNil)
+			_, err := http.ReadResponse(answers, nil)
+			So(err, ShouldBeNil)
+			synctest.Wait()
+			So(counted, ShouldBeGreaterThan, connBytes+lines*headLineBytes)
+			So(budget.Used(), ShouldEqual, connBytes)
+		}
+		So(admitted, ShouldBeGreaterThan, lines*headLineBytes)
+		_ = client.Close()
+		synctest.Wait()
+		So(budget.Used(), ShouldEqual, 0)
+		_ = server.Close()
+	})
+}
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -25,6 +25,15 @@
 	return "framing: " + e.Reason + "; send the body either with a Content-Length or in chunks"
 }
 
+// HeadAccount is implemented by connections that bound the memory of request heads.
+type HeadAccount interface {
+	// AddHead is called with the bytes and lines of heads that have arrived. An error ends
+	// the connection.
+	AddHead(bytes, lines int) error
+	// ServeHead is called by Check with those of the request that is served now.
+	ServeHead(bytes, lines int)
+}
+
 type connKey struct{}
 
 // Serve serves a listener like server.Serve. The handler calls Check once for each
@@ -37,6 +46,14 @@
 	return server.Serve(listener{l})
 }
 
+// Conn returns the connection of a request that was received through Serve, nil for others.
+func Conn(ctx context.Context) net.Conn {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		return c
+	}
+	return nil
+}
+
 // Check returns an error if the end of the request is ambiguous, and nil for a
 // request that was not received through Serve. It is called once for each request,
 // in the order of arrival. Errors: *AmbiguousError.
@@ -45,7 +62,10 @@
 	if !ok {
 		return nil
 	}
-	h, known := c.next()
+	h, served, known := c.next()
+	if account, ok := c.Conn.(HeadAccount); ok && known {
+		account.ServeHead(served.bytes, served.lines)
+	}
 	switch {
 	case !known && len(r.TransferEncoding) > 0:
 		return &AmbiguousError{"the framing of the connection cannot be followed"}
@@ -78,12 +98,26 @@
 
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	bytes, lines := c.scan(p[:n])
+	if account, ok := c.Conn.(HeadAccount); ok && bytes > 0 {
+		if err := account.AddHead(bytes, lines); err != nil {
+			return 0, err
+		}
+	}
+	return n, err
+}
+
+func (c *conn) scan(p []byte) (headBytes, headLines int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.scanner.write(p[:n])
-	return n, err
+	before := c.scanner.heads
+	c.scanner.write(p)
+	return c.scanner.heads.bytes - before.bytes, c.scanner.heads.lines - before.lines
 }
 
+// NetConn returns the connection of the listener.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite implements the half-close by which net/http lets a client read a response
 // before the connection is closed. It does nothing on connections without one.
 func (c *conn) CloseWrite() error {
@@ -93,8 +127,9 @@
 	return nil
 }
 
-func (c *conn) next() (head, bool) {
+func (c *conn) next() (head, size, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.scanner.next()
+	h, ok := c.scanner.next()
+	return h, c.scanner.served, ok
 }
--- a/internal/framing/scanner.go
+++ b/internal/framing/scanner.go
@@ -6,6 +6,11 @@
 	"strings"
 )
 
+// size is the size of request lines and header fields.
+type size struct{ bytes, lines int }
+
+func (s *size) add(bytes, lines int) { s.bytes, s.lines = s.bytes+bytes, s.lines+lines }
+
 // head records which fields of a request's header section say where its body
 // ends.
 type head struct {
@@ -48,6 +53,10 @@
 	length    string // value of Content-Length
 	framing   bool   // the line before was a Content-Length or Transfer-Encoding
 	pending   []head // heads of the requests not yet served, in order
+	heads     size   // of all heads so far
+	arriving  size   // of the head that is arriving
+	sizes     []size // of the pending heads
+	served    size   // of the head that next returned last
 }
 
 // write scans bytes in the order of their arrival.
@@ -66,9 +75,11 @@
 			end := bytes.IndexByte(p, '\n')
 			if end < 0 {
 				s.keep(p)
+				s.count(len(p), 0)
 				return
 			}
 			s.keep(p[:end])
+			s.count(end+1, 1)
 			p = p[end+1:]
 			s.endLine(strings.TrimSuffix(string(s.line), "\r"))
 			s.line = s.line[:0]
@@ -80,6 +91,14 @@
 	s.line = append(s.line, p[:min(len(p), maxLineBytes-len(s.line))]...)
 }
 
+// count counts bytes and lines if they are part of a head.
+func (s *scanner) count(bytes, lines int) {
+	if s.part == partRequestLine || s.part == partFields {
+		s.arriving.add(bytes, lines)
+		s.heads.add(bytes, lines)
+	}
+}
+
 func (s *scanner) endBody() {
 	if s.part == partChunk {
 		s.part = partChunkSize
@@ -134,6 +153,8 @@
 		return
 	}
 	s.pending = append(s.pending, s.current)
+	s.sizes = append(s.sizes, s.arriving)
+	s.arriving = size{}
 	switch {
 	case s.current.folded:
 		s.part = partUnknown
@@ -177,7 +198,8 @@
 	if len(s.pending) == 0 {
 		return head{}, false
 	}
-	h = s.pending[0]
+	h, s.served = s.pending[0], s.sizes[0]
+	s.sizes = append(s.sizes[:0], s.sizes[1:]...)
 	s.pending = append(s.pending[:0], s.pending[1:]...)
 	return h, true
 }
--- a/plugins/caller/routes.go
+++ b/plugins/caller/routes.go
@@ -14,6 +14,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/auburnlead/auburnlead/internal/bytebudget"
+	"github.com/auburnlead/auburnlead/internal/connlimit"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/internal/framing"
 	"github.com/auburnlead/auburnlead/objects"
@@ -38,7 +39,7 @@
 	caller *objects.Caller // nil before authentication
 	set    *objects.Set    // the active configuration when the request started
 	w      *response
-	body   *bytebudget.Body // nil before the body is read
+	body   *bytebudget.Body // nil before the request is admitted
 }
 
 // handler handles a request or returns the problem to respond with.
@@ -65,6 +66,7 @@
 		startedAt := time.Now()
 		r := &apiRequest{Request: hr, id: newRequestID(), w: newResponse(w, s.settings.WriteTimeout)}
 		r.w.Header().Set(headerRequestID, r.id)
+		connlimit.LimitUnreadBody(hr, r.w.controller)
 		defer s.logPanic(r)
 		defer r.release()
 		problem := s.admit(r, h)
@@ -110,9 +112,40 @@
 		return problem
 	}
 	r.set, r.caller = revision.Set, caller
+	if problem := s.admitMemory(r); problem != nil {
+		return problem
+	}
 	return h(r)
 }
 
+// admitMemory counts the request's memory and keeps its connection from yielding to others.
+func (s *Server) admitMemory(r *apiRequest) *core.Problem {
+	headBytes, err := connlimit.Admit(r.Context())
+	if err != nil {
+		p := core.NewProblem(core.KindOverloaded, "the router has no room for the connection")
+		p.Err = err
+		return p
+	}
+	r.body = s.bytes.NewBody(r.caller.Name, func() { _ = r.w.controller.SetReadDeadline(time.Now()) })
+	if err := r.body.Admit(r.Context(), headBytes, time.Now); err != nil {
+		return s.refuseMemory(r, err)
+	}
+	return nil
+}
+
+// refuseMemory returns the problem of a request that finds no memory or was given up for
+// another one, and closes its connection without reading the rest of the body.
+func (s *Server) refuseMemory(r *apiRequest, err error) *core.Problem {
+	s.metrics.memoryRefusals.Inc(1)
+	s.log.Warn("connection yields", "request", r.id, "caller", r.caller.Name, "remote", r.RemoteAddr, "body_bytes", r.body.Size(), "held_bytes", s.bytes.Used(), "error", err)
+	r.release() // others wait for it
+	_ = r.w.controller.SetReadDeadline(time.Now())
+	r.w.Header().Set("Connection", "close")
+	p := core.NewProblem(core.KindOverloaded, "the router has no memory for the body")
+	p.RetryAfter, p.Err = memoryRetryAfter, err
+	return p
+}
+
 // newRequestID returns a random ID, which needs no cryptographic randomness.
 func newRequestID() string {
 	var b [16]byte
@@ -155,7 +188,6 @@
 	}
 	controller := http.NewResponseController(r.w)
 	_ = controller.SetReadDeadline(time.Now().Add(s.settings.BodyTimeout))
-	r.body = s.bytes.NewBody(r.caller.Name, func() { _ = controller.SetReadDeadline(time.Now()) })
 	var body []byte
 	err := r.body.ReadRequest(r.Context(), http.MaxBytesReader(r.w, r.Body, limit), time.Now)
 	if err == nil {
@@ -164,14 +196,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, bytebudget.ErrShort), errors.Is(err, bytebudget.ErrYielded):
-		s.metrics.memoryRefusals.Inc(1)
-		s.log.Warn("connection yields", "request", r.id, "caller", r.caller.Name, "remote", r.RemoteAddr, "body_bytes", r.body.Size(), "held_bytes", s.bytes.Used(), "error", err)
-		r.release() // others wait for it
-		_ = controller.SetReadDeadline(time.Now())
-		r.w.Header().Set("Connection", "close")
-		p := core.NewProblem(core.KindOverloaded, "the router has no memory for the body")
-		p.RetryAfter, p.Err = memoryRetryAfter, err
-		return nil, p
+		return nil, s.refuseMemory(r, err)
 	case errors.As(err, &tooLarge):
 		return nil, core.NewProblem(core.KindBodyTooLarge, "the body has more than %d bytes", limit)
 	case err != nil:
@@ -191,7 +216,7 @@
 // served.
 const memoryRetryAfter = time.Second
 
-// release gives back the memory of the body.
+// release gives back the memory of the request and its response.
 func (r *apiRequest) release() {
 	if r.body != nil {
 		r.body.Release()
--- a/plugins/caller/setup.go
+++ b/plugins/caller/setup.go
@@ -13,10 +13,10 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 
+	"github.com/auburnlead/auburnlead/internal/boundedlog"
 	"github.com/auburnlead/auburnlead/internal/bytebudget"
 	"github.com/auburnlead/auburnlead/internal/connlimit"
 	"github.com/auburnlead/auburnlead/internal/core"
-	"github.com/auburnlead/auburnlead/internal/framing"
 	"github.com/auburnlead/auburnlead/kernel"
 )
 
@@ -79,6 +79,7 @@
 	Logger     *log.Logger
 	Scope      tally.Scope `optional:"true"`
 	Identity   core.Identity
+	Resources  connlimit.Resources
 }
 
 // Server serves the caller API.
@@ -93,6 +94,8 @@
 	keys       keyring
 	requests   *requestTracker
 	bytes      *bytebudget.Budget // bytes held for callers
+	pool       *connlimit.Pool
+	connLines  *boundedlog.Logger // of connections that are closed
 	http       *http.Server
 }
 
@@ -101,6 +104,7 @@
 	if p.Scope == nil {
 		p.Scope = tally.NoopScope
 	}
+	resources := p.Resources.OrDefault()
 	s := &Server{
 		settings:   p.Settings,
 		config:     p.Config,
@@ -110,7 +114,9 @@
 		log:        p.Logger.WithPrefix("caller"),
 		metrics:    newMetrics(p.Scope.SubScope("caller")),
 		requests:   newRequestTracker(),
-		bytes:      bytebudget.New(bytebudget.Limit(p.Identity.MemoryMB)),
+		bytes:      resources.Bytes,
+		pool:       resources.Connections,
+		connLines:  boundedlog.New(p.Logger.WithPrefix("caller"), connLinesPerSecond),
 	}
 	s.readiness.Require(componentName)
 	s.config.Subscribe(s.keys.update)
@@ -134,7 +140,7 @@
 		return fmt.Errorf("caller: %w; set caller.listen to a free address of this VM", err)
 	}
 	s.addresses.Set(componentName, l.Addr().String())
-	go s.serve(connlimit.Listen(l, s.maxConnections))
+	go s.serve(l)
 	s.readiness.SetReady(componentName, true, "")
 	s.log.Info("listening", "address", l.Addr().String())
 	return nil
@@ -147,12 +153,21 @@
 }
 
 func (s *Server) serve(l net.Listener) {
-	if err := framing.Serve(s.http, l); err != http.ErrServerClosed {
+	limits := connlimit.Config{Limit: s.maxConnections, Pool: s.pool, OnClose: s.logConnectionClosed}
+	if err := connlimit.Serve(s.http, l, limits); err != http.ErrServerClosed {
 		s.log.Error("listener failed", "error", err)
 		s.readiness.SetReady(componentName, false, "listener failed")
 	}
 }
 
+// connLinesPerSecond limits log lines that clients without a request can cause.
+const connLinesPerSecond = 10
+
+func (s *Server) logConnectionClosed(c net.Conn) {
+	s.metrics.connectionsClosed.Inc(1)
+	s.connLines.Log(log.WarnLevel, "connection", "connection closed for want of room", "remote", c.RemoteAddr(), "held_bytes", s.bytes.Used())
+}
+
 // Stop shuts the server down gracefully: the router reports not ready, serves
 // requests for DrainDelay, refuses new ones, waits for those in flight and closes
 // the listener.
--- a/plugins/gateway/body.go
+++ b/plugins/gateway/body.go
@@ -8,15 +8,33 @@
 	"time"
 
 	"github.com/auburnlead/auburnlead/internal/bytebudget"
+	"github.com/auburnlead/auburnlead/internal/connlimit"
 )
 
-// readBody reads the body within the limits of size, time and memory. If the request
-// cannot be served, it writes the response and returns false.
-func (g *Gateway) readBody(x *exchange) bool {
+// admit counts the request's memory and keeps its connection from yielding to others. If
+// the request cannot be served, it writes the response and returns false.
+func (g *Gateway) admit(x *exchange) bool {
 	if x.r.ContentLength > g.settings.BodyBytes {
 		g.deny(x, http.StatusRequestEntityTooLarge, "body too large", nil)
 		return false
 	}
+	headBytes, err := connlimit.Admit(x.r.Context())
+	if err != nil {
+		x.setOutcome(outcomeRefused, "no room for the connection", err)
+		x.abort = true
+		return false
+	}
+	x.body = g.bytes.NewBody(x.callerName(), func() { _ = x.conn.SetReadDeadline(time.Now()) })
+	if err := x.body.Admit(x.r.Context(), headBytes, time.Now); err != nil {
+		g.refuseMemory(x, err)
+		return false
+	}
+	return true
+}
+
+// readBody reads the body within the limits of size, time and memory. If the request
+// cannot be served, it writes the response and returns false.
+func (g *Gateway) readBody(x *exchange) bool {
 	if x.r.ContentLength == 0 {
 		return true
 	}
@@ -25,7 +43,6 @@
 	_ = x.conn.SetReadDeadline(x.deadline) // not supported by recorders in tests
 	expire := func() { _ = x.conn.SetReadDeadline(time.Now()) }
 	defer context.AfterFunc(g.server.ending, expire)()
-	x.body = g.bytes.NewBody(x.callerName(), expire)
 	err := x.body.ReadRequest(x.r.Context(), http.MaxBytesReader(x.w, x.r.Body, g.settings.BodyBytes), time.Now)
 	g.decisions.held.Update(float64(g.bytes.Used()))
 	var tooLarge *http.MaxBytesError
--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -8,6 +8,7 @@
 
 	"github.com/auburnlead/auburnlead/admission"
 	"github.com/auburnlead/auburnlead/internal/bytebudget"
+	"github.com/auburnlead/auburnlead/internal/connlimit"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/internal/framing"
 	"github.com/auburnlead/auburnlead/internal/upload"
@@ -26,7 +27,7 @@
 	caller    *objects.Caller
 	upstream  string // name of the upstream that was picked
 	revision  uint64
-	body      *bytebudget.Body   // nil for none
+	body      *bytebudget.Body   // nil before the request is admitted
 	sent      []*upload.Body     // bodies of the attempts
 	responses []*bytebudget.Body // buffered responses of the attempts
 	start     time.Time
@@ -135,6 +136,7 @@
 	defer g.decisions.requestsInFlight.Add(-1)
 	x := &exchange{w: w, r: r, start: time.Now(), conn: http.NewResponseController(w)}
 	x.extendWriteDeadline(g.settings.WriteTimeout)
+	connlimit.LimitUnreadBody(x.r, x.conn)
 	if g.server.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -217,7 +219,7 @@
 	x.setDeadline()
 	x.upstream = pickUpstream(x.route, rand.Float64())
 	x.waitFor(g.workersListed)
-	return g.readBody(x)
+	return g.admit(x) && g.readBody(x)
 }
 
 // setDeadline sets the timeout and the deadline from those of the route and the caller.
--- a/plugins/gateway/server.go
+++ b/plugins/gateway/server.go
@@ -15,7 +15,6 @@
 
 	"github.com/auburnlead/auburnlead/internal/connlimit"
 	"github.com/auburnlead/auburnlead/internal/explainapi"
-	"github.com/auburnlead/auburnlead/internal/framing"
 	"github.com/auburnlead/auburnlead/internal/metrics"
 )
 
@@ -105,15 +104,23 @@
 
 // serveCallers serves a listener until the server is closed.
 func (s *server) serveCallers(l net.Listener) error {
-	l = connlimit.Listen(l, connlimit.ForProcess)
+	l = connlimit.Listen(l, s.connLimits("callers", connlimit.ForProcess))
 	s.conns.setListener(l)
-	err := framing.Serve(s.callers, l)
+	err := connlimit.ServeListener(s.callers, l)
 	if s.stopping.Load() {
 		return http.ErrServerClosed // the listener is closed before the server
 	}
 	return err
 }
 
+// connLimits returns the limits of connections at a listener.
+func (s *server) connLimits(listener string, limit func() int) connlimit.Config {
+	return connlimit.Config{Limit: limit, Pool: s.g.connections, OnClose: func(c net.Conn) {
+		s.g.decisions.count("connections_closed", "listener", listener)
+		s.g.decisions.logRequest("connection closed for want of room", "listener", listener, "remote", c.RemoteAddr(), "held_bytes", s.g.bytes.Used())
+	}}
+}
+
 // newMetricsServer returns the server of the metrics listener, which operators use.
 func (s *server) newMetricsServer() *http.Server {
 	return s.newAuxServer(map[string]http.Handler{"/metrics": http.HandlerFunc(s.metrics), explainapi.Path: &explainer{g: s.g}})
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -24,6 +24,7 @@
 	"go.uber.org/fx"
 
 	"github.com/auburnlead/auburnlead/internal/bytebudget"
+	"github.com/auburnlead/auburnlead/internal/connlimit"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/kernel"
 	"github.com/auburnlead/auburnlead/objects"
@@ -156,6 +157,7 @@
 
 	Extensions  core.ExtensionGossip `optional:"true"`
 	Evacuations core.Evacuations
+	Resources   connlimit.Resources
 }
 
 // Gateway serves the routes of the active configuration revision.
@@ -177,6 +179,7 @@
 	fleet             *routing.Fleet
 	conns             *workerConns
 	bytes             *bytebudget.Budget // bytes held for callers
+	connections       *connlimit.Pool
 	reachability      *reachability
 	crashes           *crashDetector
 	limits            *rateLimits
@@ -192,6 +195,7 @@
 
 // New returns a gateway that does not listen yet.
 func New(p Params) *Gateway {
+	resources := p.Resources.OrDefault()
 	g := &Gateway{
 		settings:      p.Settings,
 		identity:      p.Identity,
@@ -205,7 +209,8 @@
 		workersListed: make(chan struct{}),
 		fleet:         routing.New(fleetConfig(p.Identity.FailureDomain, p.Settings)),
 		conns:         newWorkerConns(p.Settings),
-		bytes:         bytebudget.New(bytebudget.Limit(p.Identity.MemoryMB)),
+		bytes:         resources.Bytes,
+		connections:   resources.Connections,
 
 		evacuatedDomains: p.Scope.SubScope(componentName).Gauge("evacuated_domains"),
 	}
