Gateway: responses are bounded by the byte budget, and yield if nobody reads them

What callers saw: 2,000 connections that read nothing of responses of 4 MiB took a process to 544 and 563 MB, and an ordinary request got 503 in each of three tries. Cause: buffered responses were counted but never refused, 256 KiB for each connection, for up to 30 s; the bytes that they held refused the requests of others. Ruled out: a refusal of requests beforehand by the size of their response, which is not known; a shorter write timeout, which cuts callers that read slowly while there is room. Change: if the budget is short, the rest of a response is forwarded as it arrives, so that the worker waits for the caller. If others need memory, a response of which its caller has read nothing for 1 s is broken off, the longest first, after unfinished bodies; for 5 s if others need its connection, streams too. A pause of the worker does not count.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -168,10 +168,18 @@
 	return err
 }
 
-// ReadResponse reads to the end of r. A response is counted but never refused: its request
-// has run, and its size is limited elsewhere. Errors: those of r.
-func (h *Body) ReadResponse(r io.Reader) error {
-	return h.readAll(r, time.Now, func(n int64) error { h.count(n); return nil })
+// ReadResponse reads to the end of r. now returns the time. ctx ends the wait for bodies
+// that yield. The first chunk is counted but never refused, since the request has run. If
+// the budget is short for another one, what was read stays and the rest of r is unread.
+// Errors: those of r, ErrShort.
+func (h *Body) ReadResponse(ctx context.Context, r io.Reader, now func() time.Time) error {
+	return h.readAll(r, now, func(n int64) error {
+		if len(h.chunks) == 0 {
+			h.count(n)
+			return nil
+		}
+		return h.reserve(ctx, n, now)
+	})
 }
 
 // Reserve counts n bytes that the owner keeps elsewhere. ctx ends the wait for bodies that
--- a/internal/bytebudget/bytebudget_test.go
+++ b/internal/bytebudget/bytebudget_test.go
@@ -158,6 +158,55 @@
 	})
 }
 
+// Guards against responses that nobody reads and that keep others out, and against ones
+// that are given up while their caller reads.
+func TestResponsesYield(t *testing.T) {
+	const mb = 1 << 20
+	respond := func(b *Budget, caller string, size int) (body *Body, yielded *bool) {
+		body, yielded = b.NewBody(caller, nil), new(bool)
+		So(body.ReadResponse(context.Background(), strings.NewReader(strings.Repeat("x", size)), time.Now), ShouldBeNil)
+		body.StartWriting(func() { *yielded = true; go body.Release() }, time.Now())
+		return body, yielded
+	}
+	read := func(b *Budget, caller string, size int) error {
+		body := b.NewBody(caller, func() {})
+		defer body.Release()
+		return body.ReadRequest(context.Background(), strings.NewReader(strings.Repeat("x", size)), time.Now)
+	}
+	inBubble(t, "A response whose caller reads nothing yields after a time, the longest first", func() {
+		b := New(4 * mb)
+		_, first := respond(b, "crowd", mb)
+		<-time.After(time.Millisecond)
+		reading, second := respond(b, "crowd", 3*mb/2)
+		So(read(b, "clerk", 2*mb), ShouldEqual, ErrShort)
+		So(*first, ShouldBeFalse)
+		<-time.After(StallTime)
+		reading.StartWriting(func() { *second = true; go reading.Release() }, time.Now()) // it has read a part
+		So(read(b, "clerk", 2*mb), ShouldBeNil)
+		So(*first, ShouldBeTrue)
+		So(*second, ShouldBeFalse)
+		reading.Release()
+		So(b.Used(), ShouldEqual, 0)
+	})
+	inBubble(t, "A response yields only while a part of it is written", func() {
+		b := New(4 * mb)
+		body, yielded := respond(b, "crowd", 5*mb/2)
+		body.EndWriting()
+		<-time.After(2 * StallTime)
+		So(read(b, "clerk", 2*mb), ShouldEqual, ErrShort)
+		So(*yielded, ShouldBeFalse)
+	})
+	inBubble(t, "A response above the caller's share keeps what was read", func() {
+		b := New(4 * mb)
+		body := b.NewBody("crowd", nil)
+		So(body.ReadResponse(context.Background(), strings.NewReader(strings.Repeat("x", 4*mb)), time.Now), ShouldEqual, ErrShort)
+		So(body.Size(), ShouldBeBetween, 2*mb, 3*mb)
+		body.Reset()
+		So(b.Used(), ShouldEqual, 0)
+		So(body.Size(), ShouldEqual, 0)
+	})
+}
+
 // Guards against connections that take the memory of bodies, or find none beside them.
 func TestConnectionsBesideBodies(t *testing.T) {
 	const mb = 1 << 20
--- a/plugins/gateway/body_test.go
+++ b/plugins/gateway/body_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -45,3 +46,27 @@
 		})
 	}
 }
+
+// Guards against buffered responses that fill the memory of a router, and against ones that
+// are cut off for want of memory although they can be forwarded as they arrive.
+func TestMemoryForResponses(t *testing.T) {
+	inBubble(t, "A response without memory is forwarded whole, and the memory stays within the budget", desks(1), func(h *harness) {
+		const limit, size = 256 << 10, 250 << 10
+		h.Gateway.bytes = bytebudget.New(limit)
+		h.settings.AnswerBytes = 4 * size
+		h.setHandlers(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(testSeal, "s")
+			_, _ = io.WriteString(w, strings.Repeat("x", size))
+		})
+		held := h.Gateway.bytes.NewBody("another", nil)
+		So(held.Admit(context.Background(), 0, time.Now), ShouldBeNil)
+		for range 3 {
+			resp, aborted := h.call("POST", "/book/x")
+			So(aborted, ShouldBeFalse)
+			So(resp.Code, ShouldEqual, http.StatusOK)
+			So(resp.Body.Len(), ShouldEqual, size)
+		}
+		held.Release()
+		So(h.Gateway.bytes.Used(), ShouldEqual, 0)
+	})
+}
--- a/plugins/gateway/buffered.go
+++ b/plugins/gateway/buffered.go
@@ -77,10 +77,11 @@
 func (g *Gateway) readBuffered(x *exchange, c routing.Choice, resp *workerResponse) (*bufferedResponse, *failure) {
 	body := g.bytes.NewBody(x.callerName(), nil)
 	x.responses = append(x.responses, body)
-	err := body.ReadResponse(io.LimitReader(resp.Body, int64(g.settings.AnswerBytes)))
+	err := body.ReadResponse(x.ctx, io.LimitReader(resp.Body, int64(g.settings.AnswerBytes)), time.Now)
+	short := errors.Is(err, bytebudget.ErrShort) || errors.Is(err, bytebudget.ErrYielded)
 	took := time.Since(resp.sentAt)
 	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body, framed: resp.isFramed()}
-	if err == nil && body.Size() == int64(g.settings.AnswerBytes) {
+	if short || err == nil && body.Size() == int64(g.settings.AnswerBytes) {
 		resp.stallTimer.stop()
 		if resp.StatusCode >= http.StatusInternalServerError {
 			_ = resp.Body.Close() // the rest is not forwarded
@@ -117,18 +118,27 @@
 	x.w.WriteHeader(resp.status)
 	x.firstByte = sinceStart(x)
 	x.extendWriteDeadline(g.settings.WriteTimeout)
+	resp.body.StartWriting(x.interruptWrite, time.Now())
 	for _, chunk := range resp.body.Chunks() {
 		if _, err := x.w.Write(chunk); err != nil {
 			x.setOutcome(outcomeDisconnected, "caller left", err)
 			break
 		}
+		resp.body.StartWriting(x.interruptWrite, time.Now())
 	}
 	if resp.unread == nil {
 		return
 	}
 	defer resp.unread.cancel()
 	defer resp.unread.Body.Close()
-	rest := &limitedBody{from: resp.unread.Body, left: g.settings.MaxAnswerBytes - resp.body.Size(), beforeRead: func() { x.extendWriteDeadline(g.settings.WriteTimeout) }}
+	rest := &limitedBody{
+		from: resp.unread.Body, left: g.settings.MaxAnswerBytes - resp.body.Size(),
+		beforeRead: func() {
+			resp.body.EndWriting()
+			x.extendWriteDeadline(g.settings.WriteTimeout)
+		},
+		afterRead: func() { resp.body.StartWriting(x.interruptWrite, time.Now()) },
+	}
 	if _, err := io.Copy(x.w, rest); err != nil {
 		reason := failTruncated
 		if errors.Is(err, errOversized) {
@@ -143,16 +153,18 @@
 var errOversized = errors.New("gateway: the response is longer than max_answer_bytes; raise the setting if the worker's answer is valid")
 
 // limitedBody reads a response body up to a limit, beyond which it fails. It calls
-// beforeRead before each read, since then everything read so far has been written.
+// beforeRead before each read, since then everything read so far has been written, and
+// afterRead after it.
 type limitedBody struct {
-	from       io.Reader
-	left       int64
-	beforeRead func()
+	from                  io.Reader
+	left                  int64
+	beforeRead, afterRead func()
 }
 
 func (b *limitedBody) Read(p []byte) (int, error) {
 	b.beforeRead()
 	n, err := b.from.Read(p[:min(int64(len(p)), b.left+1)])
+	b.afterRead()
 	if b.left -= int64(n); b.left < 0 {
 		return 0, errOversized
 	}
--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -72,6 +72,9 @@
 	_ = x.conn.SetWriteDeadline(x.writeDeadline) // not supported by recorders in tests
 }
 
+// interruptWrite ends a write to the caller.
+func (x *exchange) interruptWrite() { _ = x.conn.SetWriteDeadline(time.Now()) }
+
 // startupWait is the longest time that a request waits for the first
 // configuration and worker list. A router reads them within about 30 ms of its
 // start, so a request that arrives before that need not be refused.
--- a/plugins/gateway/stream.go
+++ b/plugins/gateway/stream.go
@@ -141,7 +141,10 @@
 		resp.stallTimer.reset(gapFactor * x.route.GapTarget)
 		x.extendWriteDeadline(g.settings.WriteTimeout)
 		arrived := time.Now()
-		if err := g.forwardEvent(x, s, resp, e, events.Buffered() == 0); err != nil {
+		x.body.StartWriting(x.interruptWrite, arrived)
+		err = g.forwardEvent(x, s, resp, e, events.Buffered() == 0)
+		x.body.EndWriting()
+		if err != nil {
 			return &failure{outcome: core.OutcomeUnknown, sent: true, reason: failDisconnected, err: err}
 		}
 		pace.record(g.speeds, c, arrived, time.Now())
