Role router: responses count against the byte budget

What callers saw: connections that read nothing of responses took a process to 143 MB (2,000 of 200 KiB), 638 MB (120 of 4 MiB) and 3,095 MB (2,000 of 4 MiB), completions that the router assembles to 189 and 551 MB. Cause: responses of services and completions were not counted in this role; answer_bytes (8 MiB) bounds each of them only. Ruled out: forwarding as it arrives, as in the gateway: a completion is encoded as a whole, and the ledger stores the whole response of a call. Change: a service's response is read in counted chunks, a completion reserves four copies of its text while it is assembled and encoded, and a stored response is counted before it is sent. Responses that nobody reads yield as in the gateway. A request whose response finds no memory gets 502 with the outcome that it has run; the worker is not blamed for it, and it is not sent to another one.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/auburnlead/auburnlead/internal/bytebudget"
 	"github.com/auburnlead/auburnlead/objects"
 )
 
@@ -18,7 +19,7 @@
 	FailureDomain string
 	PeerAddress   string // IP:port of the gRPC server
 	Incarnation   uint64 // start time, ns since the epoch
-	MemoryMB      int    // memory of the VM, MB of 2^20 bytes; 0 if not stated
+	MemoryMB      int    // memory that the process may use, MB of 2^20 bytes
 }
 
 // ConfigRevision is an active revision of the configuration. It is not modified
@@ -256,6 +257,8 @@
 	Body           []byte
 	IdempotencyKey string
 	Deadline       time.Time // zero for none
+	// Memory counts the response, also after the call. nil counts nothing.
+	Memory *bytebudget.Body
 }
 
 // ServiceResponse is the buffered response of a plain service.
--- a/plugins/caller/chat.go
+++ b/plugins/caller/chat.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/auburnlead/auburnlead/answer"
+	"github.com/auburnlead/auburnlead/internal/bytebudget"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/internal/jsonfields"
 )
@@ -207,7 +209,7 @@
 
 // respondBuffered responds with the assembled chunks.
 func (s *Server) respondBuffered(r *apiRequest, chat *core.ChatRequest) *core.Problem {
-	sink := &bufferedSink{maxBytes: s.settings.AnswerBytes}
+	sink := &bufferedSink{maxBytes: s.settings.AnswerBytes, ctx: r.Context(), memory: r.answer}
 	sink.Restart()
 	if err := s.dispatcher.Chat(r.Context(), chat, sink); err != nil {
 		return asProblem(err)
@@ -219,7 +221,9 @@
 	r.setWorkerHeader(sink.worker)
 	r.w.Header().Set("Content-Type", "application/json")
 	r.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	_, _ = r.w.Write(body) // fails if the connection is closed
+	sink.assembler = nil
+	r.answer.Shrink(int64(len(body)))
+	r.writeAnswer(body)
 	return nil
 }
 
@@ -245,6 +249,8 @@
 // bufferedSink assembles the chunks of a response.
 type bufferedSink struct {
 	maxBytes  int
+	ctx       context.Context // of the request
+	memory    *bytebudget.Body
 	assembler *answer.Assembler
 	worker    string
 }
@@ -253,9 +259,21 @@
 
 // Restart discards the chunks received so far, none of which was sent to the
 // caller.
-func (s *bufferedSink) Restart() { s.assembler = answer.NewAssembler(s.maxBytes) }
+func (s *bufferedSink) Restart() {
+	s.memory.Reset()
+	s.assembler = answer.NewAssembler(s.maxBytes)
+}
+
+// assembledCopies is the number of copies of a chunk's text while the response is encoded:
+// in the assembler, in the completion and in the growing buffer of the encoder.
+const assembledCopies = 4
 
-func (s *bufferedSink) Chunk(data []byte) error { return s.assembler.Add(data) }
+func (s *bufferedSink) Chunk(data []byte) error {
+	if err := s.memory.Reserve(s.ctx, int64(assembledCopies*len(data)), time.Now); err != nil {
+		return &core.Problem{Kind: core.KindAnswerIncomplete, Outcome: core.OutcomeRan, Detail: "the router has no memory for the response", Err: err}
+	}
+	return s.assembler.Add(data)
+}
 
 // streamSink sends chunks as server-sent events.
 type streamSink struct {
--- a/plugins/caller/memory_test.go
+++ b/plugins/caller/memory_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -48,3 +49,40 @@
 		<-time.After(time.Second) // the server waits before it closes a connection whose body it has not read
 	})
 }
+
+// Guards against responses that fill the memory of a router: those of completions that it
+// assembles, and those that the ledger has stored.
+func TestMemoryForResponses(t *testing.T) {
+	inBubble(t, "A response without memory is given up as one that has run, and smaller ones are sent", func(h *harness) {
+		h.settings.AnswerBytes = 8 << 20
+		h.bytes = bytebudget.New(2 << 20)
+		size := 0
+		h.dispatcher.chat = func(_ context.Context, _ *core.ChatRequest, sink core.ChatSink) error {
+			_ = sink.Start("w1")
+			for sent := 0; sent < size; sent += 1 << 10 {
+				if err := sink.Chunk(fmt.Appendf(nil, `{"id":"c1","choices":[{"index":0,"delta":{"content":%q}}]}`, strings.Repeat("x", 1<<10))); err != nil {
+					return err
+				}
+			}
+			return nil
+		}
+		h.dispatcher.service = func(*core.ServiceRequest) (*core.ServiceResponse, error) {
+			return &core.ServiceResponse{Status: http.StatusOK, Header: http.Header{}, Body: make([]byte, size), Replayed: true}, nil
+		}
+		for _, path := range []string{"/v1/chat/completions", "/v1/services/desk/x"} {
+			for _, test := range []struct{ size, status int }{{100 << 10, http.StatusOK}, {1600 << 10, http.StatusBadGateway}, {100 << 10, http.StatusOK}} {
+				size = test.size
+				status, _, got := h.send("POST", path, `{"model":"m","messages":[{"role":"user","content":"q"}]}`)
+				So(status, ShouldEqual, test.status)
+				if status == http.StatusOK {
+					So(len(got), ShouldBeGreaterThanOrEqualTo, size)
+				} else {
+					So(got, ShouldContainSubstring, "the router has no memory for")
+					So(got, ShouldContainSubstring, `"ran"`)
+				}
+				synctest.Wait()
+				So(h.bytes.Used(), ShouldEqual, 0)
+			}
+		}
+	})
+}
--- a/plugins/caller/response.go
+++ b/plugins/caller/response.go
@@ -50,6 +50,9 @@
 	return n, err
 }
 
+// interruptWrite ends a write in progress.
+func (r *response) interruptWrite() { _ = r.controller.SetWriteDeadline(time.Now()) }
+
 // flush sends buffered data to the client.
 func (r *response) flush() error { return r.controller.Flush() }
 
--- a/plugins/caller/routes.go
+++ b/plugins/caller/routes.go
@@ -40,6 +40,7 @@
 	set    *objects.Set    // the active configuration when the request started
 	w      *response
 	body   *bytebudget.Body // nil before the request is admitted
+	answer *bytebudget.Body // response of a worker; nil before the request is admitted
 }
 
 // handler handles a request or returns the problem to respond with.
@@ -127,6 +128,7 @@
 		return p
 	}
 	r.body = s.bytes.NewBody(r.caller.Name, func() { _ = r.w.controller.SetReadDeadline(time.Now()) })
+	r.answer = s.bytes.NewBody(r.caller.Name, nil)
 	if err := r.body.Admit(r.Context(), headBytes, time.Now); err != nil {
 		return s.refuseMemory(r, err)
 	}
@@ -220,6 +222,7 @@
 func (r *apiRequest) release() {
 	if r.body != nil {
 		r.body.Release()
+		r.answer.Release()
 	}
 }
 
--- a/plugins/caller/service.go
+++ b/plugins/caller/service.go
@@ -46,6 +46,11 @@
 	if err != nil {
 		return asProblem(err)
 	}
+	if result.Replayed { // from the ledger, so no attempt has counted it
+		if err := r.answer.Reserve(r.Context(), int64(len(result.Body)), time.Now); err != nil {
+			return &core.Problem{Kind: core.KindOverloaded, Outcome: core.OutcomeRan, RetryAfter: memoryRetryAfter, Detail: "the request has run before, but the router has no memory for its stored response", Err: err}
+		}
+	}
 	r.respondService(result)
 	return nil
 }
@@ -69,7 +74,7 @@
 	}
 	return &core.ServiceRequest{
 		RequestID: r.id, Caller: r.caller, Rank: rank, Workspace: workspace, Service: name, Method: r.Method, Path: path,
-		Header: forwardableHeader(r.Header), IdempotencyKey: key, Deadline: deadline,
+		Header: forwardableHeader(r.Header), IdempotencyKey: key, Deadline: deadline, Memory: r.answer,
 	}, nil
 }
 
@@ -113,6 +118,21 @@
 	return out
 }
 
+// writePart is the size of the parts in which a response is written, so that a caller that
+// reads slowly shows progress.
+const writePart = 64 << 10
+
+// writeAnswer writes the body of a buffered response.
+func (r *apiRequest) writeAnswer(body []byte) {
+	defer r.answer.EndWriting()
+	for part := range slices.Chunk(body, writePart) {
+		r.answer.StartWriting(r.w.interruptWrite, time.Now())
+		if _, err := r.w.Write(part); err != nil {
+			return // the connection is closed
+		}
+	}
+}
+
 // headerReplayed marks a replayed response, which was stored for an earlier
 // request with the same key.
 const headerReplayed = "Idempotent-Replayed"
@@ -132,6 +152,6 @@
 	}
 	r.w.WriteHeader(response.Status)
 	if len(response.Body) > 0 {
-		_, _ = r.w.Write(response.Body) // fails if the connection is closed
+		r.writeAnswer(response.Body)
 	}
 }
--- a/plugins/dispatch/chat.go
+++ b/plugins/dispatch/chat.go
@@ -225,6 +225,10 @@
 // started and can't be resumed. If the sink has buffered the chunks instead of
 // forwarding them, the response is restarted on another worker.
 func (c *chatCompletion) failStarted(ctx context.Context, a core.Attempt, err error) attemptResult {
+	var rejected *core.Problem
+	if errors.As(err, &rejected) { // by the sink
+		return attemptResult{err: rejected, outcome: core.OutcomeRan, mayStillRun: true, costTokens: c.actualTokens()}
+	}
 	restarter, canRestart := c.sink.(core.ChatRestarter)
 	var tooLong *answer.LimitError
 	if canRestart && ctx.Err() == nil && !errors.As(err, &tooLong) {
--- a/plugins/upstream/client_test.go
+++ b/plugins/upstream/client_test.go
@@ -19,6 +19,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/auburnlead/auburnlead/answer"
+	"github.com/auburnlead/auburnlead/internal/bytebudget"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/objects"
 	"github.com/auburnlead/auburnlead/settings"
@@ -113,6 +114,26 @@
 
 func newAttempt() core.Attempt { return core.Attempt{ID: "a1", Upstream: "pool", Worker: "w1"} }
 
+// Guards against a worker that counts as faulty because the router has no memory for its
+// response, and against a response that is passed on in part.
+func TestResponseWithoutMemory(t *testing.T) {
+	Convey("A response without memory has run, and its worker has answered", t, func() {
+		url, _, stop := rawServer(httpResponse(200, "", strings.Repeat("x", 1000)))
+		Reset(stop)
+		budget := bytebudget.New(1000)
+		call := *bookingCall
+		call.Memory = budget.NewBody("clerks", nil)
+		_, err := newClient(url).Call(context.Background(), newAttempt(), &call)
+		var failed *core.AttemptError
+		So(errors.As(err, &failed), ShouldBeTrue)
+		So(errors.Is(err, bytebudget.ErrShort), ShouldBeTrue)
+		So(failed.Outcome, ShouldEqual, core.OutcomeUnknown)
+		So(failed.Status, ShouldEqual, 200)
+		call.Memory.Release()
+		So(budget.Used(), ShouldEqual, 0)
+	})
+}
+
 // Guards against reporting not_run for a request that may have run (guarantee R3),
 // and against sending a request twice (guarantee R4).
 func TestOutcomes(t *testing.T) {
@@ -141,13 +162,16 @@
 			{"oversized header", []string{httpResponse(200, "X: "+strings.Repeat("x", 70000)+"\r\n", "")}, 1, core.OutcomeUnknown, 1},
 			{"not HTTP", []string{"hello\r\n\r\n"}, 1, core.OutcomeUnknown, 1},
 		} {
-			for _, body := range []string{"{}", ""} {
+			for _, body := range []string{"{}", "", "counted"} {
 				Convey(c.desc+" with body "+body, func() {
 					url, requests, stop := rawServer(c.responses...)
 					Reset(stop)
 					client := newClient(url)
 					call := *bookingCall
 					call.Body = []byte(body)
+					if body == "counted" {
+						call.Memory = bytebudget.New(1<<20).NewBody("clerks", nil)
+					}
 					var err error
 					for range c.calls {
 						_, err = client.Call(context.Background(), newAttempt(), &call)
