Other listeners: limits of connections, heads and times

What users saw: 120 heads of nearly 1 MB at the listeners for readiness, metrics or gossip took a process to 485, 812 and 276 MB; 4,000 connections there took all of its 1,024 descriptors; and with unfinished requests no caller got an answer, as no descriptor was left for a connection to a worker. The listener for peers (role router) took all descriptors too. Cause: these listeners had net/http's defaults (heads of 1 MB, no limit of connections, no time for a request's body or its response), the admin API and the peer server a limit that others could hold. Change: all listeners accept through connlimit and share its memory. A peer with the key keeps its connection; one without makes room. The key is checked before a message is read, header lists are limited to 16 KiB, and a connection's buffers to 8 KiB each. Replaced test: TestLimitedListener of the admin API tested a listener that is gone; its checks are connlimit.TestWhoYields, and TestConnectionLimit tests the API itself.

--- /dev/null
+++ b/internal/connlimit/auxserver.go
@@ -0,0 +1,41 @@
+package connlimit
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/auburnlead/auburnlead/internal/framing"
+)
+
+// Limits of a request at a listener that callers do not use. Such a request has a few
+// fields and no body.
+const (
+	auxHeaderBytes  = 8 << 10
+	auxReadTimeout  = 5 * time.Second
+	auxWriteTimeout = 30 * time.Second
+)
+
+// AuxServer returns a server for a listener that operators, peers or the load balancer use,
+// to be served with Serve. Its timeouts are 5 s for a request and 30 s for its response.
+func AuxServer(h http.Handler, idleTimeout time.Duration) *http.Server {
+	return &http.Server{
+		Handler:        rejectAmbiguous(h),
+		ReadTimeout:    auxReadTimeout,
+		WriteTimeout:   auxWriteTimeout,
+		IdleTimeout:    idleTimeout,
+		MaxHeaderBytes: auxHeaderBytes,
+	}
+}
+
+// rejectAmbiguous responds with 400 to requests whose end is ambiguous and closes their
+// connection.
+func rejectAmbiguous(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := framing.Check(r); err != nil {
+			w.Header().Set("Connection", "close")
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -34,6 +34,10 @@
 	// reserveDivisor is the inverse part of a process's descriptors that is kept for
 	// connections to workers and peers, files and other listeners.
 	reserveDivisor = 2
+	// peerDivisor and auxDivisor are those of the listener for peers and of each other
+	// one.
+	peerDivisor = 4
+	auxDivisor  = 16
 )
 
 // Memory of a connection. Go keeps two buffers of 4 KiB and the stack of a goroutine; a
@@ -59,6 +63,14 @@
 // everything else: half of the soft limit of the process.
 func ForProcess() int { return softLimit() / reserveDivisor }
 
+// ForPeers returns the number of connections for the listener for peers: a quarter of the
+// soft limit of the process.
+func ForPeers() int { return max(softLimit()/peerDivisor, 4) }
+
+// ForAux returns the number of connections for each other listener: a sixteenth of the
+// soft limit of the process.
+func ForAux() int { return max(softLimit()/auxDivisor, 4) }
+
 func softLimit() int {
 	var r unix.Rlimit
 	if unix.Getrlimit(unix.RLIMIT_NOFILE, &r) != nil {
@@ -143,6 +155,17 @@
 	return c.admit()
 }
 
+// AdmitConn is Admit for a connection of a server without package framing. Errors:
+// ErrNoRoom if the connection has been closed.
+func AdmitConn(nc net.Conn) error {
+	c := find(nc)
+	if c == nil {
+		return nil // not accepted by this package
+	}
+	_, err := c.admit()
+	return err
+}
+
 // find returns the connection that one of package framing wraps, nil if there is none.
 func find(nc net.Conn) *conn {
 	if w, ok := nc.(interface{ NetConn() net.Conn }); ok {
--- a/plugins/admin/admin_test.go
+++ b/plugins/admin/admin_test.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"go.uber.org/fx/fxtest"
 	"google.golang.org/grpc/test/bufconn"
 
+	"github.com/auburnlead/auburnlead/internal/connlimit"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/internal/framing"
 	"github.com/auburnlead/auburnlead/objects"
@@ -54,7 +56,7 @@
 	Convey("A request with a length and in chunks is refused and its connection closed", t, func() {
 		l := bufconn.Listen(4096)
 		api, _ := newTestAPI()
-		server := NewServer(api.params.Settings, core.NewAddresses(), log.New(io.Discard), api, fxtest.NewLifecycle(t))
+		server := NewServer(api.params.Settings, core.NewAddresses(), log.New(io.Discard), api, connlimit.Resources{}, fxtest.NewLifecycle(t))
 		defer server.http.Close()
 		go func() { _ = framing.Serve(server.http, l) }() // ends with Close
 		conn, err := l.Dial()
@@ -136,38 +138,33 @@
 	})
 }
 
-// Guards against an unlimited number of connections, and against closed
-// connections that still count.
-func TestLimitedListener(t *testing.T) {
-	Convey("A connection above the limit is accepted when another one closes", t, func() {
-		inner, err := net.Listen("tcp", "127.0.0.1:0")
-		So(err, ShouldBeNil)
-		l := newLimitedListener(inner, 1)
-		accepted := make(chan net.Conn)
-		go func() {
-			defer close(accepted)
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				accepted <- c
-			}
-		}()
-		for range 2 {
-			c, err := net.Dial("tcp", inner.Addr().String())
+// Guards against an unlimited number of connections, and against connections without a
+// request that keep operators out.
+func TestConnectionLimit(t *testing.T) {
+	Convey("An operator is served while other connections hold all places", t, func() {
+		api, _ := newTestAPI()
+		api.params.Settings.MaxConnections = 1
+		api.params.Settings.Listen = "127.0.0.1:0"
+		addresses := core.NewAddresses()
+		server := NewServer(api.params.Settings, addresses, log.New(io.Discard), api, connlimit.Resources{}, fxtest.NewLifecycle(t))
+		So(server.start(context.Background()), ShouldBeNil)
+		defer server.http.Close()
+		address := addresses.All()[componentName]
+		var idle []net.Conn
+		for range 3 {
+			c, err := net.Dial("tcp", address)
 			So(err, ShouldBeNil)
 			defer c.Close()
+			idle = append(idle, c)
+		}
+		resp, err := http.Get("http://" + address + "/healthz")
+		So(err, ShouldBeNil)
+		So(resp.Body.Close(), ShouldBeNil)
+		So(resp.StatusCode, ShouldBeLessThan, 500)
+		for _, c := range idle {
+			So(c.SetReadDeadline(time.Now().Add(10*time.Second)), ShouldBeNil)
+			_, err := c.Read(make([]byte, 1))
+			So(err, ShouldEqual, io.EOF) // closed to make room
 		}
-		first := <-accepted
-		So(len(l.(*limitedListener).slots), ShouldEqual, 1)
-		So(first.Close(), ShouldBeNil)
-		_ = first.Close() // a second Close has no effect on the count
-		second := <-accepted
-		So(len(l.(*limitedListener).slots), ShouldEqual, 1)
-		So(l.Close(), ShouldBeNil)
-		_, open := <-accepted
-		So(open, ShouldBeFalse)
-		So(second.Close(), ShouldBeNil)
 	})
 }
--- a/plugins/admin/server.go
+++ b/plugins/admin/server.go
@@ -9,13 +9,13 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/gorilla/mux"
 	"go.uber.org/fx"
 
+	"github.com/auburnlead/auburnlead/internal/connlimit"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/internal/framing"
 )
@@ -34,12 +34,13 @@
 	settings  *Settings
 	addresses *core.Addresses
 	log       *log.Logger
+	pool      *connlimit.Pool
 	http      *http.Server
 }
 
 // NewServer returns a server that listens between the start and the stop of lc.
-func NewServer(s *Settings, a *core.Addresses, l *log.Logger, api *API, lc fx.Lifecycle) *Server {
-	server := &Server{settings: s, addresses: a, log: l.WithPrefix("admin")}
+func NewServer(s *Settings, a *core.Addresses, l *log.Logger, api *API, resources connlimit.Resources, lc fx.Lifecycle) *Server {
+	server := &Server{settings: s, addresses: a, log: l.WithPrefix("admin"), pool: resources.OrDefault().Connections}
 	server.http = &http.Server{
 		Handler:           rejectAmbiguous(api.routes(s.Key)),
 		ReadHeaderTimeout: headerTimeout,
@@ -60,13 +61,22 @@
 	s.addresses.Set(componentName, l.Addr().String())
 	s.log.Info("listening", "address", l.Addr().String())
 	go func() {
-		if err := framing.Serve(s.http, newLimitedListener(l, s.settings.MaxConnections)); !errors.Is(err, http.ErrServerClosed) {
+		limits := connlimit.Config{Limit: s.maxConnections, Pool: s.pool, OnClose: func(c net.Conn) {
+			s.log.Debug("connection closed for want of room", "remote", c.RemoteAddr())
+		}}
+		if err := connlimit.Serve(s.http, l, limits); !errors.Is(err, http.ErrServerClosed) {
 			s.log.Error("listener failed", "err", err)
 		}
 	}()
 	return nil
 }
 
+// maxConnections returns the limit of open connections, which leaves descriptors for
+// callers and workers.
+func (s *Server) maxConnections() int {
+	return min(s.settings.MaxConnections, connlimit.ForAux())
+}
+
 func (s *Server) stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
@@ -106,51 +116,3 @@
 		})
 	}
 }
-
-// limitedListener limits the number of open connections.
-type limitedListener struct {
-	net.Listener
-	slots chan struct{}
-	done  chan struct{}
-	once  sync.Once
-}
-
-func newLimitedListener(l net.Listener, limit int) net.Listener {
-	return &limitedListener{Listener: l, slots: make(chan struct{}, limit), done: make(chan struct{})}
-}
-
-// Accept waits until the number of open connections is below the limit and then
-// accepts one.
-func (l *limitedListener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-	c, err := l.Listener.Accept()
-	if err != nil {
-		<-l.slots
-		return nil, err
-	}
-	return &limitedConn{Conn: c, release: func() { <-l.slots }}, nil
-}
-
-// Close closes the listener and ends an Accept that waits because of the limit.
-func (l *limitedListener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return l.Listener.Close()
-}
-
-type limitedConn struct {
-	net.Conn
-	once    sync.Once
-	release func()
-}
-
-// Close closes the connection and stops counting it. Further calls do not
-// change the count.
-func (c *limitedConn) Close() error {
-	err := c.Conn.Close()
-	c.once.Do(c.release)
-	return err
-}
--- a/plugins/gateway/server.go
+++ b/plugins/gateway/server.go
@@ -69,11 +69,12 @@
 }
 
 func (s *server) start(ctx context.Context) error {
-	if err := s.listen(ctx, "readiness", s.g.settings.Readiness, s.newAuxServer(map[string]http.Handler{s.g.settings.ReadinessPath: http.HandlerFunc(s.readyz)}).Serve); err != nil {
+	readiness := s.newAuxServer(map[string]http.Handler{s.g.settings.ReadinessPath: http.HandlerFunc(s.readyz)})
+	if err := s.listen(ctx, "readiness", s.g.settings.Readiness, s.serveAux("readiness", readiness)); err != nil {
 		return err
 	}
 	if s.g.settings.Metrics != "" {
-		if err := s.listen(ctx, "metrics", s.g.settings.Metrics, s.newMetricsServer().Serve); err != nil {
+		if err := s.listen(ctx, "metrics", s.g.settings.Metrics, s.serveAux("metrics", s.newMetricsServer())); err != nil {
 			return err
 		}
 	}
@@ -132,11 +133,17 @@
 	for path, handler := range handlers {
 		r.Handle(path, handler).Methods(http.MethodGet)
 	}
-	h := &http.Server{Handler: r, ReadHeaderTimeout: s.g.settings.HeaderTimeout, IdleTimeout: s.g.settings.IdleTimeout}
+	h := connlimit.AuxServer(r, s.g.settings.IdleTimeout)
 	s.auxServers = append(s.auxServers, h)
 	return h
 }
 
+func (s *server) serveAux(listener string, h *http.Server) func(net.Listener) error {
+	return func(l net.Listener) error {
+		return connlimit.Serve(h, l, s.connLimits(listener, connlimit.ForAux))
+	}
+}
+
 func (s *server) readyz(w http.ResponseWriter, _ *http.Request) {
 	ready, reason := s.g.readiness.Ready()
 	if !ready {
--- a/plugins/gossip/setup.go
+++ b/plugins/gossip/setup.go
@@ -21,6 +21,7 @@
 	"go.uber.org/fx"
 
 	lib "github.com/auburnlead/auburnlead/gossip"
+	"github.com/auburnlead/auburnlead/internal/connlimit"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/internal/unreadable"
 	"github.com/auburnlead/auburnlead/kernel"
@@ -99,6 +100,7 @@
 	Logger    *log.Logger
 	Scope     tally.Scope
 	Lifecycle fx.Lifecycle
+	Resources connlimit.Resources
 }
 
 // Gossip exchanges messages with other routers.
@@ -117,8 +119,9 @@
 	unreadable *unreadable.Reporter
 	routers    tally.Gauge
 
-	conn   net.PacketConn
-	server *http.Server
+	conn        net.PacketConn
+	server      *http.Server
+	connections *connlimit.Pool
 
 	mu              sync.Mutex // lock level 20, see internal/core/lockorder.go
 	view            *lib.View
@@ -151,7 +154,7 @@
 	g := &Gossip{
 		settings: p.Settings, tables: p.Tables, tableNames: tableNames, log: p.Logger.WithPrefix(component), startedAt: time.Now(), peerClient: newPeerClient(), encoded: &encodedRowSets{byKey: map[rowSetKey][]byte{}},
 		sent: scope.Counter("sent"), pushed: scope.Counter("load_pushes"), received: scope.Counter("received"), refused: scope.Counter("refused"), unreadable: unreadable.New(p.Logger.WithPrefix(component), scope), routers: scope.Gauge("routers"),
-		tablesChanged: make(chan struct{}),
+		tablesChanged: make(chan struct{}), connections: p.Resources.OrDefault().Connections,
 		view: lib.New(lib.Config{
 			Router: p.Identity.Router, Domain: p.Identity.FailureDomain, Address: self, Seeds: seeds,
 			Capacity: int(p.Settings.Capacity), TableCount: len(tableNames), LivenessTimeout: p.Settings.LivenessTimeout, LoadTTL: loadTTL,
@@ -193,9 +196,10 @@
 		return fmt.Errorf("gossip: %w; set gossip.listen to a free address of this VM", err)
 	}
 	g.conn = conn
-	g.server = &http.Server{Handler: g.serveTables(), ReadHeaderTimeout: peerCallTimeout, IdleTimeout: peerIdleTimeout}
+	g.server = connlimit.AuxServer(g.serveTables(), peerIdleTimeout)
 	go func() {
-		if err := g.server.Serve(l); err != http.ErrServerClosed {
+		limits := connlimit.Config{Limit: connlimit.ForAux, Pool: g.connections}
+		if err := connlimit.Serve(g.server, l, limits); err != http.ErrServerClosed {
 			g.log.Error("listener failed", "error", err)
 		}
 	}()
--- a/plugins/peer/conn.go
+++ b/plugins/peer/conn.go
@@ -14,8 +14,11 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
 
+	"github.com/auburnlead/auburnlead/internal/connlimit"
 	"github.com/auburnlead/auburnlead/peerpb"
 )
 
@@ -33,17 +36,27 @@
 	maxReconnectDelay = time.Second // longest wait between attempts to connect
 )
 
+// Memory of a connection of a peer.
+const (
+	maxHeaderListBytes = 16 << 10
+	connBufferBytes    = 8 << 10
+)
+
 // newServer returns a gRPC server that accepts only calls with the peer key.
 func newServer(s *Settings) *grpc.Server {
 	want := sha256.Sum256([]byte(s.Key))
-	check := func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
+	// The key is checked before a message is read.
+	check := func(ctx context.Context, _ *tap.Info) (context.Context, error) {
 		if !hasKey(ctx, want) {
 			return nil, status.Error(codes.Unauthenticated, "peer: the peer key is missing or wrong; set the same key in [peer] on all routers")
 		}
-		return next(ctx, req)
+		return ctx, admit(ctx)
 	}
 	return grpc.NewServer(
-		grpc.UnaryInterceptor(check),
+		grpc.InTapHandle(check),
+		grpc.MaxHeaderListSize(maxHeaderListBytes),
+		grpc.ReadBufferSize(connBufferBytes),
+		grpc.WriteBufferSize(connBufferBytes),
 		grpc.MaxRecvMsgSize(s.MaxMessageBytes),
 		grpc.MaxSendMsgSize(s.MaxMessageBytes),
 		grpc.MaxConcurrentStreams(uint32(s.MaxStreams)),
@@ -140,39 +153,36 @@
 	c.byAddr = nil
 }
 
-// limitedListener is a listener with a limited number of open connections.
-type limitedListener struct {
-	net.Listener
-	permits chan struct{}
-}
+// admittableListener accepts connections of which a call tells which one it came on.
+type admittableListener struct{ net.Listener }
 
-func limitListener(l net.Listener, n int) net.Listener {
-	return &limitedListener{Listener: l, permits: make(chan struct{}, n)}
-}
-
-// Accept closes connections above the limit at once, so that a peer sees a
-// refusal instead of a connection that hangs.
-func (l *limitedListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		select {
-		case l.permits <- struct{}{}:
-			return &limitedConn{Conn: c, release: sync.OnceFunc(func() { <-l.permits })}, nil
-		default:
-			_ = c.Close()
-		}
+func (l admittableListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
+	return admittableConn{c}, nil
 }
 
-type limitedConn struct {
-	net.Conn
-	release func()
+type admittableConn struct{ net.Conn }
+
+func (c admittableConn) RemoteAddr() net.Addr { return admittableAddr{c.Conn.RemoteAddr(), c.Conn} }
+
+// admittableAddr is the address of a peer, with the connection.
+type admittableAddr struct {
+	net.Addr
+	conn net.Conn
 }
 
-func (c *limitedConn) Close() error {
-	c.release()
-	return c.Conn.Close()
+// admit keeps the connection of a peer with the key from yielding to new ones.
+func admit(ctx context.Context) error {
+	p, ok := peer.FromContext(ctx)
+	if !ok {
+		return nil
+	}
+	address, ok := p.Addr.(admittableAddr)
+	if !ok {
+		return nil // a test's listener
+	}
+	return connlimit.AdmitConn(address.conn)
 }
--- a/plugins/peer/peer.go
+++ b/plugins/peer/peer.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
 
+	"github.com/auburnlead/auburnlead/internal/connlimit"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/lease"
 	"github.com/auburnlead/auburnlead/membership"
@@ -34,11 +35,13 @@
 	now        func() time.Time
 	deps       AttachParams
 
-	server  *grpc.Server
-	conns   *conns
-	started time.Time
-	leaving atomic.Bool
-	wake    chan struct{} // requests a round of the lease loop
+	server *grpc.Server
+	// connections are those of all listeners of the process.
+	connections *connlimit.Pool
+	conns       *conns
+	started     time.Time
+	leaving     atomic.Bool
+	wake        chan struct{} // requests a round of the lease loop
 
 	viewMu       sync.Mutex // lock level 20
 	view         *membership.View
@@ -71,6 +74,8 @@
 		wake:   make(chan struct{}, 1),
 		leases: map[workerKey]*slotLease{},
 		pools:  map[string]*pool{},
+
+		connections: p.Resources.OrDefault().Connections,
 	}
 	peer.conns = newConns(p.Settings)
 	peer.pendingReleases.init()
@@ -101,7 +106,8 @@
 	p.server = newServer(p.settings)
 	peerpb.RegisterPeerServer(p.server, &service{peer: p})
 	go func() {
-		if err := p.server.Serve(limitListener(l, p.settings.MaxConnections)); err != nil {
+		limits := connlimit.Config{Limit: p.maxConnections, Pool: p.connections}
+		if err := p.server.Serve(admittableListener{connlimit.Listen(l, limits)}); err != nil {
 			p.log.Error("gRPC server stopped with an error", "err", err)
 		}
 	}()
@@ -109,6 +115,12 @@
 	return nil
 }
 
+// maxConnections returns the limit of open connections, which leaves descriptors for
+// callers and workers.
+func (p *Peer) maxConnections() int {
+	return min(p.settings.MaxConnections, connlimit.ForPeers())
+}
+
 func (p *Peer) newView() {
 	self := membership.Entry{Router: p.identity.Router, Incarnation: p.identity.Incarnation, Domain: p.identity.FailureDomain, Address: p.identity.PeerAddress}
 	rng := rand.New(rand.NewPCG(rand.Uint64(), p.identity.Incarnation))
--- a/plugins/peer/setup.go
+++ b/plugins/peer/setup.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 
+	"github.com/auburnlead/auburnlead/internal/connlimit"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/kernel"
 	"github.com/auburnlead/auburnlead/settings"
@@ -123,6 +124,7 @@
 	Readiness  core.Readiness
 	Logger     *log.Logger
 	Scope      tally.Scope `optional:"true"`
+	Resources  connlimit.Resources
 }
 
 // New returns the plug-in, which listens from the start of the application.
