Default of memory_mb: half of the memory that the process finds

What users saw: a process without memory_mb ended by its memory, in both roles, under crowds of bodies and of heads (limit of 448 MB, 1,200 connections). Cause: the default was 1,024 MB on any machine. Ruled out: the whole memory that is found, since other processes share a machine; a fixed smaller default, which is still above the smallest machines. Change: package hostmemory takes the smallest of the machine's memory, the control group's limit (github.com/KimMachineGun/automemlimit), RLIMIT_AS and RLIMIT_DATA; the default is half of it, at least 48 and at most 512 MB, 128 MB if none was found. A log line of the node says what was found.

--- a/plugins/node/setup.go
+++ b/plugins/node/setup.go
@@ -19,6 +19,7 @@
 	"github.com/auburnlead/auburnlead/internal/bytebudget"
 	"github.com/auburnlead/auburnlead/internal/connlimit"
 	"github.com/auburnlead/auburnlead/internal/core"
+	"github.com/auburnlead/auburnlead/internal/hostmemory"
 	"github.com/auburnlead/auburnlead/kernel"
 )
 
@@ -36,9 +37,10 @@
 	// A lower value saves memory and costs CPU time. Default 100.
 	GCPercent int `ini:"gc_percent" default:"100" min:"5" max:"1000"`
 	// MemoryMB is the memory of the VM in MB of 2^20 bytes. Three quarters less 32 MB may
-	// be used for bodies of requests and responses; further requests are refused. The
-	// runtime collects garbage more often above 0.9 of it. Default 1024.
-	MemoryMB float64 `ini:"memory_mb" default:"1024" min:"48" max:"1048576"`
+	// be used for connections, requests and responses; further requests are refused. The
+	// runtime collects garbage more often above 0.9 of it. Default half of the memory that
+	// the process finds (machine, control group, RLIMIT_AS, RLIMIT_DATA), at most 512.
+	MemoryMB float64 `ini:"memory_mb" min:"48" max:"1048576"`
 }
 
 func init() {
@@ -57,19 +59,33 @@
 				fx.Supply(s.(*Settings)),
 				logger,
 				fx.Provide(NewIdentity, newBudget, connlimit.NewPool, core.NewAddresses, core.NewReadiness, core.NewBackgroundPool),
-				fx.Invoke(func(s *Settings) {
-					debug.SetGCPercent(s.GCPercent)
-					debug.SetMemoryLimit(bytebudget.RuntimeLimit(int(s.MemoryMB)))
-				}),
+				fx.Invoke(configureRuntime),
 			)
 		},
 	})
 }
 
+func configureRuntime(s *Settings, i core.Identity, l *log.Logger) {
+	debug.SetGCPercent(s.GCPercent)
+	debug.SetMemoryLimit(bytebudget.RuntimeLimit(i.MemoryMB))
+	if s.MemoryMB == 0 {
+		found, _ := hostmemory.Smallest()
+		l.WithPrefix("node").Info("memory_mb is not set", "memory_mb", i.MemoryMB, "found", found.Source, "found_mb", found.Bytes>>20)
+	}
+}
+
+// memoryMB returns the memory that the process may use.
+func (s *Settings) memoryMB() int {
+	if s.MemoryMB > 0 {
+		return int(s.MemoryMB)
+	}
+	return hostmemory.DefaultMB(hostmemory.Smallest())
+}
+
 // NewIdentity returns the identity of this process. PeerAddress is empty: the
 // peer plug-in sets it in its own copy once its address is known.
 func NewIdentity(s *Settings) core.Identity {
-	return core.Identity{Router: s.ID, FailureDomain: s.FailureDomain, Incarnation: uint64(time.Now().UnixNano()), MemoryMB: int(s.MemoryMB)}
+	return core.Identity{Router: s.ID, FailureDomain: s.FailureDomain, Incarnation: uint64(time.Now().UnixNano()), MemoryMB: s.memoryMB()}
 }
 
 // newBudget returns the budget for all that the process holds for clients.
