Admitted requests leave descriptors for the requests of others

What callers saw: 250 connections that read nothing of responses of 4 MiB took all 512 descriptors of a process with 536 MB, and an ordinary request got 503 in each of three tries, since no connection to its worker could be opened. Cause: callers may take half of the descriptors, and each of their requests takes one more for its worker; with much memory nothing else bounded the requests. Change: as many requests are admitted as a quarter of the descriptors allows, three quarters of that for one caller; others are refused as not run. The listener for peers takes an eighth of the descriptors in place of a quarter. The small share of clients without a known key is for what their requests and responses hold; their requests are admitted like those of a caller, as each of them now takes memory. One byte of a next request, which net/http reads during a request, never ends the connection.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -89,6 +89,7 @@
 	limit       int64
 	used        int64
 	connections int64            // part of used
+	unknown     int64            // admissions of clients without a known key, part of held
 	held        map[string]int64 // by caller, without connections
 	reading     map[*Body]bool   // requests whose body is being read
 	writing     map[*Body]bool   // responses that are being written to their callers
@@ -126,12 +127,14 @@
 	size   int64
 
 	// The budget's lock protects the fields below.
-	counted  int64
-	received int64     // bytes of a request body
-	began    time.Time // when the reading of a request body began
-	progress time.Time // of the last byte
-	yielded  bool
-	released bool
+	counted   int64
+	admitting bool      // Admit is running
+	admission int64     // part of counted: that of Admit
+	received  int64     // bytes of a request body
+	began     time.Time // when the reading of a request body began
+	progress  time.Time // of the last byte
+	yielded   bool
+	released  bool
 }
 
 // NewBody returns an empty body of a caller, whose name is empty for clients without a
@@ -149,9 +152,17 @@
 // Admit counts a request, with headBytes for its head in addition to what each request
 // takes. ctx ends the wait for bodies that yield. Errors: ErrShort.
 func (h *Body) Admit(ctx context.Context, headBytes int64, now func() time.Time) error {
+	h.setAdmitting(true)
+	defer h.setAdmitting(false)
 	return h.reserve(ctx, requestBytes+headBytes, now)
 }
 
+func (h *Body) setAdmitting(admitting bool) {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.admitting = admitting
+}
+
 // ReadRequest reads the body of an admitted request to the end of r. now returns the time.
 // ctx ends the wait for bodies that yield. Errors: those of r, ErrShort, ErrYielded.
 func (h *Body) ReadRequest(ctx context.Context, r io.Reader, now func() time.Time) error {
@@ -329,6 +340,12 @@
 
 func (b *Budget) add(h *Body, n int64) {
 	h.counted += n
+	if h.admitting {
+		h.admission += n
+		if h.caller == "" {
+			b.unknown += n
+		}
+	}
 	b.used += n
 	b.held[h.caller] += n
 	if n == ChunkBytes {
@@ -405,13 +422,14 @@
 	b.signal() // it was woken for bytes that another one may take
 }
 
-// isOverShare reports whether n more bytes exceed the share of the caller.
+// isOverShare reports whether n more bytes exceed the share of the caller. The share of
+// clients without a known key is for bodies and responses; as many of their requests are
+// admitted as of a caller.
 func (b *Budget) isOverShare(h *Body, n int64) bool {
-	share := callerShare
-	if h.caller == "" {
-		share = unknownShare
+	if h.caller == "" && !h.admitting {
+		return float64(b.held[""]-b.unknown+n) > unknownShare*float64(b.limit)
 	}
-	return float64(b.held[h.caller]+n) > share*float64(b.limit)
+	return float64(b.held[h.caller]+n) > callerShare*float64(b.limit)
 }
 
 // largestReader returns the caller with the most bytes in bodies that are being read.
@@ -544,7 +562,10 @@
 	if b.held[h.caller] -= h.counted; b.held[h.caller] == 0 {
 		delete(b.held, h.caller)
 	}
-	h.counted = 0
+	if h.caller == "" {
+		b.unknown -= h.admission
+	}
+	h.counted, h.admission = 0, 0
 	b.keep(h.chunks)
 	h.chunks = nil
 	b.signal()
--- a/internal/bytebudget/bytebudget_test.go
+++ b/internal/bytebudget/bytebudget_test.go
@@ -102,6 +102,26 @@
 		So(read(b, "", mb/4), ShouldBeNil)
 		So(b.Used(), ShouldEqual, 0)
 	})
+	inBubble(t, "As many requests of clients without a known key are admitted as of a caller", func() {
+		for _, caller := range []string{"", "clerk"} {
+			b := New(4 * mb)
+			var admitted []*Body
+			for {
+				body := b.NewBody(caller, func() {})
+				if body.Admit(context.Background(), 1000, time.Now) != nil {
+					break
+				}
+				admitted = append(admitted, body)
+			}
+			So(len(admitted), ShouldEqual, 3*mb/(requestBytes+1000))
+			So(read(b, caller, mb/4), ShouldEqual, map[string]error{"": nil, "clerk": ErrShort}[caller])
+			for _, body := range admitted {
+				body.Release()
+			}
+			So(b.Used(), ShouldEqual, 0)
+			So(b.unknown, ShouldEqual, 0)
+		}
+	})
 }
 
 // Guards against bytes that are held and not counted, counted and not held, given back
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -12,6 +12,9 @@
 // many, it is one of its own; if memory is short, one of any listener. If there is none, a
 // request whose body has been arriving for SlowAge and is the slowest, or a response whose
 // caller has read nothing for so long. If there is none either, the new connection waits.
+//
+// Admitted requests need connections to workers: they are as many as a quarter of the
+// process's descriptors allows, and those of one caller three quarters of that.
 package connlimit
 
 import (
@@ -30,16 +33,18 @@
 	"github.com/auburnlead/auburnlead/internal/framing"
 )
 
+// Inverse parts of a process's descriptors. What is left is for files, the store and
+// connections to peers.
 const (
-	// reserveDivisor is the inverse part of a process's descriptors that is kept for
-	// connections to workers and peers, files and other listeners.
-	reserveDivisor = 2
-	// peerDivisor and auxDivisor are those of the listener for peers and of each other
-	// one.
-	peerDivisor = 4
-	auxDivisor  = 16
+	callerDivisor  = 2  // connections of callers
+	requestDivisor = 4  // admitted requests, which take a connection to a worker each
+	peerDivisor    = 8  // the listener for peers
+	auxDivisor     = 16 // each other listener
 )
 
+// callerShare is the part of the admitted requests that one caller may have.
+const callerShare = 0.75
+
 // Memory of a connection. Go keeps two buffers of 4 KiB and the stack of a goroutine; a
 // header field is a map entry, two strings and a slice, and is copied for the worker.
 const (
@@ -59,11 +64,17 @@
 // ErrNoRoom means that a connection was closed to make room for others, or found none.
 var ErrNoRoom = errors.New("connlimit: the connection was closed for want of room; raise memory_mb or the descriptors of the process")
 
+// ErrTooMany means that no connection to a worker is left for a request.
+var ErrTooMany = errors.New("connlimit: too many requests are in flight; retry later, or raise the descriptors of the process")
+
 // ForProcess returns the number of callers' connections that leaves descriptors for
 // everything else: half of the soft limit of the process.
-func ForProcess() int { return softLimit() / reserveDivisor }
+func ForProcess() int { return softLimit() / callerDivisor }
+
+// maxRequests returns the number of admitted requests.
+func maxRequests() int { return max(softLimit()/requestDivisor, 1) }
 
-// ForPeers returns the number of connections for the listener for peers: a quarter of the
+// ForPeers returns the number of connections for the listener for peers: an eighth of the
 // soft limit of the process.
 func ForPeers() int { return max(softLimit()/peerDivisor, 4) }
 
@@ -97,10 +108,16 @@
 
 	mu      sync.Mutex // lock level 85
 	waiting list.List  // connections without an admitted request, the longest waiting first
+
+	admitted    map[string]int // requests, by caller
+	requests    int            // sum of admitted
+	maxRequests func() int
 }
 
 // NewPool returns an empty pool, whose memory a budget counts.
-func NewPool(b *bytebudget.Budget) *Pool { return &Pool{budget: b} }
+func NewPool(b *bytebudget.Budget) *Pool {
+	return &Pool{budget: b, admitted: map[string]int{}, maxRequests: maxRequests}
+}
 
 // Resources are what the listeners of a process share. They are dependencies of plug-ins.
 type Resources struct {
@@ -144,15 +161,16 @@
 	return framing.Serve(server, l)
 }
 
-// Admit records that a request is about to be sent to a worker, so that its connection
-// no longer yields. From then on the caller of Admit counts headBytes, the memory of the
-// request's head. Errors: ErrNoRoom if the connection has been closed.
-func Admit(ctx context.Context) (headBytes int64, err error) {
+// Admit records that a request of a caller is about to be sent to a worker, so that its
+// connection no longer yields. The name is empty for clients without a known key. From then
+// on the caller of Admit counts headBytes, the memory of the request's head. Errors:
+// ErrNoRoom if the connection has been closed, ErrTooMany.
+func Admit(ctx context.Context, caller string) (headBytes int64, err error) {
 	c := find(framing.Conn(ctx))
 	if c == nil {
 		return 0, nil // not served by this package
 	}
-	return c.admit()
+	return c.admitRequest(caller)
 }
 
 // AdmitConn is Admit for a connection of a server without package framing. Errors:
@@ -162,8 +180,7 @@
 	if c == nil {
 		return nil // not accepted by this package
 	}
-	_, err := c.admit()
-	return err
+	return c.admit()
 }
 
 // find returns the connection that one of package framing wraps, nil if there is none.
@@ -283,6 +300,8 @@
 	element  *list.Element // in Pool.waiting, nil for none
 	bytes    int64         // counted in the budget
 	serving  int64         // part of bytes: the head of the request that is served
+	admitted bool          // a request of the caller is counted in Pool.admitted
+	caller   string
 }
 
 func (c *conn) pool() *Pool { return c.listener.config.Pool }
@@ -297,6 +316,7 @@
 	}
 	if idle {
 		c.releaseServing()
+		c.endRequest()
 	}
 	c.stopWaiting()
 	c.element = p.waiting.PushBack(c)
@@ -309,17 +329,48 @@
 	}
 }
 
-func (c *conn) admit() (headBytes int64, err error) {
+func (c *conn) admit() error {
+	c.pool().mu.Lock()
+	defer c.pool().mu.Unlock()
+	if c.evicted {
+		return ErrNoRoom
+	}
+	c.stopWaiting()
+	return nil
+}
+
+func (c *conn) admitRequest(caller string) (headBytes int64, err error) {
 	p := c.pool()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.evicted {
+	most := p.maxRequests()
+	switch {
+	case c.evicted:
 		return 0, ErrNoRoom
+	case p.requests >= most, float64(p.admitted[caller]) >= callerShare*float64(most):
+		return 0, ErrTooMany
 	}
 	c.stopWaiting()
+	if c.counted {
+		c.admitted, c.caller = true, caller
+		p.admitted[caller]++
+		p.requests++
+	}
 	return c.releaseServing(), nil
 }
 
+func (c *conn) endRequest() {
+	if !c.admitted {
+		return
+	}
+	c.admitted = false
+	p := c.pool()
+	p.requests--
+	if p.admitted[c.caller]--; p.admitted[c.caller] == 0 {
+		delete(p.admitted, c.caller)
+	}
+}
+
 func (c *conn) releaseServing() (n int64) {
 	n, c.serving = c.serving, 0
 	c.release(n)
@@ -353,7 +404,9 @@
 func (c *conn) tryAddHead(n int64) bool {
 	c.pool().mu.Lock()
 	defer c.pool().mu.Unlock()
-	return c.evicted || !c.counted || c.pool().tryCount(c, n)
+	// A single byte arrives when net/http watches a connection during its request, which
+	// must not end because of the next one.
+	return c.evicted || !c.counted || n <= headCost(1, 1) && c.element == nil || c.pool().tryCount(c, n)
 }
 
 func (c *conn) isEvicted() bool {
@@ -391,6 +444,7 @@
 	c.stopWaiting()
 	c.release(c.bytes)
 	c.serving = 0
+	c.endRequest()
 	select {
 	case c.listener.changed <- struct{}{}:
 	default: // Accept will see it
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -54,8 +54,7 @@
 			go func() { _, _ = inner.Dial() }()
 		}
 		first := accept(l)
-		_, err := first.admit()
-		So(err, ShouldBeNil)
+		So(first.admit(), ShouldBeNil)
 		var accepted atomic.Bool
 		second := make(chan *conn, 1)
 		go func() { c, err := l.Accept(); accepted.Store(err == nil); second <- c.(*conn) }()
@@ -65,8 +64,7 @@
 		_ = first.Close() // a second Close has no effect
 		synctest.Wait()
 		So(accepted.Load(), ShouldBeTrue)
-		_, err = (<-second).admit()
-		So(err, ShouldBeNil)
+		So((<-second).admit(), ShouldBeNil)
 		ended := make(chan error, 1)
 		go func() { _, err := l.Accept(); ended <- err }()
 		synctest.Wait()
@@ -91,8 +89,7 @@
 		synctest.Wait()
 		So(isClosed(clients[1]), ShouldBeTrue)
 		So(isClosed(clients[0]), ShouldBeFalse)
-		_, err := conns[1].admit()
-		So(err, ShouldEqual, ErrNoRoom) // its request is not sent to a worker
+		So(conns[1].admit(), ShouldEqual, ErrNoRoom) // its request is not sent to a worker
 		_ = third.Close()
 		_ = conns[0].Close()
 		_ = conns[1].Close()
@@ -122,8 +119,7 @@
 		inner, l, pool := listen(1)
 		go func() { dial(inner) }()
 		first := accept(l)
-		_, err := first.admit()
-		So(err, ShouldBeNil)
+		So(first.admit(), ShouldBeNil)
 		yielded := make(chan struct{})
 		body := pool.budget.NewBody("crowd", func() { close(yielded) })
 		go func() {
@@ -153,7 +149,7 @@
 			_ = framing.Check(r)
 			counted = budget.Used()
 			if r.URL.Path == "/admitted" {
-				admitted, _ = Admit(r.Context())
+				admitted, _ = Admit(r.Context(), "clerk")
 			}
 		})}
 		go func() {
@@ -184,3 +180,42 @@
 		_ = server.Close()
 	})
 }
+
+// Guards against requests that take all descriptors for connections to workers, and
+// against a caller that leaves none to others.
+func TestAdmittedRequests(t *testing.T) {
+	Convey("A caller has three quarters of the requests, and an end makes room", t, func() {
+		const most = 100
+		pool := NewPool(bytebudget.New(1 << 30))
+		pool.maxRequests = func() int { return most }
+		l := &listener{config: Config{Pool: pool}, changed: make(chan struct{}, 1)}
+		admit := func(caller string) (*conn, error) {
+			c := &conn{listener: l, counted: true}
+			_, err := c.admitRequest(caller)
+			return c, err
+		}
+		var conns []*conn
+		for len(conns) < most {
+			c, err := admit("crowd")
+			if err != nil {
+				So(err, ShouldEqual, ErrTooMany)
+				break
+			}
+			conns = append(conns, c)
+		}
+		So(len(conns), ShouldEqual, most*callerShare)
+		clerk, err := admit("clerk")
+		So(err, ShouldBeNil)
+		_, err = admit("crowd")
+		So(err, ShouldEqual, ErrTooMany)
+		conns[0].wait(true)
+		again, err := admit("crowd")
+		So(err, ShouldBeNil)
+		for _, c := range append(conns, clerk, again) {
+			c.uncount()
+		}
+		So(pool.requests, ShouldEqual, 0)
+		So(pool.admitted, ShouldBeEmpty)
+		So(pool.waiting.Len(), ShouldEqual, 0)
+	})
+}
--- a/plugins/caller/routes.go
+++ b/plugins/caller/routes.go
@@ -121,10 +121,11 @@
 
 // admitMemory counts the request's memory and keeps its connection from yielding to others.
 func (s *Server) admitMemory(r *apiRequest) *core.Problem {
-	headBytes, err := connlimit.Admit(r.Context())
+	headBytes, err := connlimit.Admit(r.Context(), r.caller.Name)
 	if err != nil {
-		p := core.NewProblem(core.KindOverloaded, "the router has no room for the connection")
-		p.Err = err
+		s.metrics.memoryRefusals.Inc(1)
+		p := core.NewProblem(core.KindOverloaded, "the router has too many requests in flight")
+		p.RetryAfter, p.Err = memoryRetryAfter, err
 		return p
 	}
 	r.body = s.bytes.NewBody(r.caller.Name, func() { _ = r.w.controller.SetReadDeadline(time.Now()) })
