Log queue bounded by bytes, and the smallest budget by one request

Cause, by reading: the queue of log lines held up to 1,024 lines of any length; a line has the caller's request ID, which may be as long as a header allows (64 KiB), so a process whose output is not read could hold 60 MB of them. With memory_mb between 48 and 72 the budget was 4 MB, in which a request of 4 MiB within the documented limits finds no room. Change: the queue holds at most 1 MB; the budget is at least 12 MB.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -69,7 +69,8 @@
 	// the pages of the program and of threads.
 	runtimeShare = 0.9
 	programBytes = 16 << 20
-	minimumBytes = 4 << 20
+	// minimumBytes lets one caller hold two copies of a body of 4 MiB in any memory.
+	minimumBytes = 12 << 20
 )
 
 // Limit returns the bytes that a router may hold for others in a memory in MB of 2^20
--- a/internal/bytebudget/bytebudget_test.go
+++ b/internal/bytebudget/bytebudget_test.go
@@ -259,3 +259,17 @@
 		<-fast
 	})
 }
+
+// Guards against a small memory in which not even one request is served.
+func TestSmallestMemory(t *testing.T) {
+	Convey("A body of 4 MiB and a copy of it find room in any memory that the settings allow", t, func() {
+		b := New(Limit(48))
+		body := b.NewBody("clerk", func() {})
+		So(body.Admit(context.Background(), 16<<10, time.Now), ShouldBeNil)
+		So(body.ReadRequest(context.Background(), bytes.NewReader(make([]byte, 4<<20)), time.Now), ShouldBeNil)
+		_, err := body.Join(context.Background(), time.Now)
+		So(err, ShouldBeNil)
+		So(Limit(136), ShouldBeGreaterThan, Limit(48))
+		So(RuntimeLimit(48), ShouldBeGreaterThan, Limit(48))
+	})
+}
--- a/plugins/node/queue.go
+++ b/plugins/node/queue.go
@@ -12,11 +12,16 @@
 type lineQueue struct {
 	lines   chan []byte // a nil line ends run
 	done    chan struct{}
+	bytes   atomic.Int64 // of the queued lines
 	dropped atomic.Int64
 }
 
-// maxQueuedLines limits the memory of queued lines, about 300 bytes each.
-const maxQueuedLines = 1024
+// Limits of the queued lines. A usual line has about 300 bytes, one with a long request ID
+// as many as a header allows.
+const (
+	maxQueuedLines = 1024
+	maxQueuedBytes = 1 << 20
+)
 
 func newLineQueue(out io.Writer) *lineQueue {
 	q := &lineQueue{lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
@@ -34,16 +39,23 @@
 			fmt.Fprintf(out, "level=warn prefix=node msg=\"log lines dropped\" lines=%d\n", n)
 		}
 		_, _ = out.Write(line) // there is nowhere else to report an error
+		q.bytes.Add(-int64(len(line)))
 	}
 }
 
-// Write queues one line. If the queue is full, the line is dropped and counted.
+// Write queues one line. If the queue is full, by lines or by bytes, the line is dropped
+// and counted.
 func (q *lineQueue) Write(line []byte) (int, error) {
-	select {
-	case q.lines <- bytes.Clone(line):
-	default:
-		q.dropped.Add(1)
+	n := int64(len(line))
+	if q.bytes.Add(n) <= maxQueuedBytes {
+		select {
+		case q.lines <- bytes.Clone(line):
+			return len(line), nil
+		default:
+		}
 	}
+	q.bytes.Add(-n)
+	q.dropped.Add(1)
 	return len(line), nil
 }
 
