Byte budget: back to six tenths of the memory less 32 MB

Memory beside the budget grows with it and with the load of the machine; a refusal has not run and may be tried again, a process that ends loses its requests.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -58,12 +58,12 @@
 
 // Parts of the memory of a machine.
 const (
-	// ownBytes is what a router needs for itself: its code, the state of a large fleet,
-	// the connections of its workers, and gaps between blocks in use.
-	ownBytes = 66 << 20
-	// heldShare leaves the rest to the garbage collector: memory that is not in use and
-	// not yet reused.
-	heldShare = 0.85
+	// ownBytes is what a router needs for itself: its code, the state of a large fleet
+	// and the connections of its workers.
+	ownBytes = 32 << 20
+	// heldShare leaves the rest to the garbage collector: freed memory that is not yet
+	// reused, and gaps between blocks in use.
+	heldShare = 0.6
 	// runtimeShare, less programBytes, is the soft limit of the runtime, above which it
 	// collects garbage more often. The rest is for memory that the runtime does not count:
 	// the pages of the program and of threads.
