--- a/plugins/admin/setup.go
+++ b/plugins/admin/setup.go
@@ -17,8 +17,9 @@
 	Listen string `ini:"listen" default:"127.0.0.1:8090" check:"hostport"`
 	// Key is the bearer key of the operators. Required.
 	Key string `ini:"key" required:"true" secret:"true"`
-	// MaxConnections bounds the open connections; further ones wait to be
-	// accepted. 1 to 4096, default 64.
+	// MaxConnections bounds the open connections, as does a sixteenth of the
+	// descriptors of the process. For further ones the connection that has waited
+	// longest for a request is closed. 1 to 4096, default 64.
 	MaxConnections int `ini:"max_connections" default:"64" min:"1" max:"4096"`
 	// RequestTimeout bounds one request, including the time to receive its
 	// body. 1s to 5m, default 30s.
--- a/plugins/caller/setup.go
+++ b/plugins/caller/setup.go
@@ -27,9 +27,9 @@
 type Settings struct {
 	// Listen is the address of the caller API. Default 127.0.0.1:8080.
 	Listen string `ini:"listen" default:"127.0.0.1:8080" check:"hostport" required:"true"`
-	// MaxConnections limits the number of open connections. Further ones wait in
-	// the listen backlog of the operating system, as do those above half of the
-	// descriptors of the process. Default 8192.
+	// MaxConnections limits the number of open connections, as does half of the
+	// descriptors of the process. For further ones the connection that has waited
+	// longest for a request is closed. Default 8192.
 	MaxConnections int `ini:"max_connections" default:"8192" min:"1" max:"1000000"`
 	// BodyBytes limits the body of a request. Default 4194304 bytes.
 	BodyBytes int64 `ini:"body_bytes" default:"4194304" min:"1024" max:"268435456"`
--- a/plugins/peer/setup.go
+++ b/plugins/peer/setup.go
@@ -71,8 +71,9 @@
 	// MaxMessageBytes limits the size of a message in bytes. 65536 to 67108864,
 	// default 4194304.
 	MaxMessageBytes int `ini:"max_message" default:"4194304" min:"65536" max:"67108864"`
-	// MaxConnections limits the connections accepted from peers. 8 to 65536,
-	// default 1024.
+	// MaxConnections limits the connections accepted from peers, as does an eighth
+	// of the descriptors of the process. Connections without the peer key make room
+	// for further ones. 8 to 65536, default 1024.
 	MaxConnections int `ini:"max_connections" default:"1024" min:"8" max:"65536"`
 	// MaxStreams limits the concurrent calls of one peer. 8 to 65536, default
 	// 4096.
