Tests of requests that are answered without their body

Cause: nothing but the crowd tested that net/http does not wait for such a body for ever, and there the connections yield anyway.

--- a/plugins/caller/memory_test.go
+++ b/plugins/caller/memory_test.go
@@ -86,3 +86,31 @@
 		}
 	})
 }
+
+// Guards against connections that are held for ever by a request that is answered without
+// its body, because net/http waits for the body.
+func TestUnreadBodies(t *testing.T) {
+	for _, test := range []struct {
+		path, key string
+		status    int
+	}{
+		{"/v1/services/desk/x", "unknown", http.StatusUnauthorized},
+		{"/nowhere", "clerk-key", http.StatusNotFound},
+		{"/v1/services/other/x", "clerk-key", http.StatusNotFound},
+	} {
+		inBubble(t, "The connection of a request to "+test.path+" ends", func(h *harness) {
+			conn := h.dial()
+			defer conn.Close()
+			start := time.Now()
+			head, _, _ := strings.Cut(requestText("POST", test.path, "body", "Authorization", "Bearer "+test.key), "body")
+			_, err := io.WriteString(conn, head)
+			So(err, ShouldBeNil)
+			answer, err := io.ReadAll(conn) // until the connection ends
+			So(err, ShouldBeNil)
+			So(string(answer), ShouldStartWith, fmt.Sprint("HTTP/1.1 ", test.status))
+			So(time.Since(start), ShouldBeLessThan, 2*time.Second)
+			synctest.Wait()
+			So(h.bytes.Used(), ShouldEqual, 0)
+		})
+	}
+}
--- a/plugins/gateway/slowcaller_test.go
+++ b/plugins/gateway/slowcaller_test.go
@@ -128,3 +128,30 @@
 		})
 	}
 }
+
+// Guards against connections that are held for ever by a request that is answered without
+// its body, because net/http waits for the body.
+func TestUnreadBodies(t *testing.T) {
+	for _, test := range []struct {
+		desc, path, key string
+		status          int
+	}{
+		{"an unknown key", "/book/x", "unknown", http.StatusUnauthorized},
+		{"an unknown route", "/nowhere", "secret", http.StatusNotFound},
+	} {
+		for _, framing := range []string{"Content-Length: 10", "Transfer-Encoding: chunked"} {
+			inBubble(t, "The connection of a request with "+test.desc+" and "+framing+" ends", desks(1), func(h *harness) {
+				conn := h.connectCaller()
+				start := time.Now()
+				_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: desk.example\r\n%s: id-1\r\n%s: %s\r\n%s\r\n\r\n", test.path, testID, testKey, test.key, framing)
+				So(err, ShouldBeNil)
+				statuses, closed := answers(conn)
+				So(statuses, ShouldResemble, []int{test.status})
+				So(closed, ShouldBeTrue)
+				So(time.Since(start), ShouldBeLessThan, 2*time.Second)
+				synctest.Wait()
+				So(h.Gateway.bytes.Used(), ShouldEqual, 0)
+			})
+		}
+	}
+}
