--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -89,7 +89,9 @@
 		synctest.Wait()
 		So(isClosed(clients[1]), ShouldBeTrue)
 		So(isClosed(clients[0]), ShouldBeFalse)
-		So(conns[1].admit(), ShouldEqual, ErrNoRoom) // its request is not sent to a worker
+		So(conns[1].admit(), ShouldEqual, ErrNoRoom)
+		_, err := conns[1].admitRequest("clerk")
+		So(err, ShouldEqual, ErrNoRoom) // its request is not sent to a worker
 		_ = third.Close()
 		_ = conns[0].Close()
 		_ = conns[1].Close()
--- a/plugins/caller/memory_test.go
+++ b/plugins/caller/memory_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -87,6 +88,38 @@
 	})
 }
 
+// Guards against copies that stay counted: those of chunks that a restart has discarded, and
+// those that the encoder needed.
+func TestMemoryOfCompletions(t *testing.T) {
+	inBubble(t, "A completion is counted once while it is sent, after any number of restarts", func(h *harness) {
+		const size = 300 << 10
+		h.bytes = bytebudget.New(2 << 20)
+		h.dispatcher.chat = func(_ context.Context, _ *core.ChatRequest, sink core.ChatSink) error {
+			_ = sink.Start("w1")
+			chunk := fmt.Appendf(nil, `{"id":"c1","choices":[{"index":0,"delta":{"content":%q}}]}`, strings.Repeat("x", size))
+			for range 5 {
+				sink.(core.ChatRestarter).Restart()
+				if err := sink.Chunk(chunk); err != nil {
+					return err
+				}
+			}
+			return nil
+		}
+		conn := h.dial()
+		defer conn.Close()
+		_, err := io.WriteString(conn, requestText("POST", "/v1/chat/completions", `{"model":"m","messages":[{"role":"user","content":"q"}]}`))
+		So(err, ShouldBeNil)
+		synctest.Wait() // nothing is read, and the connection holds less than the response
+		So(h.bytes.Used(), ShouldBeBetween, size, 2*size)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		So(err, ShouldBeNil)
+		So(resp.StatusCode, ShouldEqual, http.StatusOK)
+		n, err := io.Copy(io.Discard, resp.Body)
+		So(err, ShouldBeNil)
+		So(n, ShouldBeGreaterThan, size)
+	})
+}
+
 // Guards against connections that are held for ever by a request that is answered without
 // its body, because net/http waits for the body.
 func TestUnreadBodies(t *testing.T) {
