Byte budget: streams do not yield for the memory of others; files by their job

Cause, by reading: a stream's request is counted with 40 KiB, so a caller that reads its events slowly (1 s for one write) would have been cut off while memory is short, for little gain. Measured: TestResponsesYield has the case; it fails if streams yield for memory.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -21,7 +21,6 @@
 	"context"
 	"errors"
 	"io"
-	"slices"
 	"sync"
 	"time"
 )
@@ -56,34 +55,6 @@
 	ErrYielded = errors.New("bytebudget: the body was given up for another one; send it faster, or in fewer requests at once")
 )
 
-// Parts of the memory of a machine.
-const (
-	// ownBytes is what a router needs for itself: its code, the state of a large fleet
-	// and the connections of its workers.
-	ownBytes = 32 << 20
-	// heldShare leaves the rest to the garbage collector: freed memory that is not yet
-	// reused, and gaps between blocks in use.
-	heldShare = 0.6
-	// runtimeShare, less programBytes, is the soft limit of the runtime, above which it
-	// collects garbage more often. The rest is for memory that the runtime does not count:
-	// the pages of the program and of threads.
-	runtimeShare = 0.9
-	programBytes = 16 << 20
-	// minimumBytes lets one caller hold two copies of a body of 4 MiB in any memory.
-	minimumBytes = 12 << 20
-)
-
-// Limit returns the bytes that a router may hold for others in a memory in MB of 2^20
-// bytes.
-func Limit(memoryMB int) int64 {
-	return max(int64(float64(memoryMB<<20)*heldShare)-ownBytes, minimumBytes)
-}
-
-// RuntimeLimit returns the memory limit of the Go runtime for a memory in MB of 2^20 bytes.
-func RuntimeLimit(memoryMB int) int64 {
-	return max(int64(float64(memoryMB<<20)*runtimeShare)-programBytes, minimumBytes)
-}
-
 // Budget is safe for concurrent use.
 type Budget struct {
 	mu          sync.Mutex // lock level 90
@@ -98,13 +69,6 @@
 	waiters     []*waiter        // in the order of their arrival
 }
 
-// waiter waits for bytes that others release.
-type waiter struct {
-	body *Body
-	n    int64
-	wake chan struct{} // closed to let it try again
-}
-
 // New returns a budget of a number of bytes.
 func New(limit int64) *Budget {
 	return &Budget{limit: limit, held: map[string]int64{}, reading: map[*Body]bool{}, writing: map[*Body]bool{}}
@@ -120,14 +84,14 @@
 // Body holds the bytes of one request or response until Release. Only one goroutine may
 // use it, apart from the budget.
 type Body struct {
-	budget    *Budget
-	caller    string // empty for clients without a known key
-	interrupt func() // ends the read in progress
+	budget *Budget
+	caller string // empty for clients without a known key
 
 	chunks [][]byte
 	size   int64
 
 	// The budget's lock protects the fields below.
+	interrupt func() // ends the read or write in progress
 	counted   int64
 	admitting bool      // Admit is running
 	admission int64     // part of counted: that of Admit
@@ -219,59 +183,6 @@
 	delete(h.budget.writing, h)
 }
 
-// TryAddConnection counts n bytes of a connection, or of a head on it. It returns false if
-// connections have their share, or if the budget is short and no body yields.
-func (b *Budget) TryAddConnection(n int64, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if float64(b.connections+n) > connectionShare*float64(b.limit) {
-		return false
-	}
-	if b.used+n > b.limit && !b.yield(nil, n, b.largestReader(), now) && !b.yieldResponse(nil, n, now) {
-		return false
-	}
-	b.connections += n
-	b.used += n
-	b.trimFree(0)
-	return true
-}
-
-// ReleaseConnection gives bytes back that TryAddConnection has counted.
-func (b *Budget) ReleaseConnection(n int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.connections -= n
-	b.used -= n
-	b.signal()
-}
-
-// YieldSlow lets one body yield whose connection others wait for: the request body with
-// the lowest rate since it began, or the response whose caller has read nothing for
-// longest, if it is at least minAge old. It returns false if there is none.
-func (b *Budget) YieldSlow(minAge time.Duration, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var victim *Body
-	lowest := 0.0
-	for h := range b.reading {
-		age := now.Sub(h.began)
-		if h.yielded || age < minAge {
-			continue
-		}
-		if rate := float64(h.received) / age.Seconds(); victim == nil || rate < lowest {
-			victim, lowest = h, rate
-		}
-	}
-	if victim == nil {
-		victim = b.stalledResponse(func(*Body) bool { return true }, minAge, now)
-	}
-	if victim == nil {
-		return false
-	}
-	victim.giveUp()
-	return true
-}
-
 // Join returns the bytes as one slice, which stays valid after Release. Until then they
 // are counted twice, for the slice and one copy that the caller may make of it. It may be
 // called once, and no chunk may be used after it. Errors: ErrShort, ErrYielded.
@@ -364,152 +275,6 @@
 	b.free = b.free[:keep]
 }
 
-// yieldWait limits the wait for the memory of bodies that yield. Their owners only have
-// to notice that a read has ended.
-const yieldWait = time.Second
-
-// reserve counts n bytes, and waits for bodies that yield if the budget is short.
-func (h *Body) reserve(ctx context.Context, n int64, now func() time.Time) error {
-	ctx, cancel := context.WithTimeout(ctx, yieldWait)
-	defer cancel()
-	for {
-		w, err := h.tryReserve(n, now())
-		if w == nil {
-			return err
-		}
-		select {
-		case <-w.wake:
-		case <-ctx.Done():
-			h.budget.stopWaiting(w)
-			return ErrShort
-		}
-	}
-}
-
-// tryReserve counts n bytes. If other bodies yield for them, it returns a waiter that is
-// woken when they may be free.
-func (h *Body) tryReserve(n int64, now time.Time) (*waiter, error) {
-	b := h.budget
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	over := b.isOverShare(h, n)
-	if h.yielded {
-		return nil, ErrYielded
-	}
-	if !over && b.used+n <= b.limit {
-		b.add(h, n)
-		h.progress = now
-		return nil, nil
-	}
-	caller := h.caller
-	if !over {
-		caller = b.largestReader()
-	}
-	if !b.yield(h, n, caller, now) && !b.yieldResponse(h, n, now) {
-		return nil, ErrShort
-	}
-	w := &waiter{h, n, make(chan struct{})}
-	b.waiters = append(b.waiters, w)
-	return w, nil
-}
-
-func (b *Budget) stopWaiting(w *waiter) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if i := slices.Index(b.waiters, w); i >= 0 {
-		b.waiters = slices.Delete(b.waiters, i, i+1)
-		return
-	}
-	b.signal() // it was woken for bytes that another one may take
-}
-
-// isOverShare reports whether n more bytes exceed the share of the caller. The share of
-// clients without a known key is for bodies and responses; as many of their requests are
-// admitted as of a caller.
-func (b *Budget) isOverShare(h *Body, n int64) bool {
-	if h.caller == "" && !h.admitting {
-		return float64(b.held[""]-b.unknown+n) > unknownShare*float64(b.limit)
-	}
-	return float64(b.held[h.caller]+n) > callerShare*float64(b.limit)
-}
-
-// largestReader returns the caller with the most bytes in bodies that are being read.
-func (b *Budget) largestReader() string {
-	sums := map[string]int64{}
-	caller := ""
-	for h := range b.reading {
-		sums[h.caller] += h.counted
-		if s := sums[h.caller]; s > sums[caller] || s == sums[caller] && h.caller < caller {
-			caller = h.caller
-		}
-	}
-	return caller
-}
-
-// yield lets bodies of a caller yield until n bytes will be released for h, which is nil
-// for a connection. It returns false if none does.
-func (b *Budget) yield(h *Body, n int64, caller string, now time.Time) bool {
-	var victim *Body
-	for o := range b.reading {
-		switch {
-		case o.yielded && o.caller == caller:
-			if n -= o.counted; n <= 0 {
-				return true // it has not released its bytes yet
-			}
-		case o == h || o.caller != caller || o.yielded:
-		case h != nil && caller == h.caller && now.Sub(o.progress) < StallTime:
-		case victim == nil || o.progress.Before(victim.progress):
-			victim = o
-		}
-	}
-	if victim == nil {
-		return false
-	}
-	victim.giveUp()
-	return true
-}
-
-// yieldResponse lets responses yield that their callers do not read, until n bytes will be
-// released for h, which is nil for a connection. A requester above its caller's share
-// gains only from responses of that caller. It returns false if none yields.
-func (b *Budget) yieldResponse(h *Body, n int64, now time.Time) bool {
-	over := h != nil && b.isOverShare(h, n)
-	helps := func(o *Body) bool { return o.counted >= ChunkBytes && (!over || o.caller == h.caller) }
-	for o := range b.writing {
-		if o.yielded && helps(o) {
-			if n -= o.counted; n <= 0 {
-				return true // it has not released its bytes yet
-			}
-		}
-	}
-	victim := b.stalledResponse(helps, StallTime, now)
-	if victim == nil {
-		return false
-	}
-	victim.giveUp()
-	return true
-}
-
-// stalledResponse returns the response whose caller has read nothing for longest, and at
-// least for a time, of those that match.
-func (b *Budget) stalledResponse(matches func(*Body) bool, least time.Duration, now time.Time) (stalled *Body) {
-	for o := range b.writing {
-		if o.yielded || !matches(o) || now.Sub(o.progress) < least {
-			continue
-		}
-		if stalled == nil || o.progress.Before(stalled.progress) {
-			stalled = o
-		}
-	}
-	return stalled
-}
-
-func (h *Body) giveUp() {
-	h.yielded = true
-	h.interrupt()
-	h.budget.wake(h)
-}
-
 // chunk returns an empty chunk with a capacity.
 func (b *Budget) chunk(size int) []byte {
 	b.mu.Lock()
@@ -572,31 +337,6 @@
 	b.signal()
 }
 
-// signal wakes the waiters whose bytes are free, in order, and the first one whose bytes
-// are not, since it may let another body yield.
-func (b *Budget) signal() {
-	left, woken := b.limit-b.used, 0
-	for _, w := range b.waiters {
-		close(w.wake)
-		woken++
-		if left -= w.n; left < 0 {
-			break
-		}
-	}
-	b.waiters = slices.Delete(b.waiters, 0, woken)
-}
-
-// wake wakes the waiter of a body.
-func (b *Budget) wake(h *Body) {
-	for i, w := range b.waiters {
-		if w.body == h {
-			close(w.wake)
-			b.waiters = slices.Delete(b.waiters, i, i+1)
-			return
-		}
-	}
-}
-
 // keep keeps chunks for reuse, as many as stay within the limit with the bytes in use.
 func (b *Budget) keep(chunks [][]byte) {
 	for _, c := range chunks {
--- a/internal/bytebudget/bytebudget_test.go
+++ b/internal/bytebudget/bytebudget_test.go
@@ -235,6 +235,17 @@
 		So(read(b, "clerk", 2*mb), ShouldEqual, ErrShort)
 		So(*yielded, ShouldBeFalse)
 	})
+	inBubble(t, "A stream yields its connection, but not for the memory of others", func() {
+		b := New(4 * mb)
+		stream, yielded := b.NewBody("crowd", nil), false
+		So(stream.Admit(context.Background(), 5*mb/2, time.Now), ShouldBeNil)
+		stream.StartWriting(func() { yielded = true }, time.Now())
+		<-time.After(2 * StallTime)
+		So(read(b, "clerk", 2*mb), ShouldEqual, ErrShort)
+		So(yielded, ShouldBeFalse)
+		So(b.YieldSlow(2*StallTime, time.Now()), ShouldBeTrue)
+		So(yielded, ShouldBeTrue)
+	})
 	inBubble(t, "A response above the caller's share keeps what was read", func() {
 		b := New(4 * mb)
 		body := b.NewBody("crowd", nil)
