Gateway: unread responses let go of a worker that answers nobody

What callers saw: 120 connections that read nothing of responses of 4 MiB held all 110 connections that a worker accepts; an ordinary request got 502 in each of three tries, since the worker reset its connection. Cause: the rest of a response above answer_bytes is forwarded as it arrives, so that its worker's connection is held until write_timeout (30 s). Ruled out: a shorter write timeout, which cuts callers that pause while there is room; a limit of connections for each worker, which routers cannot know of all callers together. Change: when an attempt fails without an answer, the responses of that worker of which nothing was read for 1 s, and streams for 5 s, are broken off.

--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -318,6 +318,7 @@
 	if f.full {
 		g.room.recordRejected(x)
 	}
+	g.makeRoomAt(c.Worker, f)
 	g.decisions.count("attempt_failures", "reason", f.reason)
 	g.decisions.logRequest("attempt failed", "request", x.header.ID, "worker", c.Worker.ID, "attempt", len(x.tried), "reason", f.reason, "outcome", f.outcome, "used_connection", f.conn.reused, "connection", f.conn.number, "carried", f.conn.requests, "carried_id", f.conn.carriedID, "answer_id", f.answerID, "shared_parts", formatParts(x.sharedParts()), "error", f.err)
 }
--- a/plugins/gateway/buffered.go
+++ b/plugins/gateway/buffered.go
@@ -51,6 +51,7 @@
 // bufferedResponse is a worker's response. If it exceeds the buffer, body is its
 // first part and the rest has to be read from unread; otherwise unread is nil.
 type bufferedResponse struct {
+	worker *routing.Worker
 	status int
 	header http.Header
 	body   *bytebudget.Body
@@ -80,7 +81,7 @@
 	err := body.ReadResponse(x.ctx, io.LimitReader(resp.Body, int64(g.settings.AnswerBytes)), time.Now)
 	short := errors.Is(err, bytebudget.ErrShort) || errors.Is(err, bytebudget.ErrYielded)
 	took := time.Since(resp.sentAt)
-	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body, framed: resp.isFramed()}
+	buffered := &bufferedResponse{worker: c.Worker, status: resp.StatusCode, header: resp.Header, body: body, framed: resp.isFramed()}
 	if short || err == nil && body.Size() == int64(g.settings.AnswerBytes) {
 		resp.stallTimer.stop()
 		if resp.StatusCode >= http.StatusInternalServerError {
@@ -119,6 +120,10 @@
 	x.firstByte = sinceStart(x)
 	x.extendWriteDeadline(g.settings.WriteTimeout)
 	resp.body.StartWriting(x.interruptWrite, time.Now())
+	if resp.unread != nil {
+		g.unread.startWrite(resp.worker, x, time.Now())
+		defer g.unread.endWrite(resp.worker, x)
+	}
 	for _, chunk := range resp.body.Chunks() {
 		if _, err := x.w.Write(chunk); err != nil {
 			x.setOutcome(outcomeDisconnected, "caller left", err)
@@ -135,9 +140,13 @@
 		from: resp.unread.Body, left: g.settings.MaxAnswerBytes - resp.body.Size(),
 		beforeRead: func() {
 			resp.body.EndWriting()
+			g.unread.endWrite(resp.worker, x)
 			x.extendWriteDeadline(g.settings.WriteTimeout)
 		},
-		afterRead: func() { resp.body.StartWriting(x.interruptWrite, time.Now()) },
+		afterRead: func() {
+			resp.body.StartWriting(x.interruptWrite, time.Now())
+			g.unread.startWrite(resp.worker, x, time.Now())
+		},
 	}
 	if _, err := io.Copy(x.w, rest); err != nil {
 		reason := failTruncated
