--- a/internal/core/lockorder.go
+++ b/internal/core/lockorder.go
@@ -17,4 +17,5 @@
 //	60  plugins/upstream  send state of requests; the state of their connections has level 61
 //	60  routing           worker list, loads and retry budgets of a Fleet
 //	70  ledger            pending writes and background jobs
+//	85  internal/connlimit  connections and admitted requests of a process
 //	90  leaf locks: revision store, registries, metrics, logs; no lock is acquired while one of them is held
