Crowds beside other load: streams let go of a full worker too, and more memory is left

Ruled out: a larger reservation for completions: with it an answer of 8 MiB within the limits finds no room on the smallest VM.

--- a/plugins/gateway/handler.go
+++ b/plugins/gateway/handler.go
@@ -72,8 +72,6 @@
 	_ = x.conn.SetWriteDeadline(x.writeDeadline) // not supported by recorders in tests
 }
 
-func (x *exchange) isStream() bool { return x.route.Kind == objects.RouteStream }
-
 // interruptWrite ends a write to the caller.
 func (x *exchange) interruptWrite() { _ = x.conn.SetWriteDeadline(time.Now()) }
 
@@ -177,7 +175,7 @@
 	defer cancel()
 	defer context.AfterFunc(g.server.ending, cancel)()
 	x.ctx = ctx
-	if x.isStream() {
+	if x.route.Kind == objects.RouteStream {
 		g.serveStream(x)
 		return
 	}
--- a/plugins/gateway/unread.go
+++ b/plugins/gateway/unread.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/auburnlead/auburnlead/internal/bytebudget"
-	"github.com/auburnlead/auburnlead/internal/connlimit"
 	"github.com/auburnlead/auburnlead/routing"
 )
 
@@ -46,17 +45,13 @@
 	}
 }
 
-// breakOff ends the responses of a worker of which nothing was read for a time, and returns
-// their number. Streams have longer, since their callers read at the pace of a person.
+// breakOff ends the responses of a worker of which nothing was read for StallTime, and
+// returns their number.
 func (u *unreadResponses) breakOff(w *routing.Worker, now time.Time) (n int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for x, since := range u.byWorker[w.ID] {
-		least := bytebudget.StallTime
-		if x.isStream() {
-			least = connlimit.SlowAge
-		}
-		if now.Sub(since) >= least {
+		if now.Sub(since) >= bytebudget.StallTime {
 			x.interruptWrite()
 			n++
 		}
--- a/plugins/node/setup.go
+++ b/plugins/node/setup.go
@@ -36,10 +36,11 @@
 	// GCPercent is the heap growth in percent that triggers a garbage collection.
 	// A lower value saves memory and costs CPU time. Default 100.
 	GCPercent int `ini:"gc_percent" default:"100" min:"5" max:"1000"`
-	// MemoryMB is the memory of the VM in MB of 2^20 bytes. Three quarters less 32 MB may
-	// be used for connections, requests and responses; further requests are refused. The
-	// runtime collects garbage more often above 0.9 of it. Default half of the memory that
-	// the process finds (machine, control group, RLIMIT_AS, RLIMIT_DATA), at most 512.
+	// MemoryMB is the memory of the VM in MB of 2^20 bytes. Six tenths of it less 38 MB
+	// may be used for connections, requests and responses; further requests are refused.
+	// The runtime collects garbage more often above 0.9 of it less 24 MB. Default half of
+	// the memory that the process finds (machine, control group, RLIMIT_AS, RLIMIT_DATA),
+	// at least 48 and at most 512.
 	MemoryMB float64 `ini:"memory_mb" min:"48" max:"1048576"`
 }
 
