Connlimit: one body at a time yields to a new connection, and only to callers

What callers saw, by reading: at the limit of connections the listener let a body yield every 100 ms until a connection had ended; net/http keeps one open for 0.5 s after its request has ended, so up to five slow uploads were given up for one new connection. A full listener of peers let callers' bodies yield too, which frees no place of a peer. Change: one body a second, and only at listeners with admitted requests.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -71,6 +71,7 @@
 		c.admitted, c.caller = true, caller
 		p.admitted[caller]++
 		p.requests++
+		c.listener.requests++
 	}
 	return c.releaseServing(), nil
 }
@@ -82,6 +83,7 @@
 	c.admitted = false
 	p := c.pool()
 	p.requests--
+	c.listener.requests--
 	if p.admitted[c.caller]--; p.admitted[c.caller] == 0 {
 		delete(p.admitted, c.caller)
 	}
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -42,9 +42,12 @@
 // read, yields to a new connection.
 const SlowAge = 5 * time.Second
 
-// retryInterval is the interval at which a connection that waits looks for room that
-// nothing announces.
-const retryInterval = 100 * time.Millisecond
+// Intervals of a connection that waits. yieldInterval is longer than net/http keeps a
+// connection open after its request has yielded.
+const (
+	retryInterval = 100 * time.Millisecond // it looks for capacity that nothing announces
+	yieldInterval = time.Second            // it lets a body yield
+)
 
 // ErrNoRoom means that a connection was closed to make room for others, or found none.
 var ErrNoRoom = errors.New("connlimit: the connection was closed for want of room; raise memory_mb or the descriptors of the process")
@@ -144,7 +147,15 @@
 	done    chan struct{}
 	changed chan struct{} // has a value if a connection was closed
 
-	open int // the pool's lock protects it
+	// The pool's lock protects the fields below.
+	open     int
+	requests int // admitted
+}
+
+func (l *listener) hasRequests() bool {
+	l.config.Pool.mu.Lock()
+	defer l.config.Pool.mu.Unlock()
+	return l.requests > 0
 }
 
 func (l *listener) Accept() (net.Conn, error) {
@@ -153,6 +164,7 @@
 		return nil, err
 	}
 	c := &conn{Conn: nc, listener: l}
+	var lastYield time.Time
 	for {
 		added, own := l.tryAdd(c)
 		if added {
@@ -161,7 +173,12 @@
 		if l.config.Pool.closeLongestWaiting(own) {
 			continue
 		}
-		l.config.Pool.budget.YieldSlow(SlowAge, time.Now())
+		// Only a listener with admitted requests gains from one that yields.
+		if now := time.Now(); now.Sub(lastYield) >= yieldInterval && l.hasRequests() {
+			if l.config.Pool.budget.YieldSlow(SlowAge, now) {
+				lastYield = now
+			}
+		}
 		select {
 		case <-l.changed:
 		case <-time.After(retryInterval):
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -117,22 +117,57 @@
 		So(conns[2].AddHead(4000, 1000), ShouldEqual, ErrNoRoom) // it takes more than all have
 		So(pool.budget.Used(), ShouldEqual, 0)
 	})
-	inBubble(t, "A body that has been arriving for long yields to a new connection", func() {
-		inner, l, pool := listen(1)
-		go func() { dial(inner) }()
-		first := accept(l)
-		So(first.admit(), ShouldBeNil)
+	// hold admits a request on a connection, whose body stays away until it yields. The
+	// connection ends some time after that, as net/http's does.
+	hold := func(pool *Pool, c *conn, yields *atomic.Int64) {
+		_, err := c.admitRequest("crowd")
+		So(err, ShouldBeNil)
 		yielded := make(chan struct{})
-		body := pool.budget.NewBody("crowd", func() { close(yielded) })
+		body := pool.budget.NewBody("crowd", func() { yields.Add(1); close(yielded) })
 		go func() {
 			_ = body.ReadRequest(context.Background(), readerFunc(func([]byte) (int, error) { <-yielded; return 0, io.ErrUnexpectedEOF }), time.Now)
 			body.Release()
-			_ = first.Close()
+			<-time.After(yieldInterval / 2)
+			_ = c.Close()
 		}()
+	}
+	inBubble(t, "One body that has been arriving for long yields to a new connection", func() {
+		const limit = 4
+		inner, l, pool := listen(limit)
+		var yields atomic.Int64
+		for range limit {
+			go func() { dial(inner) }()
+			hold(pool, accept(l), &yields)
+		}
 		go func() { dial(inner) }()
 		start := time.Now()
 		accept(l)
-		So(time.Since(start), ShouldBeBetweenOrEqual, SlowAge, SlowAge+2*retryInterval)
+		So(time.Since(start), ShouldBeBetweenOrEqual, SlowAge, SlowAge+yieldInterval)
+		So(yields.Load(), ShouldEqual, 1)
+		for yields.Load() < limit {
+			pool.budget.YieldSlow(0, time.Now())
+		}
+		<-time.After(yieldInterval)
+	})
+	inBubble(t, "No body yields to a connection of a listener that has none", func() {
+		inner, callers, pool := listen(1)
+		go func() { dial(inner) }()
+		var yields atomic.Int64
+		hold(pool, accept(callers), &yields)
+		peers := bufconn.Listen(1)
+		l := Listen(peers, Config{Limit: func() int { return 1 }, Pool: pool})
+		go func() { dial(peers) }()
+		first := accept(l)
+		So(first.admit(), ShouldBeNil)
+		ended := make(chan error, 1)
+		go func() { dial(peers) }()
+		go func() { _, err := l.Accept(); ended <- err }()
+		<-time.After(2 * SlowAge)
+		So(yields.Load(), ShouldEqual, 0)
+		_ = l.Close()
+		So(<-ended, ShouldEqual, net.ErrClosed)
+		pool.budget.YieldSlow(0, time.Now())
+		<-time.After(yieldInterval)
 	})
 }
 
