Connlimit: one place that logs and counts evictions; one middleware for framing

Cause: each plug-in had its own log line or none: an eviction at the listeners for gossip and peers told nobody, at the admin API only at level debug, and a head that was closed because all other connections had admitted requests was neither logged nor counted. The check of framing was written a second time for the listeners beside the callers'. Requests without a descriptor counted as refusals for want of memory. Change: the plug-in node logs "connection evicted" and counts connections_evicted{listener} for all listeners of both roles; framing.Reject serves both uses; counter request_refusals. ErrNoRoom is ErrEvicted, the field's term. Measured: connlimit.TestWhoYields counts the evictions and has the head that closes itself.

--- a/internal/connlimit/auxserver.go
+++ b/internal/connlimit/auxserver.go
@@ -19,23 +19,12 @@
 // to be served with Serve. Its timeouts are 5 s for a request and 30 s for its response.
 func AuxServer(h http.Handler, idleTimeout time.Duration) *http.Server {
 	return &http.Server{
-		Handler:        rejectAmbiguous(h),
+		Handler: framing.Reject(h, func(w http.ResponseWriter, err error) {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+		}),
 		ReadTimeout:    auxReadTimeout,
 		WriteTimeout:   auxWriteTimeout,
 		IdleTimeout:    idleTimeout,
 		MaxHeaderBytes: auxHeaderBytes,
 	}
 }
-
-// rejectAmbiguous responds with 400 to requests whose end is ambiguous and closes their
-// connection.
-func rejectAmbiguous(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if err := framing.Check(r); err != nil {
-			w.Header().Set("Connection", "close")
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -49,7 +49,7 @@
 	c.pool().mu.Lock()
 	defer c.pool().mu.Unlock()
 	if c.evicted {
-		return ErrNoRoom
+		return ErrEvicted
 	}
 	c.stopWaiting()
 	return nil
@@ -62,7 +62,7 @@
 	most := p.maxRequests()
 	switch {
 	case c.evicted:
-		return 0, ErrNoRoom
+		return 0, ErrEvicted
 	case p.requests >= most, float64(p.admitted[caller]) >= callerShare*float64(most):
 		return 0, ErrTooMany
 	}
@@ -106,15 +106,16 @@
 	return int64(bytes)*headByteBytes + int64(lines)*headLineBytes
 }
 
-// AddHead implements framing.HeadAccount. Errors: ErrNoRoom.
+// AddHead implements framing.HeadAccount. Errors: ErrEvicted.
 func (c *conn) AddHead(bytes, lines int) error {
 	for !c.tryAddHead(headCost(bytes, lines)) {
 		if !c.pool().closeLongestWaiting(nil) {
-			return ErrNoRoom
+			c.pool().closeEvicted(c) // all others have an admitted request
+			return ErrEvicted
 		}
 	}
 	if c.isEvicted() {
-		return ErrNoRoom
+		return ErrEvicted
 	}
 	return nil
 }
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -49,27 +49,27 @@
 	yieldInterval = time.Second            // it lets a body yield
 )
 
-// ErrNoRoom means that a connection was closed to make room for others, or found none.
-var ErrNoRoom = errors.New("connlimit: the connection was closed for want of room; raise memory_mb or the descriptors of the process")
+// ErrEvicted means that a connection was closed to free capacity.
+var ErrEvicted = errors.New("connlimit: the connection was closed to free capacity; raise memory_mb or the descriptors of the process")
 
 // ErrTooMany means that no connection to a worker is left for a request.
 var ErrTooMany = errors.New("connlimit: too many requests are in flight; retry later, or raise the descriptors of the process")
 
 // Config configures Listen and Serve.
 type Config struct {
+	// Listener is the name of the listener for logs and metrics.
+	Listener string
 	// Limit returns the largest number of open connections. It is called for each
 	// connection and must not block.
 	Limit func() int
 	// Pool has the connections of the process.
 	Pool *Pool
-	// OnClose is called with each connection that is closed for want of room. It must not
-	// block. nil for none.
-	OnClose func(net.Conn)
 }
 
 // Pool has the connections of all listeners of a process.
 type Pool struct {
-	budget *bytebudget.Budget
+	budget  *bytebudget.Budget
+	onEvict func(listener string, c net.Conn) // nil for none
 
 	mu      sync.Mutex // lock level 85
 	waiting list.List  // connections without an admitted request, the longest waiting first
@@ -79,9 +79,11 @@
 	maxRequests func() int
 }
 
-// NewPool returns an empty pool, whose memory a budget counts.
-func NewPool(b *bytebudget.Budget) *Pool {
-	return &Pool{budget: b, admitted: map[string]int{}, maxRequests: maxRequests}
+// NewPool returns an empty pool, whose memory a budget counts. onEvict is called with each
+// connection that is closed to free capacity, and the name of its listener; it must not
+// block. nil for none.
+func NewPool(b *bytebudget.Budget, onEvict func(listener string, c net.Conn)) *Pool {
+	return &Pool{budget: b, onEvict: onEvict, admitted: map[string]int{}, maxRequests: maxRequests}
 }
 
 // Serve serves a listener within the limits, with the checks of package framing. Errors:
@@ -107,7 +109,7 @@
 // Admit records that a request of a caller is about to be sent to a worker, so that its
 // connection no longer yields. The name is empty for clients without a known key. From then
 // on the caller of Admit counts headBytes, the memory of the request's head. Errors:
-// ErrNoRoom if the connection has been closed, ErrTooMany.
+// ErrEvicted if the connection has been closed, ErrTooMany.
 func Admit(ctx context.Context, caller string) (headBytes int64, err error) {
 	c := find(framing.Conn(ctx))
 	if c == nil {
@@ -117,7 +119,7 @@
 }
 
 // AdmitConn is Admit for a connection of a server without package framing. Errors:
-// ErrNoRoom if the connection has been closed.
+// ErrEvicted if the connection has been closed.
 func AdmitConn(nc net.Conn) error {
 	c := find(nc)
 	if c == nil {
@@ -217,18 +219,15 @@
 // closeLongestWaiting closes the connection of a listener, nil for any, that has waited
 // longest. It returns false if there is none.
 func (p *Pool) closeLongestWaiting(of *listener) bool {
-	c := p.evictLongestWaiting(of)
+	c := p.markLongestWaiting(of)
 	if c == nil {
 		return false
 	}
-	if onClose := c.listener.config.OnClose; onClose != nil {
-		onClose(c)
-	}
-	_ = c.Close()
+	p.closeEvicted(c)
 	return true
 }
 
-func (p *Pool) evictLongestWaiting(of *listener) *conn {
+func (p *Pool) markLongestWaiting(of *listener) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for e := p.waiting.Front(); e != nil; e = e.Next() {
@@ -242,6 +241,13 @@
 	return nil
 }
 
+func (p *Pool) closeEvicted(c *conn) {
+	if p.onEvict != nil {
+		p.onEvict(c.listener.config.Listener, c)
+	}
+	_ = c.Close()
+}
+
 // Close closes the listener and ends an Accept that waits for room.
 func (l *listener) Close() error {
 	l.once.Do(func() { close(l.done) })
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -34,10 +34,15 @@
 // that are held and keep others out, and against an admitted request that loses its
 // connection to a new one.
 func TestWhoYields(t *testing.T) {
+	evicted := 0
 	listen := func(limit int) (*bufconn.Listener, net.Listener, *Pool) {
 		inner := bufconn.Listen(1)
-		pool := NewPool(bytebudget.New(1 << 20))
-		return inner, Listen(inner, Config{Limit: func() int { return limit }, Pool: pool}), pool
+		evicted = 0
+		pool := NewPool(bytebudget.New(1<<20), func(listener string, _ net.Conn) {
+			So(listener, ShouldEqual, "callers")
+			evicted++
+		})
+		return inner, Listen(inner, Config{Listener: "callers", Limit: func() int { return limit }, Pool: pool}), pool
 	}
 	dial := func(inner *bufconn.Listener) net.Conn {
 		c, _ := inner.Dial() // called in other goroutines
@@ -89,9 +94,9 @@
 		synctest.Wait()
 		So(isClosed(clients[1]), ShouldBeTrue)
 		So(isClosed(clients[0]), ShouldBeFalse)
-		So(conns[1].admit(), ShouldEqual, ErrNoRoom)
+		So(conns[1].admit(), ShouldEqual, ErrEvicted)
 		_, err := conns[1].admitRequest("clerk")
-		So(err, ShouldEqual, ErrNoRoom) // its request is not sent to a worker
+		So(err, ShouldEqual, ErrEvicted) // its request is not sent to a worker
 		_ = third.Close()
 		_ = conns[0].Close()
 		_ = conns[1].Close()
@@ -113,8 +118,28 @@
 		So(isClosed(clients[0]), ShouldBeTrue)
 		So(isClosed(clients[1]), ShouldBeTrue)
 		So(isClosed(clients[2]), ShouldBeFalse)
-		So(conns[1].AddHead(10, 1), ShouldEqual, ErrNoRoom)
-		So(conns[2].AddHead(4000, 1000), ShouldEqual, ErrNoRoom) // it takes more than all have
+		So(conns[1].AddHead(10, 1), ShouldEqual, ErrEvicted)
+		So(conns[2].AddHead(4000, 1000), ShouldEqual, ErrEvicted) // it takes more than all have
+		So(pool.budget.Used(), ShouldEqual, 0)
+		So(evicted, ShouldEqual, 3)
+	})
+	inBubble(t, "A head is closed if all other connections have an admitted request", func() {
+		inner, l, pool := listen(100)
+		var clients []net.Conn
+		var conns []*conn
+		for range 2 {
+			go func() { clients = append(clients, dial(inner)) }()
+			synctest.Wait()
+			conns = append(conns, accept(l))
+			synctest.Wait()
+		}
+		So(conns[0].admit(), ShouldBeNil)
+		So(conns[1].admit(), ShouldBeNil)
+		So(conns[1].AddHead(9000, 2000), ShouldEqual, ErrEvicted)
+		So(isClosed(clients[1]), ShouldBeTrue)
+		So(isClosed(clients[0]), ShouldBeFalse)
+		So(evicted, ShouldEqual, 1)
+		_ = conns[0].Close()
 		So(pool.budget.Used(), ShouldEqual, 0)
 	})
 	// hold admits a request on a connection, whose body stays away until it yields. The
@@ -190,7 +215,7 @@
 			}
 		})}
 		go func() {
-			_ = Serve(server, inner, Config{Limit: func() int { return 2 }, Pool: NewPool(budget)})
+			_ = Serve(server, inner, Config{Limit: func() int { return 2 }, Pool: NewPool(budget, nil)})
 		}()
 		client, err := inner.Dial()
 		So(err, ShouldBeNil)
@@ -223,7 +248,7 @@
 func TestAdmittedRequests(t *testing.T) {
 	Convey("A caller has three quarters of the requests, and an end makes room", t, func() {
 		const most = 100
-		pool := NewPool(bytebudget.New(1 << 30))
+		pool := NewPool(bytebudget.New(1<<30), nil)
 		pool.maxRequests = func() int { return most }
 		l := &listener{config: Config{Pool: pool}, changed: make(chan struct{}, 1)}
 		admit := func(caller string) (*conn, error) {
--- a/internal/connlimit/resources.go
+++ b/internal/connlimit/resources.go
@@ -14,16 +14,16 @@
 	Connections *Pool              `optional:"true"`
 }
 
-// testBytes is the budget of a plug-in without the plug-in node, which is a test.
-const testBytes = 736 << 20
+// defaultBytes is the budget of a program without the plug-in node.
+const defaultBytes = 736 << 20
 
-// OrDefault returns the resources, with those of a test in place of missing ones.
+// OrDefault returns the resources, with own ones of the plug-in in place of missing ones.
 func (r Resources) OrDefault() Resources {
 	if r.Bytes == nil {
-		r.Bytes = bytebudget.New(testBytes)
+		r.Bytes = bytebudget.New(defaultBytes)
 	}
 	if r.Connections == nil {
-		r.Connections = NewPool(r.Bytes)
+		r.Connections = NewPool(r.Bytes, nil)
 	}
 	return r
 }
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -46,6 +46,19 @@
 	return server.Serve(listener{l})
 }
 
+// Reject returns a handler that calls Check and passes other requests on to next. For an
+// ambiguous one it has the connection closed and calls respond with the error.
+func Reject(next http.Handler, respond func(http.ResponseWriter, error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := Check(r); err != nil {
+			w.Header().Set("Connection", "close")
+			respond(w, err)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Conn returns the connection of a request that was received through Serve, nil for others.
 func Conn(ctx context.Context) net.Conn {
 	if c, ok := ctx.Value(connKey{}).(*conn); ok {
--- a/plugins/admin/server.go
+++ b/plugins/admin/server.go
@@ -42,7 +42,7 @@
 func NewServer(s *Settings, a *core.Addresses, l *log.Logger, api *API, resources connlimit.Resources, lc fx.Lifecycle) *Server {
 	server := &Server{settings: s, addresses: a, log: l.WithPrefix("admin"), pool: resources.OrDefault().Connections}
 	server.http = &http.Server{
-		Handler:           rejectAmbiguous(api.routes(s.Key)),
+		Handler:           framing.Reject(api.routes(s.Key), rejectAmbiguous),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       s.RequestTimeout,
 		WriteTimeout:      2 * s.RequestTimeout,
@@ -61,9 +61,7 @@
 	s.addresses.Set(componentName, l.Addr().String())
 	s.log.Info("listening", "address", l.Addr().String())
 	go func() {
-		limits := connlimit.Config{Limit: s.maxConnections, Pool: s.pool, OnClose: func(c net.Conn) {
-			s.log.Debug("connection closed for want of room", "remote", c.RemoteAddr())
-		}}
+		limits := connlimit.Config{Listener: componentName, Limit: s.maxConnections, Pool: s.pool}
 		if err := connlimit.Serve(s.http, l, limits); !errors.Is(err, http.ErrServerClosed) {
 			s.log.Error("listener failed", "err", err)
 		}
@@ -86,17 +84,9 @@
 	return nil
 }
 
-// rejectAmbiguous responds with 400 to requests whose end is ambiguous and closes
-// their connection.
-func rejectAmbiguous(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if err := framing.Check(r); err != nil {
-			w.Header().Set("Connection", "close")
-			writeError(w, core.NewProblem(core.KindInvalidRequest, "%v", err))
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
+// rejectAmbiguous responds with 400 to a request whose end is ambiguous.
+func rejectAmbiguous(w http.ResponseWriter, err error) {
+	writeError(w, core.NewProblem(core.KindInvalidRequest, "%v", err))
 }
 
 // requireKey returns middleware that responds with 401 to requests without the
--- a/plugins/caller/observe.go
+++ b/plugins/caller/observe.go
@@ -14,8 +14,8 @@
 type metrics struct {
 	scope          tally.Scope
 	memoryRefusals tally.Counter
-	// connectionsClosed counts connections that were closed for want of room.
-	connectionsClosed tally.Counter
+	// requestRefusals counts requests for which no connection to a worker was left.
+	requestRefusals tally.Counter
 
 	mu       sync.RWMutex // lock level 90, see internal/core/lockorder.go
 	counters map[routeStatus]tally.Counter
@@ -31,7 +31,7 @@
 var durationBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 22)
 
 func newMetrics(s tally.Scope) *metrics {
-	m := &metrics{scope: s, memoryRefusals: s.Counter("memory_refusals"), connectionsClosed: s.Counter("connections_closed"), counters: map[routeStatus]tally.Counter{}, duration: map[string]tally.Histogram{}}
+	m := &metrics{scope: s, memoryRefusals: s.Counter("memory_refusals"), requestRefusals: s.Counter("request_refusals"), counters: map[routeStatus]tally.Counter{}, duration: map[string]tally.Histogram{}}
 	for _, route := range []string{"chat", "models", "service", "none"} {
 		m.duration[route] = s.Tagged(map[string]string{"route": route}).Histogram("request_duration", durationBuckets)
 	}
--- a/plugins/caller/routes.go
+++ b/plugins/caller/routes.go
@@ -123,7 +123,7 @@
 func (s *Server) admitMemory(r *apiRequest) *core.Problem {
 	headBytes, err := connlimit.Admit(r.Context(), r.caller.Name)
 	if err != nil {
-		s.metrics.memoryRefusals.Inc(1)
+		s.metrics.requestRefusals.Inc(1)
 		p := core.NewProblem(core.KindOverloaded, "the router has too many requests in flight")
 		p.RetryAfter, p.Err = memoryRetryAfter, err
 		return p
--- a/plugins/caller/setup.go
+++ b/plugins/caller/setup.go
@@ -13,7 +13,6 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 
-	"github.com/auburnlead/auburnlead/internal/boundedlog"
 	"github.com/auburnlead/auburnlead/internal/bytebudget"
 	"github.com/auburnlead/auburnlead/internal/connlimit"
 	"github.com/auburnlead/auburnlead/internal/core"
@@ -95,7 +94,6 @@
 	requests   *requestTracker
 	bytes      *bytebudget.Budget // bytes held for callers
 	pool       *connlimit.Pool
-	connLines  *boundedlog.Logger // of connections that are closed
 	http       *http.Server
 }
 
@@ -116,7 +114,6 @@
 		requests:   newRequestTracker(),
 		bytes:      resources.Bytes,
 		pool:       resources.Connections,
-		connLines:  boundedlog.New(p.Logger.WithPrefix("caller"), connLinesPerSecond),
 	}
 	s.readiness.Require(componentName)
 	s.config.Subscribe(s.keys.update)
@@ -153,21 +150,13 @@
 }
 
 func (s *Server) serve(l net.Listener) {
-	limits := connlimit.Config{Limit: s.maxConnections, Pool: s.pool, OnClose: s.logConnectionClosed}
+	limits := connlimit.Config{Listener: componentName, Limit: s.maxConnections, Pool: s.pool}
 	if err := connlimit.Serve(s.http, l, limits); err != http.ErrServerClosed {
 		s.log.Error("listener failed", "error", err)
 		s.readiness.SetReady(componentName, false, "listener failed")
 	}
 }
 
-// connLinesPerSecond limits log lines that clients without a request can cause.
-const connLinesPerSecond = 10
-
-func (s *Server) logConnectionClosed(c net.Conn) {
-	s.metrics.connectionsClosed.Inc(1)
-	s.connLines.Log(log.WarnLevel, "connection", "connection closed for want of room", "remote", c.RemoteAddr(), "held_bytes", s.bytes.Used())
-}
-
 // Stop shuts the server down gracefully: the router reports not ready, serves
 // requests for DrainDelay, refuses new ones, waits for those in flight and closes
 // the listener.
--- a/plugins/gateway/body.go
+++ b/plugins/gateway/body.go
@@ -11,9 +11,6 @@
 	"github.com/auburnlead/auburnlead/internal/connlimit"
 )
 
-// reasonTooMany is the reason of requests for which no descriptor is left.
-const reasonTooMany = "too many requests in flight"
-
 // admit counts the request's memory and keeps its connection from yielding to others. If
 // the request cannot be served, it writes the response and returns false.
 func (g *Gateway) admit(x *exchange) bool {
@@ -24,12 +21,11 @@
 	headBytes, err := connlimit.Admit(x.r.Context(), x.callerName())
 	if errors.Is(err, connlimit.ErrTooMany) {
 		x.err = err
-		g.decisions.count("memory_refusals", "reason", reasonTooMany)
-		g.refuse(x, newRefusal(reasonTooMany, retryAfterOverloaded))
+		g.refuse(x, tooManyRefusal)
 		return false
 	}
 	if err != nil {
-		x.setOutcome(outcomeRefused, "no room for the connection", err)
+		x.setOutcome(outcomeRefused, "connection evicted", err)
 		x.abort = true
 		return false
 	}
--- a/plugins/gateway/refuse.go
+++ b/plugins/gateway/refuse.go
@@ -108,6 +108,10 @@
 // connection is closed, and a new one leads to another router.
 var stoppingRefusal = routerRefusal{reason: reasonStopping, counter: "stop_refusals"}
 
+// tooManyRefusal is that of a request for which no connection to a worker is left. The
+// requests in flight end as fast as those of fully loaded workers.
+var tooManyRefusal = routerRefusal{reason: "too many requests in flight", counter: "request_refusals", least: retryAfterOverloaded / 2, spread: retryAfterOverloaded / 2}
+
 // pauseSpread is the inverse part of a pause over which callers return after it.
 const pauseSpread = 4
 
--- a/plugins/gateway/server.go
+++ b/plugins/gateway/server.go
@@ -105,7 +105,7 @@
 
 // serveCallers serves a listener until the server is closed.
 func (s *server) serveCallers(l net.Listener) error {
-	l = connlimit.Listen(l, s.connLimits("callers", connlimit.ForProcess))
+	l = connlimit.Listen(l, connlimit.Config{Listener: componentName, Limit: connlimit.ForProcess, Pool: s.g.connections})
 	s.conns.setListener(l)
 	err := connlimit.ServeListener(s.callers, l)
 	if s.stopping.Load() {
@@ -114,14 +114,6 @@
 	return err
 }
 
-// connLimits returns the limits of connections at a listener.
-func (s *server) connLimits(listener string, limit func() int) connlimit.Config {
-	return connlimit.Config{Limit: limit, Pool: s.g.connections, OnClose: func(c net.Conn) {
-		s.g.decisions.count("connections_closed", "listener", listener)
-		s.g.decisions.logRequest("connection closed for want of room", "listener", listener, "remote", c.RemoteAddr(), "held_bytes", s.g.bytes.Used())
-	}}
-}
-
 // newMetricsServer returns the server of the metrics listener, which operators use.
 func (s *server) newMetricsServer() *http.Server {
 	return s.newAuxServer(map[string]http.Handler{"/metrics": http.HandlerFunc(s.metrics), explainapi.Path: &explainer{g: s.g}})
@@ -140,7 +132,7 @@
 
 func (s *server) serveAux(listener string, h *http.Server) func(net.Listener) error {
 	return func(l net.Listener) error {
-		return connlimit.Serve(h, l, s.connLimits(listener, connlimit.ForAux))
+		return connlimit.Serve(h, l, connlimit.Config{Listener: listener, Limit: connlimit.ForAux, Pool: s.g.connections})
 	}
 }
 
--- a/plugins/gossip/setup.go
+++ b/plugins/gossip/setup.go
@@ -198,7 +198,7 @@
 	g.conn = conn
 	g.server = connlimit.AuxServer(g.serveTables(), peerIdleTimeout)
 	go func() {
-		limits := connlimit.Config{Limit: connlimit.ForAux, Pool: g.connections}
+		limits := connlimit.Config{Listener: component, Limit: connlimit.ForAux, Pool: g.connections}
 		if err := connlimit.Serve(g.server, l, limits); err != http.ErrServerClosed {
 			g.log.Error("listener failed", "error", err)
 		}
--- a/plugins/node/setup.go
+++ b/plugins/node/setup.go
@@ -17,7 +17,6 @@
 
 	"github.com/auburnlead/auburnlead/internal/boundedlog"
 	"github.com/auburnlead/auburnlead/internal/bytebudget"
-	"github.com/auburnlead/auburnlead/internal/connlimit"
 	"github.com/auburnlead/auburnlead/internal/core"
 	"github.com/auburnlead/auburnlead/internal/hostmemory"
 	"github.com/auburnlead/auburnlead/kernel"
@@ -59,7 +58,7 @@
 			return fx.Module("node",
 				fx.Supply(s.(*Settings)),
 				logger,
-				fx.Provide(NewIdentity, newBudget, connlimit.NewPool, core.NewAddresses, core.NewReadiness, core.NewBackgroundPool),
+				fx.Provide(NewIdentity, newBudget, newPool, core.NewAddresses, core.NewReadiness, core.NewBackgroundPool),
 				fx.Invoke(configureRuntime),
 			)
 		},
@@ -89,11 +88,6 @@
 	return core.Identity{Router: s.ID, FailureDomain: s.FailureDomain, Incarnation: uint64(time.Now().UnixNano()), MemoryMB: s.memoryMB()}
 }
 
-// newBudget returns the budget for all that the process holds for clients.
-func newBudget(i core.Identity) *bytebudget.Budget {
-	return bytebudget.New(bytebudget.Limit(i.MemoryMB))
-}
-
 // newStdoutLogger returns a logger that writes to standard output and never
 // blocks: if the output is not read fast enough, lines are dropped and counted.
 func newStdoutLogger(s *Settings, lc fx.Lifecycle) (*log.Logger, error) {
--- a/plugins/peer/conn_test.go
+++ b/plugins/peer/conn_test.go
@@ -27,7 +27,7 @@
 		peerpb.RegisterPeerServer(server, &peerpb.UnimplementedPeerServer{})
 		inner, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
-		pool := connlimit.NewPool(bytebudget.New(1 << 20))
+		pool := connlimit.NewPool(bytebudget.New(1<<20), nil)
 		go func() {
 			_ = server.Serve(admittableListener{connlimit.Listen(inner, connlimit.Config{Limit: func() int { return limit }, Pool: pool})})
 		}()
--- a/plugins/peer/peer.go
+++ b/plugins/peer/peer.go
@@ -106,7 +106,7 @@
 	p.server = newServer(p.settings)
 	peerpb.RegisterPeerServer(p.server, &service{peer: p})
 	go func() {
-		limits := connlimit.Config{Limit: p.maxConnections, Pool: p.connections}
+		limits := connlimit.Config{Listener: component, Limit: p.maxConnections, Pool: p.connections}
 		if err := p.server.Serve(admittableListener{connlimit.Listen(l, limits)}); err != nil {
 			p.log.Error("gRPC server stopped with an error", "err", err)
 		}
