Gateway: unread responses of a worker are found in the byte budget

Cause: plugins/gateway/unread.go kept a second registry of the same writes, with a lock and maps of its own for each event of a stream. Change: a response tells the budget, with each write, what it holds meanwhile (the worker); Budget.YieldHolding gives up those of one worker.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -93,6 +93,7 @@
 
 	// The budget's lock protects the fields below.
 	interrupt func() // ends the read or write in progress
+	holds     string // see StartWriting
 	counted   int64
 	admitting bool      // Admit is running
 	admission int64     // part of counted: that of Admit
@@ -166,12 +167,13 @@
 }
 
 // StartWriting records that a part of a response is being written to its caller. Until
-// EndWriting it yields if the caller reads nothing. interrupt ends the write; it must not
-// block.
-func (h *Body) StartWriting(interrupt func(), now time.Time) {
+// EndWriting it yields if the caller reads nothing. holds names what the response occupies
+// meanwhile, such as a worker of which it has a connection; it is empty for nothing.
+// interrupt ends the write; it must not block.
+func (h *Body) StartWriting(holds string, interrupt func(), now time.Time) {
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
-	h.interrupt, h.progress = interrupt, now
+	h.holds, h.interrupt, h.progress = holds, interrupt, now
 	if !h.released {
 		h.budget.writing[h] = true
 	}
--- a/internal/bytebudget/bytebudget_test.go
+++ b/internal/bytebudget/bytebudget_test.go
@@ -185,7 +185,7 @@
 	respond := func(b *Budget, caller string, size int) (body *Body, yielded *bool) {
 		body, yielded = b.NewBody(caller, nil), new(bool)
 		So(body.ReadResponse(context.Background(), strings.NewReader(strings.Repeat("x", size)), time.Now), ShouldBeNil)
-		body.StartWriting(func() { *yielded = true; go body.Release() }, time.Now())
+		body.StartWriting("", func() { *yielded = true; go body.Release() }, time.Now())
 		return body, yielded
 	}
 	read := func(b *Budget, caller string, size int) error {
@@ -201,7 +201,7 @@
 		So(read(b, "clerk", 2*mb), ShouldEqual, ErrShort)
 		So(*first, ShouldBeFalse)
 		<-time.After(StallTime)
-		reading.StartWriting(func() { *second = true; go reading.Release() }, time.Now()) // it has read a part
+		reading.StartWriting("", func() { *second = true; go reading.Release() }, time.Now()) // it has read a part
 		So(read(b, "clerk", 2*mb), ShouldBeNil)
 		So(*first, ShouldBeTrue)
 		So(*second, ShouldBeFalse)
@@ -235,11 +235,37 @@
 		So(read(b, "clerk", 2*mb), ShouldEqual, ErrShort)
 		So(*yielded, ShouldBeFalse)
 	})
+	inBubble(t, "Responses that hold the same and of which nothing was read yield together", func() {
+		b := New(4 * mb)
+		yields := map[string]int{}
+		write := func(name, holds string, now time.Time) *Body {
+			body := b.NewBody("crowd", nil)
+			So(body.Admit(context.Background(), 0, time.Now), ShouldBeNil)
+			body.StartWriting(holds, func() { yields[name]++ }, now)
+			return body
+		}
+		start := time.Now()
+		write("unread", "w1", start)
+		write("stream", "w1", start)
+		reading := write("reading", "w1", start)
+		write("waiting", "w1", start).EndWriting() // its worker is slow
+		write("other", "w2", start)
+		write("whole", "", start)
+		now := start.Add(StallTime)
+		reading.StartWriting("w1", func() { yields["reading"]++ }, now)
+		So(b.YieldHolding("w1", now.Add(-time.Millisecond)), ShouldEqual, 0)
+		So(b.YieldHolding("w1", now), ShouldEqual, 2)
+		So(b.YieldHolding("w1", now), ShouldEqual, 0) // they have not ended yet
+		So(yields, ShouldResemble, map[string]int{"unread": 1, "stream": 1})
+		So(b.YieldHolding("w2", now), ShouldEqual, 1)
+		So(b.YieldHolding("w1", now.Add(StallTime)), ShouldEqual, 1)
+		So(yields, ShouldResemble, map[string]int{"unread": 1, "stream": 1, "other": 1, "reading": 1})
+	})
 	inBubble(t, "A stream yields its connection, but not for the memory of others", func() {
 		b := New(4 * mb)
 		stream, yielded := b.NewBody("crowd", nil), false
 		So(stream.Admit(context.Background(), 5*mb/2, time.Now), ShouldBeNil)
-		stream.StartWriting(func() { yielded = true }, time.Now())
+		stream.StartWriting("", func() { yielded = true }, time.Now())
 		<-time.After(2 * StallTime)
 		So(read(b, "clerk", 2*mb), ShouldEqual, ErrShort)
 		So(yielded, ShouldBeFalse)
--- a/internal/bytebudget/yield.go
+++ b/internal/bytebudget/yield.go
@@ -29,6 +29,20 @@
 	return true
 }
 
+// YieldHolding lets all responses yield that hold something and of which nothing was read
+// for StallTime. It returns their number.
+func (b *Budget) YieldHolding(holds string, now time.Time) (n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for h := range b.writing {
+		if h.holds == holds && !h.yielded && now.Sub(h.progress) >= StallTime {
+			h.giveUp()
+			n++
+		}
+	}
+	return n
+}
+
 // largestReader returns the caller with the most bytes in bodies that are being read.
 func (b *Budget) largestReader() string {
 	sums := map[string]int64{}
--- a/plugins/caller/service.go
+++ b/plugins/caller/service.go
@@ -126,7 +126,7 @@
 func (r *apiRequest) writeAnswer(body []byte) {
 	defer r.answer.EndWriting()
 	for part := range slices.Chunk(body, writePart) {
-		r.answer.StartWriting(r.w.interruptWrite, time.Now())
+		r.answer.StartWriting("", r.w.interruptWrite, time.Now())
 		if _, err := r.w.Write(part); err != nil {
 			return // the connection is closed
 		}
--- a/plugins/gateway/attempt.go
+++ b/plugins/gateway/attempt.go
@@ -300,6 +300,17 @@
 // to respond.
 const maxWorkersTried = 4
 
+// freeWorker breaks off responses that nobody reads of a worker that did not answer an
+// attempt: they may hold all connections that it accepts.
+func (g *Gateway) freeWorker(w *routing.Worker, f *failure) {
+	if f.reason != failConnect && f.reason != failNoResponse {
+		return
+	}
+	if n := g.bytes.YieldHolding(w.ID, time.Now()); n > 0 {
+		g.decisions.logChange("unread responses broken off", "worker", w.ID, "upstream", w.Upstream, "responses", n)
+	}
+}
+
 // recordFailedAttempt updates worker health, metrics and the log after a failed
 // attempt.
 func (g *Gateway) recordFailedAttempt(x *exchange, c routing.Choice, f *failure) {
@@ -318,7 +329,7 @@
 	if f.full {
 		g.room.recordRejected(x)
 	}
-	g.makeRoomAt(c.Worker, f)
+	g.freeWorker(c.Worker, f)
 	g.decisions.count("attempt_failures", "reason", f.reason)
 	g.decisions.logRequest("attempt failed", "request", x.header.ID, "worker", c.Worker.ID, "attempt", len(x.tried), "reason", f.reason, "outcome", f.outcome, "used_connection", f.conn.reused, "connection", f.conn.number, "carried", f.conn.requests, "carried_id", f.conn.carriedID, "answer_id", f.answerID, "shared_parts", formatParts(x.sharedParts()), "error", f.err)
 }
--- a/plugins/gateway/buffered.go
+++ b/plugins/gateway/buffered.go
@@ -59,6 +59,14 @@
 	unread *workerResponse
 }
 
+// holds returns the ID of the worker that waits for the caller to read, empty for none.
+func (b *bufferedResponse) holds() string {
+	if b.unread == nil {
+		return ""
+	}
+	return b.worker.ID
+}
+
 // discard closes the connection of a response whose rest is not forwarded.
 func (b *bufferedResponse) discard() {
 	if b.unread != nil {
@@ -119,17 +127,13 @@
 	x.w.WriteHeader(resp.status)
 	x.firstByte = sinceStart(x)
 	x.extendWriteDeadline(g.settings.WriteTimeout)
-	resp.body.StartWriting(x.interruptWrite, time.Now())
-	if resp.unread != nil {
-		g.unread.startWrite(resp.worker, x, time.Now())
-		defer g.unread.endWrite(resp.worker, x)
-	}
+	defer resp.body.EndWriting()
 	for _, chunk := range resp.body.Chunks() {
+		resp.body.StartWriting(resp.holds(), x.interruptWrite, time.Now())
 		if _, err := x.w.Write(chunk); err != nil {
 			x.setOutcome(outcomeDisconnected, "caller left", err)
 			break
 		}
-		resp.body.StartWriting(x.interruptWrite, time.Now())
 	}
 	if resp.unread == nil {
 		return
@@ -140,13 +144,9 @@
 		from: resp.unread.Body, left: g.settings.MaxAnswerBytes - resp.body.Size(),
 		beforeRead: func() {
 			resp.body.EndWriting()
-			g.unread.endWrite(resp.worker, x)
 			x.extendWriteDeadline(g.settings.WriteTimeout)
 		},
-		afterRead: func() {
-			resp.body.StartWriting(x.interruptWrite, time.Now())
-			g.unread.startWrite(resp.worker, x, time.Now())
-		},
+		afterRead: func() { resp.body.StartWriting(resp.holds(), x.interruptWrite, time.Now()) },
 	}
 	if _, err := io.Copy(x.w, rest); err != nil {
 		reason := failTruncated
--- a/plugins/gateway/setup.go
+++ b/plugins/gateway/setup.go
@@ -11,7 +11,7 @@
 // ratelimit.go how many requests they take, coldworkers.go which of them have just
 // started, pauses.go which of them other routers have to spare, evacuation.go in which
 // failure domains they may get none, room.go which upstreams are full, speeds.go
-// how fast workers are, unread.go which of their responses callers do not read. callerconns.go tells a stop which connections are in use.
+// how fast workers are. callerconns.go tells a stop which connections are in use.
 // explain.go tells operators what would be decided.
 package gateway
 
@@ -180,7 +180,6 @@
 	conns             *workerConns
 	bytes             *bytebudget.Budget // bytes held for callers
 	connections       *connlimit.Pool
-	unread            *unreadResponses
 	reachability      *reachability
 	crashes           *crashDetector
 	limits            *rateLimits
@@ -212,7 +211,6 @@
 		conns:         newWorkerConns(p.Settings),
 		bytes:         resources.Bytes,
 		connections:   resources.Connections,
-		unread:        newUnreadResponses(),
 
 		evacuatedDomains: p.Scope.SubScope(componentName).Gauge("evacuated_domains"),
 	}
--- a/plugins/gateway/stream.go
+++ b/plugins/gateway/stream.go
@@ -141,10 +141,8 @@
 		resp.stallTimer.reset(gapFactor * x.route.GapTarget)
 		x.extendWriteDeadline(g.settings.WriteTimeout)
 		arrived := time.Now()
-		x.body.StartWriting(x.interruptWrite, arrived)
-		g.unread.startWrite(c.Worker, x, arrived)
+		x.body.StartWriting(c.Worker.ID, x.interruptWrite, arrived)
 		err = g.forwardEvent(x, s, resp, e, events.Buffered() == 0)
-		g.unread.endWrite(c.Worker, x)
 		x.body.EndWriting()
 		if err != nil {
 			return &failure{outcome: core.OutcomeUnknown, sent: true, reason: failDisconnected, err: err}
