--- a/internal/bytebudget/bytebudget_test.go
+++ b/internal/bytebudget/bytebudget_test.go
@@ -44,6 +44,13 @@
 	return result
 }
 
+// read reads a whole body and releases it.
+func read(b *Budget, caller string, size int) error {
+	body := b.NewBody(caller, func() {})
+	defer body.Release()
+	return body.ReadRequest(context.Background(), strings.NewReader(strings.Repeat("x", size)), time.Now)
+}
+
 func inBubble(t *testing.T, name string, body func()) {
 	synctest.Test(t, func(t *testing.T) { Convey(name, t, body) })
 }
@@ -52,11 +59,6 @@
 // end, and against bodies that are given up without need.
 func TestWhoYields(t *testing.T) {
 	const mb = 1 << 20
-	read := func(b *Budget, caller string, size int) error {
-		body := b.NewBody(caller, func() {})
-		defer body.Release()
-		return body.ReadRequest(context.Background(), strings.NewReader(strings.Repeat("x", size)), time.Now)
-	}
 	inBubble(t, "The oldest unfinished body of the largest caller yields to another caller", func() {
 		b := New(4 * mb)
 		small := hold(b, "small", mb/2)
@@ -188,11 +190,6 @@
 		body.StartWriting("", func() { *yielded = true; go body.Release() }, time.Now())
 		return body, yielded
 	}
-	read := func(b *Budget, caller string, size int) error {
-		body := b.NewBody(caller, func() {})
-		defer body.Release()
-		return body.ReadRequest(context.Background(), strings.NewReader(strings.Repeat("x", size)), time.Now)
-	}
 	inBubble(t, "A response whose caller reads nothing yields after a time, the longest first", func() {
 		b := New(4 * mb)
 		_, first := respond(b, "crowd", mb)
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -53,6 +53,14 @@
 		So(err, ShouldBeNil)
 		return c.(*conn)
 	}
+	open := func(inner *bufconn.Listener, l net.Listener, count int) (clients []net.Conn, conns []*conn) {
+		for range count {
+			go func() { clients = append(clients, dial(inner)) }()
+			conns = append(conns, accept(l))
+			synctest.Wait() // until the client has its end
+		}
+		return clients, conns
+	}
 	inBubble(t, "Connections above the limit wait until one with an admitted request is closed", func() {
 		inner, l, pool := listen(1)
 		for range 3 {
@@ -79,19 +87,10 @@
 	})
 	inBubble(t, "The connection that has waited longest for a request is closed for a new one", func() {
 		inner, l, pool := listen(2)
-		var clients []net.Conn
-		var conns []*conn
-		for range 2 {
-			go func() { clients = append(clients, dial(inner)) }()
-			synctest.Wait()
-			conns = append(conns, accept(l))
-			synctest.Wait()
-		}
+		clients, conns := open(inner, l, 2)
 		conns[0].wait(true) // it has just answered a request
-		go func() { clients = append(clients, dial(inner)) }()
-		synctest.Wait()
-		third := accept(l)
-		synctest.Wait()
+		_, more := open(inner, l, 1)
+		third := more[0]
 		So(isClosed(clients[1]), ShouldBeTrue)
 		So(isClosed(clients[0]), ShouldBeFalse)
 		So(conns[1].admit(), ShouldEqual, ErrEvicted)
@@ -105,14 +104,7 @@
 	})
 	inBubble(t, "A head that finds no memory closes the connection that has waited longest", func() {
 		inner, l, pool := listen(100)
-		var clients []net.Conn
-		var conns []*conn
-		for range 3 {
-			go func() { clients = append(clients, dial(inner)) }()
-			synctest.Wait()
-			conns = append(conns, accept(l))
-			synctest.Wait()
-		}
+		clients, conns := open(inner, l, 3)
 		So(conns[1].AddHead(4000, 1000), ShouldBeNil)
 		So(conns[2].AddHead(4000, 1000), ShouldBeNil)
 		So(isClosed(clients[0]), ShouldBeTrue)
@@ -125,14 +117,7 @@
 	})
 	inBubble(t, "A head is closed if all other connections have an admitted request", func() {
 		inner, l, pool := listen(100)
-		var clients []net.Conn
-		var conns []*conn
-		for range 2 {
-			go func() { clients = append(clients, dial(inner)) }()
-			synctest.Wait()
-			conns = append(conns, accept(l))
-			synctest.Wait()
-		}
+		clients, conns := open(inner, l, 2)
 		So(conns[0].admit(), ShouldBeNil)
 		So(conns[1].admit(), ShouldBeNil)
 		So(conns[1].AddHead(9000, 2000), ShouldEqual, ErrEvicted)
